Frame: keys, result codes, log events, state charts and the checks

Cause: the repository is empty and every later package needs one place for result codes, log events and charts, and a check that keeps pure packages pure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go
+SEED ?= 1
+LAYOUT ?= rayuela
+
+.PHONY: all build test bench lint fmt docs ci trial clean
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+lint:
+	$(LINT) run ./...
+	$(LINT) fmt --diff ./...
+	sh scripts/check-pure.sh
+
+fmt:
+	$(LINT) fmt ./...
+
+docs:
+	go run ./cmd/gen-docs
+
+ci: lint test
+
+clean:
+	rm -rf bin trial
--- /dev/null
+++ b/chart/chart.go
@@ -0,0 +1,216 @@
+// Package chart interprets state charts. A chart is a JSON document that says
+// for each state which event leads to which state, and what to do on the way.
+// Pure packages drive their decisions by one; they never hold a state machine
+// in code.
+//
+// Every state that is not final must say for every event of the chart either
+// where it leads ("on") or that it is ignored ("ignore"). Parse rejects a
+// chart with an unreachable state, an unhandled event or a missing target.
+package chart
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// State names a state of a chart.
+type State string
+
+// Event names an event of a chart.
+type Event string
+
+// Action names what the interpreter's user does on a transition.
+type Action string
+
+// Transition is where an event leads.
+type Transition struct {
+	// To is the state that follows.
+	To State `json:"to"`
+	// Do lists the actions of the transition in order; it may be empty.
+	Do []Action `json:"do,omitempty"`
+}
+
+// Node describes one state.
+type Node struct {
+	// Doc says in one sentence what holds in the state.
+	Doc string `json:"doc"`
+	// Final marks a state that no event leaves.
+	Final bool `json:"final,omitempty"`
+	// On gives the transition for each event that has one.
+	On map[Event]Transition `json:"on,omitempty"`
+	// Ignore lists the events that change nothing here.
+	Ignore []Event `json:"ignore,omitempty"`
+}
+
+// Chart is a checked state chart. It is safe for concurrent use.
+type Chart struct {
+	// Name is the chart's name, the same as its file's.
+	Name string `json:"name"`
+	// Doc says in a sentence what the chart decides.
+	Doc string `json:"doc"`
+	// Initial is the state that a new machine starts in.
+	Initial State `json:"initial"`
+	// Events lists every event of the chart with its meaning.
+	Events map[Event]string `json:"events"`
+	// States describes every state.
+	States map[State]Node `json:"states"`
+}
+
+// Error says what is wrong with a chart.
+type Error struct {
+	Chart  string
+	State  State
+	Event  Event
+	Detail string
+}
+
+// Error returns the error in one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("chart %q, state %q, event %q: %s", e.Chart, e.State, e.Event, e.Detail)
+}
+
+// Parse reads and checks a chart.
+func Parse(raw []byte) (*Chart, error) {
+	var c Chart
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&c); err != nil {
+		return nil, &Error{Chart: c.Name, Detail: err.Error()}
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// Next returns the transition that an event takes from a state. It returns
+// false if the event is ignored there, or if the state is final.
+func (c *Chart) Next(s State, e Event) (Transition, bool) {
+	t, ok := c.States[s].On[e]
+	return t, ok
+}
+
+func (c *Chart) check() error {
+	if _, ok := c.States[c.Initial]; !ok {
+		return &Error{Chart: c.Name, State: c.Initial, Detail: "the initial state is missing"}
+	}
+	for _, s := range c.stateNames() {
+		if err := c.checkState(s); err != nil {
+			return err
+		}
+	}
+	return c.checkReachable()
+}
+
+func (c *Chart) checkState(s State) error {
+	node := c.States[s]
+	if node.Final && len(node.On)+len(node.Ignore) > 0 {
+		return &Error{Chart: c.Name, State: s, Detail: "a final state handles no event"}
+	}
+	handled := make(map[Event]int)
+	for e, t := range node.On {
+		handled[e]++
+		if _, ok := c.States[t.To]; !ok {
+			return &Error{Chart: c.Name, State: s, Event: e, Detail: fmt.Sprintf("target state %q is missing", t.To)}
+		}
+	}
+	for _, e := range node.Ignore {
+		handled[e]++
+	}
+	for e, n := range handled {
+		if _, ok := c.Events[e]; !ok {
+			return &Error{Chart: c.Name, State: s, Event: e, Detail: "the event is not declared"}
+		}
+		if n > 1 {
+			return &Error{Chart: c.Name, State: s, Event: e, Detail: "the event is handled twice"}
+		}
+	}
+	if node.Final {
+		return nil
+	}
+	for _, e := range c.eventNames() {
+		if handled[e] == 0 {
+			return &Error{Chart: c.Name, State: s, Event: e, Detail: "the event is not handled"}
+		}
+	}
+	return nil
+}
+
+func (c *Chart) checkReachable() error {
+	seen := map[State]bool{c.Initial: true}
+	todo := []State{c.Initial}
+	for len(todo) > 0 {
+		s := todo[0]
+		todo = todo[1:]
+		for _, t := range c.States[s].On {
+			if !seen[t.To] {
+				seen[t.To] = true
+				todo = append(todo, t.To)
+			}
+		}
+	}
+	for _, s := range c.stateNames() {
+		if !seen[s] {
+			return &Error{Chart: c.Name, State: s, Detail: "the state is unreachable"}
+		}
+	}
+	return nil
+}
+
+func (c *Chart) stateNames() []State {
+	names := make([]State, 0, len(c.States))
+	for s := range c.States {
+		names = append(names, s)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+func (c *Chart) eventNames() []Event {
+	names := make([]Event, 0, len(c.Events))
+	for e := range c.Events {
+		names = append(names, e)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// Draw returns the chart as a section of Markdown: a Mermaid diagram, then
+// what each state and event means.
+func (c *Chart) Draw() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n%s\n\n```mermaid\nstateDiagram-v2\n    [*] --> %s\n", c.Name, c.Doc, c.Initial)
+	for _, s := range c.stateNames() {
+		node := c.States[s]
+		for _, e := range c.eventNames() {
+			if t, ok := node.On[e]; ok {
+				fmt.Fprintf(&b, "    %s --> %s : %s%s\n", s, t.To, e, drawActions(t.Do))
+			}
+		}
+		if node.Final {
+			fmt.Fprintf(&b, "    %s --> [*]\n", s)
+		}
+	}
+	b.WriteString("```\n\n")
+	for _, s := range c.stateNames() {
+		fmt.Fprintf(&b, "- State `%s`: %s\n", s, c.States[s].Doc)
+	}
+	for _, e := range c.eventNames() {
+		fmt.Fprintf(&b, "- Event `%s`: %s\n", e, c.Events[e])
+	}
+	return b.String()
+}
+
+func drawActions(do []Action) string {
+	if len(do) == 0 {
+		return ""
+	}
+	names := make([]string, len(do))
+	for i, a := range do {
+		names[i] = string(a)
+	}
+	return " / " + strings.Join(names, ", ")
+}
--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,40 @@
+package chart_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/chart"
+)
+
+func TestParseRejectsWrongCharts(t *testing.T) {
+	cases := []struct{ name, states, want string }{
+		{"unreachable", `{"a":{"doc":"","on":{"go":{"to":"b"}}},"b":{"doc":"","final":true},"c":{"doc":"","final":true}}`, "the state is unreachable"},
+		{"unhandled", `{"a":{"doc":""}}`, "the event is not handled"},
+		{"missing target", `{"a":{"doc":"","on":{"go":{"to":"z"}}}}`, `target state "z" is missing`},
+		{"undeclared", `{"a":{"doc":"","ignore":["go","stop"]}}`, "the event is not declared"},
+		{"twice", `{"a":{"doc":"","on":{"go":{"to":"a"}},"ignore":["go"]}}`, "the event is handled twice"},
+		{"initial", `{"b":{"doc":"","final":true}}`, "the initial state is missing"},
+		{"final", `{"a":{"doc":"","final":true,"ignore":["go"]}}`, "a final state handles no event"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := chart.Parse([]byte(`{"name":"x","doc":"","initial":"a","events":{"go":""},"states":` + c.states + `}`))
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestNextFollowsTheChart(t *testing.T) {
+	c, err := chart.Parse([]byte(`{"name":"x","doc":"","initial":"a","events":{"go":"","stay":""},"states":{
+		"a":{"doc":"","on":{"go":{"to":"b","do":["tell"]}},"ignore":["stay"]},"b":{"doc":"","final":true}}}`))
+	must.NoError(t, err)
+	next, ok := c.Next("a", "go")
+	must.True(t, ok)
+	must.Eq(t, chart.Transition{To: "b", Do: []chart.Action{"tell"}}, next)
+	_, ok = c.Next("a", "stay")
+	must.False(t, ok)
+	_, ok = c.Next("b", "go")
+	must.False(t, ok)
+}
--- /dev/null
+++ b/event/session.go
@@ -0,0 +1,3 @@
+package event
+
+var sessionEvents = []Def{}
--- /dev/null
+++ b/result/result_test.go
@@ -0,0 +1,46 @@
+package result_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// The table in the docs and the codes of the package say the same.
+func TestDocsTableMatchesCodes(t *testing.T) {
+	raw, err := os.ReadFile("../docs/RESULT-CODES.md")
+	must.NoError(t, err)
+	var rows []string
+	for line := range strings.Lines(string(raw)) {
+		line = strings.TrimSpace(line)
+		if len(line) > 2 && line[0] == '|' && line[2] >= '0' && line[2] <= '9' {
+			rows = append(rows, line)
+		}
+	}
+	var want []string
+	for _, i := range result.All() {
+		want = append(want, fmt.Sprintf("| %d | %s | %s | %d | %s |", i.Code, i.Name, i.Outcome, i.HTTP, i.Advice))
+	}
+	must.Eq(t, want, rows)
+}
+
+func TestCodesAreUniqueAndAscending(t *testing.T) {
+	names := map[string]bool{}
+	last := -1
+	for _, i := range result.All() {
+		must.Greater(t, last, int(i.Code))
+		must.False(t, names[i.Name])
+		names[i.Name] = true
+		last = int(i.Code)
+	}
+}
+
+// A code nobody defined must never be read as a true "not run".
+func TestUndefinedCodeIsUnknown(t *testing.T) {
+	must.Eq(t, result.Unknown, result.Code(9999).Outcome())
+}
