Configuration documents: fields, schema and checks

Cause: the daemon and the operators' tool need the document before the rest. Change: package document reads a document, checks it by JSON Schema and by checks a schema can't make, and names every fault at once with field, value, reason and remedy.

--- /dev/null
+++ b/document/reference.go
@@ -0,0 +1,103 @@
+package document
+
+import (
+	"encoding/json"
+	"regexp"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// node is the part of JSON Schema that the document's schema uses.
+type node struct {
+	Description      string           `json:"description"`
+	Type             string           `json:"type"`
+	Pattern          string           `json:"pattern"`
+	Ref              string           `json:"$ref"`
+	Required         []string         `json:"required"`
+	Properties       map[string]*node `json:"properties"`
+	Items            *node            `json:"items"`
+	Minimum          *json.Number     `json:"minimum"`
+	Maximum          *json.Number     `json:"maximum"`
+	ExclusiveMinimum *json.Number     `json:"exclusiveMinimum"`
+	MinItems         *json.Number     `json:"minItems"`
+	MaxItems         *json.Number     `json:"maxItems"`
+	Defs             map[string]*node `json:"$defs"`
+}
+
+var schemaNode = sync.OnceValue(func() *node {
+	var n node
+	if err := json.Unmarshal(schemaFile, &n); err != nil {
+		panic(err)
+	}
+	return &n
+})
+
+func namePattern() string {
+	return schemaNode().Defs["name"].Pattern
+}
+
+func durationPattern() string {
+	return schemaNode().Defs["duration"].Pattern
+}
+
+// resolve follows a reference to the schema's definitions.
+func (n *node) resolve() *node {
+	if n.Ref == "" {
+		return n
+	}
+	return schemaNode().Defs[strings.TrimPrefix(n.Ref, "#/$defs/")]
+}
+
+var pathPart = regexp.MustCompile(`[^.\[\]]+`)
+
+// find returns the schema of the field at a path, before its reference is
+// followed; nil if the schema has none.
+func find(path string) *node {
+	n := schemaNode()
+	for _, part := range pathPart.FindAllString(path, -1) {
+		n = n.resolve()
+		if n.Items != nil {
+			n = n.Items
+			continue
+		}
+		n = n.Properties[part]
+		if n == nil {
+			return nil
+		}
+	}
+	return n
+}
+
+// describe returns the description of the field at a path, or of the nearest
+// field above that has one.
+func describe(path string) string {
+	for {
+		if n := find(path); n != nil && n.Description != "" {
+			return n.Description
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return schemaNode().Description
+		}
+		path = path[:cut]
+	}
+}
+
+// siblings returns the names of the fields of the object at a path.
+func siblings(path string) []string {
+	n := find(path)
+	if n == nil {
+		return nil
+	}
+	return sorted(n.resolve().Properties)
+}
+
+func sorted(fields map[string]*node) []string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
