--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,47 @@
+// Package cli runs the command line of a binary and turns its error into one
+// line and an exit code.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// The exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// Run executes the command and returns the exit code. An error is written to
+// stderr in one line.
+func Run(cmd *cobra.Command, stderr io.Writer) int {
+	cmd.SilenceErrors = true
+	cmd.SilenceUsage = true
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &result.Error{Code: result.BadSettings, Field: "flag", Cause: err, Remedy: "see --help"}
+	})
+	err := cmd.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "%s: %s\n", cmd.Name(), err)
+	if isSettings(err) {
+		return ExitSettings
+	}
+	return ExitFailed
+}
+
+func isSettings(err error) bool {
+	var e *result.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Code == result.BadSettings || e.Code == result.AddressInUse
+}
--- /dev/null
+++ b/internal/storestand/server.go
@@ -0,0 +1,157 @@
+package storestand
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits of the store.
+const (
+	MaxValueBytes    = 1 << 20
+	MaxListItems     = 1000
+	MaxWatchWait     = 60 * time.Second
+	DefaultWatchWait = 30 * time.Second
+	maxHeaderBytes   = 64 << 10
+	versionHeader    = "Version"
+	ifVersionHeader  = "If-Version"
+)
+
+// Config holds the store's settings.
+type Config struct {
+	Seed    uint64
+	History int // Events kept for each kind.
+}
+
+// Server serves the objects by HTTP.
+type Server struct {
+	mu      sync.Mutex
+	objects *Objects
+	faults  *faults
+	calls   *counters
+	http    *fasthttp.Server
+	closing chan struct{}
+}
+
+// New returns a server that holds no objects.
+func New(c Config) *Server {
+	s := &Server{
+		objects: NewObjects(c.History),
+		faults:  newFaults(c.Seed),
+		calls:   newCounters(time.Now()),
+		closing: make(chan struct{}),
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		Name:                  "rhubarb-store",
+		MaxRequestBodySize:    MaxValueBytes + 1,
+		ReadBufferSize:        maxHeaderBytes,
+		NoDefaultServerHeader: true,
+	}
+	return s
+}
+
+// Serve answers calls until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(ln)
+}
+
+// Close ends waiting watches and stops serving.
+func (s *Server) Close() error {
+	close(s.closing)
+	return s.http.Shutdown()
+}
+
+// SetFault puts a fault in force, in place of the one before. Watches that
+// wait are ended by an outage.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.put(f, time.Now())
+}
+
+// Calls returns the counted calls.
+func (s *Server) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls.report(time.Now())
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	parts := strings.SplitN(strings.TrimPrefix(string(ctx.Path()), "/"), "/", 4)
+	switch {
+	case len(parts) == 2 && parts[0] == "stand":
+		s.handleStand(ctx, parts[1])
+	case len(parts) == 3 && parts[0] == "v1" && parts[1] == "objects" && ctx.IsGet():
+		s.handleList(ctx, parts[2])
+	case len(parts) == 4 && parts[0] == "v1" && parts[1] == "objects" && parts[3] != "":
+		s.handleObject(ctx, parts[2], parts[3])
+	case len(parts) == 3 && parts[0] == "v1" && parts[1] == "watch" && ctx.IsGet():
+		s.handleWatch(ctx, parts[2])
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) handleStand(ctx *fasthttp.RequestCtx, name string) {
+	switch {
+	case name == "calls" && ctx.IsGet():
+		writeJSON(ctx, s.Calls())
+	case name == "fault" && ctx.IsPost():
+		var f Fault
+		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.SetFault(f)
+		writeJSON(ctx, f)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+// admit counts a call and applies the fault in force. It returns false if the
+// call has been answered or its connection is to be closed.
+func (s *Server) admit(ctx *fasthttp.RequestCtx, kind string, m Method) (decision, bool) {
+	now := time.Now()
+	s.mu.Lock()
+	s.calls.add(kind, m, now)
+	d := s.faults.decide(kind, isWrite(m), now)
+	s.mu.Unlock()
+	if d.delay > 0 {
+		time.Sleep(d.delay)
+	}
+	if !d.refuse {
+		return d, true
+	}
+	if d.hangUp {
+		hangUp(ctx)
+		return d, false
+	}
+	ctx.Error("store unavailable", fasthttp.StatusServiceUnavailable)
+	return d, false
+}
+
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
+
+func setVersion(ctx *fasthttp.RequestCtx, v uint64) {
+	ctx.Response.Header.Set(versionHeader, strconv.FormatUint(v, 10))
+}
--- /dev/null
+++ b/internal/targetstand/answer.go
@@ -0,0 +1,47 @@
+package targetstand
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Answer is the body of a target's answer. It repeats what it answers, so
+// that a caller can check that the answer is its own and whole.
+type Answer struct {
+	ID      string `json:"id"`
+	Attempt string `json:"attempt"`
+	Key     string `json:"key"`
+	Target  string `json:"target"`
+	BodySum string `json:"body_sum"`
+	Pad     string `json:"pad"`
+	Sum     string `json:"sum"`
+}
+
+// Sum returns the checksum of a body as answers and journals write it.
+func Sum(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+func newAnswer(r Record, bytes int) Answer {
+	a := Answer{ID: r.ID, Attempt: r.Attempt, Key: r.Key, Target: r.Target, BodySum: r.BodySum}
+	a.Pad = strings.Repeat(".", max(0, bytes))
+	a.Sum = a.checksum()
+	return a
+}
+
+func (a Answer) checksum() string {
+	return Sum([]byte(strings.Join([]string{a.ID, a.Attempt, a.Key, a.Target, a.BodySum, a.Pad}, "\n")))
+}
+
+// IsWhole reports whether raw is a whole answer to the request with this id,
+// key and body.
+func IsWhole(raw []byte, id, key string, body []byte) bool {
+	var a Answer
+	if json.Unmarshal(raw, &a) != nil {
+		return false
+	}
+	return a.ID == id && a.Key == key && a.BodySum == Sum(body) && a.Sum == a.checksum()
+}
--- /dev/null
+++ b/internal/targetstand/attempts.go
@@ -0,0 +1,54 @@
+package targetstand
+
+// attempt names one sending of a request.
+type attempt struct {
+	id     string
+	number string
+}
+
+// progress is how far an attempt has come.
+type progress struct {
+	stopped bool
+	ended   bool
+	stop    chan struct{} // Closed by a cancellation.
+}
+
+// attempts remembers the attempts that arrived or were cancelled, so that a
+// cancellation that overtakes its request holds. It is not safe for
+// concurrent use.
+type attempts struct {
+	known map[attempt]*progress
+}
+
+func newAttempts() *attempts {
+	return &attempts{known: map[attempt]*progress{}}
+}
+
+func (a *attempts) get(at attempt) *progress {
+	p, ok := a.known[at]
+	if !ok {
+		p = &progress{stop: make(chan struct{})}
+		a.known[at] = p
+	}
+	return p
+}
+
+// cancel reports whether the attempt did not and will not take effect.
+func (a *attempts) cancel(at attempt) bool {
+	p := a.get(at)
+	if p.ended {
+		return p.stopped
+	}
+	if !p.stopped {
+		p.stopped = true
+		close(p.stop)
+	}
+	return true
+}
+
+// end marks the attempt as over and reports whether it took effect.
+func (a *attempts) end(at attempt) bool {
+	p := a.get(at)
+	p.ended = true
+	return !p.stopped
+}
