--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,217 @@
+// Package entry takes callers' requests over HTTP and answers them, as
+// docs/API.md describes it.
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Limits of the callers' interface.
+const (
+	MaxBodyBytes    = 1 << 20
+	readTimeout     = 10 * time.Second
+	idleTimeout     = 60 * time.Second
+	maxConnections  = 4096
+	hangUpCheck     = 20 * time.Millisecond
+	maxHeaderBytes  = 16 << 10
+	answerOverBound = 2 * time.Second
+)
+
+// Router decides what becomes of a request.
+type Router interface {
+	// Limits returns an app's default and maximum deadline, and whether it
+	// needs a key. It returns an *result.Error if the app is unknown.
+	Limits(app string) (Limits, error)
+	// Submit hands a request over. Exactly one answer is sent to the reply
+	// channel, which has room for it. It returns false if it took nothing.
+	Submit(Submission) bool
+	// Gone says that the caller of a submission has hung up.
+	Gone(id string)
+}
+
+// Limits are what the entry checks a request against.
+type Limits struct {
+	Keyed           bool
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+}
+
+// Submission is a request on its way to the router.
+type Submission struct {
+	Request  request.Request
+	Deadline mono.Time
+	Reply    chan request.Answer
+}
+
+// Server is the callers' HTTP interface.
+type Server struct {
+	router Router
+	ids    *idSource
+	http   *fasthttp.Server
+	done   chan error
+}
+
+// New returns a server that hands requests to the router. The seed starts the
+// ids that it makes for requests without one.
+func New(router Router, seed uint64) *Server {
+	s := &Server{router: router, ids: newIDSource(seed), done: make(chan error, 1)}
+	s.http = &fasthttp.Server{
+		Handler:            s.handle,
+		Name:               "rhubarbring",
+		MaxRequestBodySize: MaxBodyBytes,
+		ReadBufferSize:     maxHeaderBytes,
+		ReadTimeout:        readTimeout,
+		IdleTimeout:        idleTimeout,
+		Concurrency:        maxConnections,
+		ErrorHandler:       refuseBadHTTP,
+		CloseOnShutdown:    true,
+	}
+	return s
+}
+
+// Start listens on address. It returns AddressInUse if it can't.
+func (s *Server) Start(address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return &result.Error{Code: result.AddressInUse, Field: "caller", Cause: err, Remedy: "free the address or name another"}
+	}
+	go func() { s.done <- s.http.Serve(listener) }()
+	return nil
+}
+
+// Stop takes no new connections and returns when every request in flight has
+// been answered.
+func (s *Server) Stop() {
+	_ = s.http.Shutdown()
+	<-s.done
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	submission, err := s.parse(ctx)
+	if err != nil {
+		refuse(ctx, submission.Request.ID, err)
+		return
+	}
+	if !s.router.Submit(submission) {
+		refuse(ctx, submission.Request.ID, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"})
+		return
+	}
+	s.respond(ctx, s.await(ctx, submission))
+}
+
+// await waits for the router's answer and looks out for a caller that hangs
+// up meanwhile.
+func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) request.Answer {
+	check := time.NewTicker(hangUpCheck)
+	defer check.Stop()
+	gone := false
+	for {
+		select {
+		case answer := <-submission.Reply:
+			return answer
+		case <-check.C:
+			if !gone && hungUp(ctx.Conn()) {
+				gone = true
+				s.router.Gone(submission.Request.ID)
+			}
+		}
+	}
+}
+
+func (s *Server) respond(ctx *fasthttp.RequestCtx, answer request.Answer) {
+	h := &ctx.Response.Header
+	info, ok := result.Lookup(answer.Code)
+	if !ok {
+		info, _ = result.Lookup(result.OutcomeUnknown)
+	}
+	setResult(ctx, answer.ID, info)
+	if answer.Owner != "" {
+		h.Set("Rhubarb-Owner", answer.Owner)
+		h.Set("Rhubarb-Epoch", strconv.FormatUint(answer.Epoch, 10))
+	}
+	setRetryAfter(ctx, answer.RetryAfter)
+	if info.Outcome != result.Done {
+		writeRefusal(ctx, info, "")
+		return
+	}
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.Type)
+	ctx.SetBody(answer.Body)
+}
+
+func setResult(ctx *fasthttp.RequestCtx, id string, info result.Info) {
+	h := &ctx.Response.Header
+	h.Set("Rhubarb-Code", strconv.Itoa(int(info.Code)))
+	h.Set("Rhubarb-Result", info.Name)
+	h.Set("Rhubarb-Outcome", info.Outcome.String())
+	if id != "" {
+		h.Set("Rhubarb-Request-Id", id)
+	}
+}
+
+func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	seconds := int(math.Ceil(after.Seconds()))
+	ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	ctx.Response.Header.Set("Rhubarb-Retry-After", strconv.FormatInt(after.Milliseconds(), 10))
+}
+
+// refusal is the JSON body of an answer other than the target's.
+type refusal struct {
+	Code    uint16 `json:"code"`
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+	Detail  string `json:"detail,omitempty"`
+	Advice  string `json:"advice"`
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, info result.Info, detail string) {
+	body, err := json.Marshal(refusal{uint16(info.Code), info.Name, info.Outcome.String(), detail, info.Advice})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(info.HTTP)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, id string, err *result.Error) {
+	info, _ := result.Lookup(err.Code)
+	setResult(ctx, id, info)
+	writeRefusal(ctx, info, detailOf(err))
+}
+
+func detailOf(err *result.Error) string {
+	if err.Field == "" {
+		return err.Detail
+	}
+	return err.Field + ": " + err.Detail
+}
+
+// refuseBadHTTP answers bytes that are not a request, or one that is too
+// large: in both cases nothing ran.
+func refuseBadHTTP(ctx *fasthttp.RequestCtx, err error) {
+	code := result.BadRequest
+	if err == fasthttp.ErrBodyTooLarge {
+		code = result.TooLarge
+	}
+	refuse(ctx, "", &result.Error{Code: code, Detail: err.Error()})
+}
+
+func now() mono.Time {
+	return bootclock.Now()
+}
--- /dev/null
+++ b/internal/entry/parse.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"bytes"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	pathPrefix  = "/app/"
+	maxIDBytes  = 64
+	maxKeyBytes = 512
+	// uuidBytes is the length of a UUID in text; a version 7 says when it
+	// was made in its first twelve hexadecimal digits.
+	uuidBytes      = 36
+	uuidVersionAt  = 14
+	uuidTimeDigits = 12
+)
+
+func (s *Server) parse(ctx *fasthttp.RequestCtx) (Submission, *result.Error) {
+	var sub Submission
+	app, path, err := splitPath(ctx)
+	if err != nil {
+		return sub, err
+	}
+	r := &sub.Request
+	r.App = key.App(app)
+	r.Path = path
+	r.Method = string(ctx.Method())
+	r.Type = string(ctx.Request.Header.ContentType())
+	r.Body = bytes.Clone(ctx.PostBody())
+	limits, lookup := s.router.Limits(app)
+	if lookup != nil {
+		return sub, asError(lookup)
+	}
+	if err := s.parseID(ctx, r); err != nil {
+		return sub, err
+	}
+	if err := parseFlags(ctx, r); err != nil {
+		return sub, err
+	}
+	if err := parseKey(ctx, r, limits); err != nil {
+		return sub, err
+	}
+	budget, err := parseDeadline(ctx, limits)
+	if err != nil {
+		return sub, err
+	}
+	r.Budget = budget
+	sub.Deadline = now().Add(budget)
+	sub.Reply = make(chan request.Answer, 1)
+	return sub, nil
+}
+
+func asError(err error) *result.Error {
+	if e, ok := err.(*result.Error); ok {
+		return e
+	}
+	return &result.Error{Code: result.BadRequest, Detail: err.Error()}
+}
+
+// splitPath returns the app and the path with query that the target gets.
+func splitPath(ctx *fasthttp.RequestCtx) (app, path string, err *result.Error) {
+	raw := string(ctx.Request.Header.RequestURI())
+	rest, ok := strings.CutPrefix(raw, pathPrefix)
+	if !ok {
+		return "", "", &result.Error{Code: result.BadRequest, Field: "path", Detail: "the path must start with /app/NAME/"}
+	}
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		return rest, "/", nil
+	}
+	app, path = rest[:end], rest[end:]
+	if path[0] == '?' {
+		path = "/" + path
+	}
+	if app == "" {
+		return "", "", &result.Error{Code: result.BadRequest, Field: "path", Detail: "the app's name is empty"}
+	}
+	return app, path, nil
+}
+
+func (s *Server) parseID(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
+	id := string(ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+	if id == "" {
+		r.ID = s.ids.next()
+		r.Repeat = request.RepeatFirst
+		r.IDTimeMs = uuidTime(r.ID)
+		return nil
+	}
+	if len(id) > maxIDBytes || !printable(id) {
+		return &result.Error{Code: result.BadRequestID, Field: "Rhubarb-Request-Id", Detail: "an id has 1 to 64 printable characters"}
+	}
+	r.ID = id
+	r.IDTimeMs = uuidTime(id)
+	return parseRepeat(ctx, r)
+}
+
+func parseRepeat(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
+	if text := string(ctx.Request.Header.Peek("Rhubarb-Id-Time")); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return &result.Error{Code: result.BadRequestID, Field: "Rhubarb-Id-Time", Detail: "not milliseconds since 1970"}
+		}
+		r.IDTimeMs = ms
+	}
+	text := string(ctx.Request.Header.Peek("Rhubarb-Attempt"))
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || n == 0 {
+		return &result.Error{Code: result.BadRequest, Field: "Rhubarb-Attempt", Detail: "not a count from 1"}
+	}
+	r.Repeat = request.RepeatAgain
+	if n == 1 {
+		r.Repeat = request.RepeatFirst
+	}
+	return nil
+}
+
+func parseFlags(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
+	switch string(ctx.Request.Header.Peek("Rhubarb-Class")) {
+	case "", "normal":
+		r.Class = request.Normal
+	case "urgent":
+		r.Class = request.Urgent
+	default:
+		return &result.Error{Code: result.BadRequest, Field: "Rhubarb-Class", Detail: "neither urgent nor normal"}
+	}
+	switch string(ctx.Request.Header.Peek("Rhubarb-Idempotent")) {
+	case "":
+		r.Idempotent = ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+	case "true":
+		r.Idempotent = true
+	case "false":
+		r.Idempotent = false
+	default:
+		return &result.Error{Code: result.BadRequest, Field: "Rhubarb-Idempotent", Detail: "neither true nor false"}
+	}
+	return nil
+}
+
+func parseKey(ctx *fasthttp.RequestCtx, r *request.Request, limits Limits) *result.Error {
+	r.Key = string(ctx.Request.Header.Peek("Rhubarb-Key"))
+	if r.Key == "" && limits.Keyed {
+		return &result.Error{Code: result.MissingKey, Field: "Rhubarb-Key", Detail: "app " + string(r.App) + " is divided by key"}
+	}
+	if len(r.Key) > maxKeyBytes {
+		return &result.Error{Code: result.BadRequest, Field: "Rhubarb-Key", Detail: "a key has at most 512 bytes"}
+	}
+	return nil
+}
+
+func parseDeadline(ctx *fasthttp.RequestCtx, limits Limits) (time.Duration, *result.Error) {
+	text := string(ctx.Request.Header.Peek("Rhubarb-Deadline"))
+	if text == "" {
+		return limits.DefaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	budget := time.Duration(ms) * time.Millisecond
+	if err != nil || ms <= 0 || budget > limits.MaxDeadline {
+		return 0, &result.Error{
+			Code:   result.BadDeadline,
+			Field:  "Rhubarb-Deadline",
+			Detail: strconv.Quote(text) + " is not between 1 and " + strconv.FormatInt(limits.MaxDeadline.Milliseconds(), 10) + " milliseconds",
+		}
+	}
+	return budget, nil
+}
+
+func printable(id string) bool {
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// uuidTime returns the milliseconds since 1970 that a UUID of version 7
+// states, or 0 if the id is not one.
+func uuidTime(id string) int64 {
+	if len(id) != uuidBytes || id[uuidVersionAt] != '7' || id[8] != '-' || id[13] != '-' {
+		return 0
+	}
+	digits := id[0:8] + id[9:13]
+	ms, err := strconv.ParseInt(digits[:uuidTimeDigits], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return ms
+}
+
+// hungUp reports whether the other side has closed the connection: a peek
+// that finds its end. Bytes that wait, or none, mean that it is there.
+func hungUp(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n == 0 && peekErr == nil || peekErr == unix.ECONNRESET
+		return true
+	})
+	return closed || err != nil
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,132 @@
+// Package eventlog writes numbered log events as logfmt lines. Writing is a
+// duty of its own behind a bounded ring, so that a log line for each routing
+// decision does not slow the request; lines that find the ring full are
+// dropped and counted, and the count is logged.
+package eventlog
+
+import (
+	"bufio"
+	"io"
+	"sync"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/ring"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	ringSize      = 1 << 14
+	bufferBytes   = 1 << 16
+	flushInterval = 200 * time.Millisecond
+)
+
+type line struct {
+	at     time.Time
+	id     event.ID
+	fields []any
+}
+
+// Log takes events and writes them in the order they came.
+type Log struct {
+	minimum event.Level
+	ring    *ring.Ring[line]
+	out     *bufio.Writer
+	logger  kitlog.Logger
+	stop    chan struct{}
+	done    sync.WaitGroup
+}
+
+// ParseLevel reads a level's name: debug, info, warn or alarm.
+func ParseLevel(name string) (event.Level, error) {
+	for _, l := range []event.Level{event.Debug, event.Info, event.Warn, event.Alarm} {
+		if l.String() == name {
+			return l, nil
+		}
+	}
+	return 0, &result.Error{Code: result.BadSettings, Field: "log.level", Detail: "unknown level " + name, Remedy: "use debug, info, warn or alarm"}
+}
+
+// New returns a log that writes events of level minimum and above to w, each
+// with the host's name. Close ends it.
+func New(w io.Writer, minimum event.Level, id host.ID, registry metrics.Registry) *Log {
+	out := bufio.NewWriterSize(w, bufferBytes)
+	l := &Log{
+		minimum: minimum,
+		ring:    ring.New[line]("log", ringSize, registry),
+		out:     out,
+		logger:  kitlog.With(kitlog.NewLogfmtLogger(out), "host", string(id)),
+		stop:    make(chan struct{}),
+	}
+	l.done.Add(1)
+	go l.run()
+	return l
+}
+
+// Event logs an event with its fields, names and values in turn. It never
+// blocks. Values must not change afterwards.
+func (l *Log) Event(id event.ID, fields ...any) {
+	def, ok := event.Lookup(id)
+	if !ok || def.Level < l.minimum {
+		return
+	}
+	l.ring.Push(line{at: time.Now(), id: id, fields: fields})
+}
+
+// Enabled reports whether events of the level are written, so that a hot path
+// can spare itself the fields.
+func (l *Log) Enabled(level event.Level) bool {
+	return level >= l.minimum
+}
+
+// Close writes what waits and ends the duty.
+func (l *Log) Close() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+func (l *Log) run() {
+	defer l.done.Done()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
+	var reported int64
+	for {
+		select {
+		case item := <-l.ring.Items():
+			l.write(item)
+		case <-flush.C:
+			reported = l.reportDrops(reported)
+			_ = l.out.Flush()
+		case <-l.stop:
+			l.drain()
+			_ = l.out.Flush()
+			return
+		}
+	}
+}
+
+func (l *Log) drain() {
+	for l.ring.Len() > 0 {
+		l.write(<-l.ring.Items())
+	}
+}
+
+func (l *Log) reportDrops(reported int64) int64 {
+	dropped := l.ring.Refused()
+	if dropped > reported {
+		l.write(line{at: time.Now(), id: event.LogDropped, fields: []any{"count", dropped - reported}})
+	}
+	return dropped
+}
+
+func (l *Log) write(item line) {
+	def, _ := event.Lookup(item.id)
+	fields := make([]any, 0, 8+len(item.fields))
+	fields = append(fields, "ts", item.at.UTC().Format(time.RFC3339Nano), "event", uint16(item.id), "name", def.Name, "level", def.Level.String())
+	fields = append(fields, item.fields...)
+	l.logger.Log(fields...)
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Bytes that may wait for one peer before sends to it are refused.
+const maxOutboundBytes = 8 << 20
+
+// Conn is one connection between two daemons.
+type Conn struct {
+	transport *Transport
+	conn      gnet.Conn
+	address   string // where the connection was opened to; empty if a peer opened it
+	hello     atomic.Pointer[wire.Hello]
+	waiting   atomic.Int64
+}
+
+// Address returns the peer's address if this daemon opened the connection,
+// else "".
+func (c *Conn) Address() string {
+	return c.address
+}
+
+// Session returns who opened the connection, as it said itself; nobody if
+// this daemon opened it or nothing was said yet.
+func (c *Conn) Session() host.Session {
+	if hello := c.hello.Load(); hello != nil {
+		return hello.Session
+	}
+	return host.Nobody
+}
+
+// Send sends a frame on this connection. It returns PeerUnreachable if the
+// frame surely never left.
+func (c *Conn) Send(frame []byte) error {
+	if c.waiting.Load() > maxOutboundBytes {
+		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Detail: "too much waits for the peer"}
+	}
+	c.transport.bytesOut.Inc(int64(len(frame)))
+	c.transport.framesOut.Inc(1)
+	err := c.conn.AsyncWrite(frame, c.written)
+	if err != nil {
+		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Cause: err}
+	}
+	return nil
+}
+
+// written runs on the event loop, where the buffer's fill can be read.
+func (c *Conn) written(conn gnet.Conn, err error) error {
+	if err == nil && conn != nil {
+		c.waiting.Store(int64(conn.OutboundBuffered()))
+	}
+	return nil
+}
+
+// take handles one frame. It returns false if the connection must close.
+func (c *Conn) take(kind wire.Kind, payload []byte) bool {
+	if kind != wire.KindHello {
+		c.transport.handler.Frame(c, kind, payload)
+		return true
+	}
+	hello, err := wire.Decode[wire.Hello](payload)
+	if err != nil {
+		return false
+	}
+	c.hello.Store(&hello)
+	return true
+}
+
+func stopEngine(engine gnet.Engine) {
+	ctx, cancel := context.WithTimeout(context.Background(), bootTimeout)
+	defer cancel()
+	_ = engine.Stop(ctx)
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"github.com/rhubarbring/rhubarbring/chart"
+	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	// pause is the time between two tries to open a connection.
+	pause = 250 * time.Millisecond
+	// dialTimeout ends a try to open a connection.
+	dialTimeout = time.Second
+	// maxQueued bounds the frames that wait for a connection to open.
+	maxQueued = 1024
+)
+
+const (
+	eventNeed      chart.Event = "need"
+	eventOpened    chart.Event = "opened"
+	eventLost      chart.Event = "lost"
+	eventPauseOver chart.Event = "pause_over"
+
+	stateOpening chart.State = "opening"
+	stateOpen    chart.State = "open"
+
+	actionDial       chart.Action = "dial"
+	actionFailSent   chart.Action = "fail_sent"
+	actionStartPause chart.Action = "start_pause"
+)
+
+var linkChart = charts.MustLoad("connection")
+
+type queued struct {
+	frame []byte
+	tag   Tag
+}
+
+// link is the way to one peer: the connection chart and what waits for it.
+type link struct {
+	transport *Transport
+	address   string
+
+	mu    sync.Mutex
+	state chart.State
+	conn  *Conn
+	queue []queued
+	gone  bool
+}
+
+func newLink(t *Transport, address string) *link {
+	return &link{transport: t, address: address, state: linkChart.Initial}
+}
+
+func (l *link) send(frame []byte, tag Tag) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(eventNeed)
+	switch l.state {
+	case stateOpen:
+		return l.conn.Send(frame)
+	case stateOpening:
+		return l.enqueue(queued{frame: frame, tag: tag})
+	default:
+		return &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "the last connection failed a moment ago"}
+	}
+}
+
+func (l *link) enqueue(q queued) error {
+	if len(l.queue) >= maxQueued {
+		return &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "too many messages wait for the connection"}
+	}
+	l.queue = append(l.queue, q)
+	return nil
+}
+
+// step takes an event through the chart. The caller holds the lock.
+func (l *link) step(e chart.Event) {
+	if l.gone {
+		return
+	}
+	next, ok := linkChart.Next(l.state, e)
+	if !ok {
+		return
+	}
+	l.state = next.To
+	for _, action := range next.Do {
+		l.do(action)
+	}
+}
+
+func (l *link) do(action chart.Action) {
+	switch action {
+	case actionDial:
+		go l.dial()
+	case actionFailSent:
+		l.failQueue()
+	case actionStartPause:
+		time.AfterFunc(pause, func() { l.event(eventPauseOver) })
+	}
+}
+
+func (l *link) event(e chart.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(e)
+}
+
+func (l *link) failQueue() {
+	failed := l.queue
+	l.queue = nil
+	l.conn = nil
+	if len(failed) == 0 {
+		return
+	}
+	go func() {
+		for _, q := range failed {
+			l.transport.handler.Unsent(l.address, q.tag)
+		}
+	}()
+}
+
+func (l *link) dial() {
+	conn := &Conn{transport: l.transport, address: l.address}
+	raw, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	if err != nil {
+		l.event(eventLost)
+		return
+	}
+	c, err := l.transport.client.EnrollContext(raw, conn)
+	if err != nil {
+		l.event(eventLost)
+		return
+	}
+	l.opened(conn, c)
+}
+
+func (l *link) opened(conn *Conn, c gnet.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(eventOpened)
+	if l.gone || l.state != stateOpen {
+		_ = c.Close()
+		return
+	}
+	conn.conn = c
+	l.conn = conn
+	_ = conn.Send(l.transport.hello)
+	waiting := l.queue
+	l.queue = nil
+	for _, q := range waiting {
+		if err := conn.Send(q.frame); err != nil {
+			tag := q.tag
+			go l.transport.handler.Unsent(l.address, tag)
+		}
+	}
+}
+
+func (l *link) lost(conn *Conn, err error) {
+	l.mu.Lock()
+	if l.conn == conn {
+		l.step(eventLost)
+	}
+	l.mu.Unlock()
+	l.transport.handler.Lost(conn, err)
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.conn.Close()
+	}
+	l.failQueue()
+	l.gone = true
+}
+
+// clientEvents are the gnet events of connections that this daemon opened.
+type clientEvents struct {
+	gnet.BuiltinEventEngine
+	t *Transport
+}
+
+// OnTraffic is called by gnet when bytes arrive.
+func (e *clientEvents) OnTraffic(c gnet.Conn) gnet.Action {
+	return e.t.read(c)
+}
+
+// OnClose is called by gnet when a connection ends.
+func (e *clientEvents) OnClose(c gnet.Conn, err error) gnet.Action {
+	conn, ok := c.Context().(*Conn)
+	if !ok {
+		return gnet.None
+	}
+	e.t.linkTo(conn.address).lost(conn, err)
+	return gnet.None
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,230 @@
+// Package peer carries frames between daemons over TCP, by gnet. Each daemon
+// opens one connection to each peer that it sends to; answers come back on
+// the connection that the request went out on.
+//
+// A frame that never left the process is reported as unsent; a connection
+// that is lost after it was open is reported as lost, and whatever was sent
+// over it and not answered may have arrived.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	keepAlive     = 5 * time.Second
+	keepAliveTry  = time.Second
+	keepAliveMax  = 3
+	bootTimeout   = 5 * time.Second
+	clientLoops   = 1
+	serverLoops   = 1
+	bytesInName   = "peer.bytes_in"
+	bytesOutName  = "peer.bytes_out"
+	framesOutName = "peer.frames_out"
+)
+
+// Handler takes what arrives. Its methods are called on the event loops and
+// must not block.
+type Handler interface {
+	// Frame is called for each frame. The payload is valid until it returns.
+	Frame(from *Conn, kind wire.Kind, payload []byte)
+	// Unsent is called for a frame that never left the process.
+	Unsent(address string, tag Tag)
+	// Lost is called when an open connection to or from a peer closes.
+	Lost(conn *Conn, cause error)
+}
+
+// Tag is the sender's own mark on a frame, given back by Unsent.
+type Tag struct {
+	ID      string
+	Attempt uint32
+}
+
+// Transport sends and receives frames. It is safe for concurrent use.
+type Transport struct {
+	gnet.BuiltinEventEngine
+	handler Handler
+	hello   []byte
+	client  *gnet.Client
+	engine  gnet.Engine
+	booted  chan struct{}
+	failed  chan error
+
+	mu    sync.Mutex
+	links map[string]*link
+
+	bytesIn   metrics.Counter
+	bytesOut  metrics.Counter
+	framesOut metrics.Counter
+}
+
+// Listen starts a transport that takes connections on address, "IP:port". It
+// opens each connection of its own with the hello message. It returns
+// AddressInUse if it can't listen.
+func Listen(address string, hello wire.Hello, handler Handler, registry metrics.Registry) (*Transport, error) {
+	frame, err := wire.Encode(wire.KindHello, hello)
+	if err != nil {
+		return nil, err
+	}
+	t := &Transport{
+		handler:   handler,
+		hello:     frame,
+		booted:    make(chan struct{}),
+		failed:    make(chan error, 1),
+		links:     make(map[string]*link),
+		bytesIn:   metrics.GetOrRegisterCounter(bytesInName, registry),
+		bytesOut:  metrics.GetOrRegisterCounter(bytesOutName, registry),
+		framesOut: metrics.GetOrRegisterCounter(framesOutName, registry),
+	}
+	if err := t.startClient(); err != nil {
+		return nil, err
+	}
+	if err := t.startServer(address); err != nil {
+		_ = t.client.Stop()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Transport) startClient() error {
+	client, err := gnet.NewClient(&clientEvents{t: t}, append(options(), gnet.WithNumEventLoop(clientLoops))...)
+	if err != nil {
+		return err
+	}
+	t.client = client
+	return client.Start()
+}
+
+func (t *Transport) startServer(address string) error {
+	go func() {
+		t.failed <- gnet.Run(t, "tcp://"+address, append(options(), gnet.WithNumEventLoop(serverLoops))...)
+	}()
+	timer := time.NewTimer(bootTimeout)
+	defer timer.Stop()
+	select {
+	case <-t.booted:
+		return nil
+	case err := <-t.failed:
+		return &result.Error{Code: result.AddressInUse, Field: "peer", Detail: "cannot listen on " + address, Cause: err, Remedy: "free the address or name another"}
+	case <-timer.C:
+		return &result.Error{Code: result.AddressInUse, Field: "peer", Detail: "no listener on " + address + " in time"}
+	}
+}
+
+func options() []gnet.Option {
+	return []gnet.Option{
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithTCPKeepAlive(keepAlive),
+		gnet.WithTCPKeepInterval(keepAliveTry),
+		gnet.WithTCPKeepCount(keepAliveMax),
+		gnet.WithLogger(quietLogger()),
+	}
+}
+
+// The transport reports what matters through its Handler; gnet's own log
+// lines carry no event number and are dropped.
+func quietLogger() logging.Logger {
+	return zap.NewNop().Sugar()
+}
+
+// Close ends all connections.
+func (t *Transport) Close() {
+	_ = t.client.Stop()
+	stopEngine(t.engine)
+}
+
+// Send sends a frame to the peer at address. It returns PeerUnreachable if
+// the frame surely never left: the peer could not be reached a moment ago, or
+// too much waits for it already.
+func (t *Transport) Send(address string, frame []byte, tag Tag) error {
+	return t.linkTo(address).send(frame, tag)
+}
+
+func (t *Transport) linkTo(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[address]
+	if !ok {
+		l = newLink(t, address)
+		t.links[address] = l
+	}
+	return l
+}
+
+// Forget closes the connection to a peer that is gone for good.
+func (t *Transport) Forget(address string) {
+	t.mu.Lock()
+	l := t.links[address]
+	delete(t.links, address)
+	t.mu.Unlock()
+	if l != nil {
+		l.close()
+	}
+}
+
+// OnBoot is called by gnet when the server listens.
+func (t *Transport) OnBoot(engine gnet.Engine) gnet.Action {
+	t.engine = engine
+	close(t.booted)
+	return gnet.None
+}
+
+// OnOpen is called by gnet for each connection that a peer opened.
+func (t *Transport) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	c.SetContext(&Conn{transport: t, conn: c})
+	return nil, gnet.None
+}
+
+// OnTraffic is called by gnet when bytes arrive.
+func (t *Transport) OnTraffic(c gnet.Conn) gnet.Action {
+	return t.read(c)
+}
+
+// OnClose is called by gnet when a connection that a peer opened ends.
+func (t *Transport) OnClose(c gnet.Conn, err error) gnet.Action {
+	if conn, ok := c.Context().(*Conn); ok {
+		t.handler.Lost(conn, err)
+	}
+	return gnet.None
+}
+
+func (t *Transport) read(c gnet.Conn) gnet.Action {
+	conn, ok := c.Context().(*Conn)
+	if !ok {
+		return gnet.Close
+	}
+	for c.InboundBuffered() >= wire.HeaderBytes {
+		header, err := c.Peek(wire.HeaderBytes)
+		if err != nil {
+			return gnet.Close
+		}
+		kind, size, err := wire.Header(header)
+		if err != nil {
+			return gnet.Close
+		}
+		if c.InboundBuffered() < wire.HeaderBytes+size {
+			return gnet.None
+		}
+		frame, err := c.Peek(wire.HeaderBytes + size)
+		if err != nil {
+			return gnet.Close
+		}
+		t.bytesIn.Inc(int64(len(frame)))
+		if !conn.take(kind, frame[wire.HeaderBytes:]) {
+			return gnet.Close
+		}
+		if _, err := c.Discard(wire.HeaderBytes + size); err != nil {
+			return gnet.Close
+		}
+	}
+	return gnet.None
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,130 @@
+// Package settings reads the JSON file that a daemon starts from.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Log says where log lines go.
+type Log struct {
+	// File is the path of the log; empty means standard error.
+	File string `json:"file"`
+	// Level is the lowest level written: debug, info, warn or alarm.
+	// Default: info.
+	Level string `json:"level"`
+}
+
+// Daemon is the settings of one daemon. All fields are needed unless they
+// name a default.
+type Daemon struct {
+	// Host names the host, unique within the environment.
+	Host host.ID `json:"host"`
+	// Region and Zone say where the host stands, as the document names them.
+	Region host.Region `json:"region"`
+	Zone   host.Zone   `json:"zone"`
+	// Environment names the document that the daemon follows.
+	Environment string `json:"environment"`
+	// Peer is the address for other daemons, "IP:port".
+	Peer string `json:"peer"`
+	// Control is the address for operators, the local target and control
+	// calls of other daemons, "IP:port".
+	Control string `json:"control"`
+	// Caller is the address for callers, "IP:port".
+	Caller string `json:"caller"`
+	// Store is the address of the platform's store, "IP:port".
+	Store string `json:"store"`
+	// Log says where log lines go.
+	Log Log `json:"log"`
+	// Seed starts the daemon's random numbers. Default: drawn at start.
+	Seed uint64 `json:"seed"`
+	// DebugAddress serves profiles of the running daemon on "IP:port" when
+	// set. Default: none.
+	DebugAddress string `json:"debug_address"`
+}
+
+// Load reads and checks the settings in a file. Its errors have the code
+// BadSettings and name the field.
+func Load(path string) (*Daemon, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &result.Error{Code: result.BadSettings, Field: "--settings", Cause: err, Remedy: "name a readable file"}
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks settings.
+func Parse(raw []byte) (*Daemon, error) {
+	var d Daemon
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return nil, decodeError(err)
+	}
+	if dec.More() {
+		return nil, bad("", "there is text after the JSON document", "keep one document in the file")
+	}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func decodeError(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return bad(wrongType.Field, "a "+wrongType.Value+" stands where a "+wrongType.Type.String()+" is due", "correct the value")
+	}
+	return &result.Error{Code: result.BadSettings, Cause: err, Remedy: "correct the file; README lists the fields"}
+}
+
+func (d *Daemon) check() error {
+	names := []struct{ field, value string }{
+		{"host", string(d.Host)},
+		{"region", string(d.Region)},
+		{"zone", string(d.Zone)},
+		{"environment", d.Environment},
+	}
+	for _, n := range names {
+		if n.value == "" {
+			return bad(n.field, "the field is empty", "give it a value")
+		}
+	}
+	addresses := []struct{ field, value string }{
+		{"peer", d.Peer},
+		{"control", d.Control},
+		{"caller", d.Caller},
+		{"store", d.Store},
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.field, a.value); err != nil {
+			return err
+		}
+	}
+	if d.DebugAddress == "" {
+		return nil
+	}
+	return checkAddress("debug_address", d.DebugAddress)
+}
+
+func checkAddress(field, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return bad(field, strconv.Quote(value)+" is not an address", `write "IP:port" in numbers`)
+	}
+	if address.Port() == 0 {
+		return bad(field, "port 0 in "+strconv.Quote(value), "name a port")
+	}
+	return nil
+}
+
+func bad(field, detail, remedy string) error {
+	return &result.Error{Code: result.BadSettings, Field: field, Detail: detail, Remedy: remedy}
+}
