--- /dev/null
+++ b/cmd/rhubarbd/main.go
@@ -0,0 +1,91 @@
+// Command rhubarbd is the daemon that runs in the slot of each target host.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/internal/daemon"
+	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	logMode      = 0o644
+)
+
+func main() {
+	var path string
+	command := &cobra.Command{
+		Use:           "rhubarbd --settings FILE",
+		Short:         "Route callers' requests to the servers that own their keys",
+		Long:          "rhubarbd runs beside each target. It takes callers' requests, sends each to the daemon of the\nkey's owner, and guards the target on its own host. SIGTERM starts a planned stop.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return run(path) },
+	}
+	command.Flags().StringVar(&path, "settings", "", "JSON file with the daemon's settings")
+	if err := command.MarkFlagRequired("settings"); err != nil {
+		panic(err)
+	}
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "rhubarbd:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if _, ok := err.(*result.Error); ok {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+func run(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	out, err := openLog(s.Log.File)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	level, err := eventlog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	log := eventlog.New(out, level, s.Host, registry)
+	defer log.Close()
+	d := daemon.New(s, log, registry)
+	if err := d.Start(); err != nil {
+		return err
+	}
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
+	<-asked
+	d.Stop()
+	return nil
+}
+
+func openLog(path string) (io.WriteCloser, error) {
+	if path == "" {
+		return os.Stderr, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return nil, &result.Error{Code: result.BadSettings, Field: "log.file", Cause: err, Remedy: "name a file that can be written"}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,192 @@
+// Package control serves the daemon's control address: the target on the
+// host, operators, metrics, and the twirp calls of other daemons.
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	readTimeout     = 10 * time.Second
+	idleTimeout     = 60 * time.Second
+	maxBodyBytes    = 4 << 20
+	contentTypeJSON = "application/json"
+)
+
+// Announcement is what a target says of itself, once a second.
+type Announcement struct {
+	App          string  `json:"app"`
+	Address      string  `json:"address"`
+	Slots        int     `json:"slots"`
+	Connections  int     `json:"connections"`
+	ChecksGrants bool    `json:"checks_grants"`
+	State        string  `json:"state"`
+	Load         float64 `json:"load"`
+}
+
+// The states that a target announces.
+const (
+	StateCold     = "cold"
+	StateWarm     = "warm"
+	StateDraining = "draining"
+)
+
+// Daemon is what the control address shows and takes.
+type Daemon interface {
+	// Announce takes a target's announcement and returns the session that
+	// the target serves under.
+	Announce(Announcement) (owner string, err error)
+	// Ready returns nil if the daemon can route requests, else what it lacks.
+	Ready() error
+	// Status describes the daemon and what it knows of the fleet.
+	Status() any
+	// Explain describes who owns a key of an app and why.
+	Explain(app, key string) (any, error)
+}
+
+// Server is the control address.
+type Server struct {
+	daemon   Daemon
+	registry metrics.Registry
+	http     *fasthttp.Server
+	routes   map[string]fasthttp.RequestHandler
+	done     chan error
+}
+
+// New returns a server for the daemon.
+func New(daemon Daemon, registry metrics.Registry) *Server {
+	s := &Server{daemon: daemon, registry: registry, done: make(chan error, 1)}
+	s.routes = map[string]fasthttp.RequestHandler{
+		"POST /target/announce": s.announce,
+		"GET /ready":            s.ready,
+		"GET /status":           s.status,
+		"GET /explain":          s.explain,
+		"GET /metrics":          s.metrics,
+	}
+	s.http = &fasthttp.Server{
+		Handler:            s.handle,
+		Name:               "rhubarbring",
+		MaxRequestBodySize: maxBodyBytes,
+		ReadTimeout:        readTimeout,
+		IdleTimeout:        idleTimeout,
+		CloseOnShutdown:    true,
+	}
+	return s
+}
+
+// Start listens on address. It returns AddressInUse if it can't.
+func (s *Server) Start(address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return &result.Error{Code: result.AddressInUse, Field: "control", Cause: err, Remedy: "free the address or name another"}
+	}
+	go func() { s.done <- s.http.Serve(listener) }()
+	return nil
+}
+
+// Stop ends the server once the calls in flight are answered.
+func (s *Server) Stop() {
+	_ = s.http.Shutdown()
+	<-s.done
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	route, ok := s.routes[string(ctx.Method())+" "+string(ctx.Path())]
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	route(ctx)
+}
+
+type announceAnswer struct {
+	Owner string `json:"owner"`
+}
+
+func (s *Server) announce(ctx *fasthttp.RequestCtx) {
+	var a Announcement
+	dec := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	if err := dec.Decode(&a); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, err)
+		return
+	}
+	if err := a.check(); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, err)
+		return
+	}
+	owner, err := s.daemon.Announce(a)
+	if err != nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, err)
+		return
+	}
+	writeJSON(ctx, announceAnswer{Owner: owner})
+}
+
+func (a *Announcement) check() error {
+	if a.App == "" || a.Address == "" {
+		return &result.Error{Code: result.BadRequest, Field: "app, address", Detail: "a target names its app and address"}
+	}
+	if a.Slots < 1 || a.Connections < a.Slots {
+		return &result.Error{Code: result.BadRequest, Field: "slots, connections", Detail: "a target has at least one slot, and a connection for each"}
+	}
+	switch a.State {
+	case StateCold, StateWarm, StateDraining:
+		return nil
+	default:
+		return &result.Error{Code: result.BadRequest, Field: "state", Detail: "neither cold, warm nor draining"}
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if err := s.daemon.Ready(); err != nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, err)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (s *Server) status(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, s.daemon.Status())
+}
+
+func (s *Server) explain(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	answer, err := s.daemon.Explain(string(args.Peek("app")), string(args.Peek("key")))
+	if err != nil {
+		writeError(ctx, fasthttp.StatusNotFound, err)
+		return
+	}
+	writeJSON(ctx, answer)
+}
+
+func (s *Server) metrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	writeMetrics(ctx, s.registry)
+}
+
+type errorAnswer struct {
+	Error string `json:"error"`
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, err error) {
+	writeJSON(ctx, errorAnswer{Error: err.Error()})
+	ctx.SetStatusCode(status)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType(contentTypeJSON)
+	ctx.SetBody(body)
+}
