--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,7 +95,7 @@
 // Stop ends the server once the calls in flight are answered.
 func (s *Server) Stop() {
 	_ = s.http.Shutdown()
-	<-s.done
+	_ = <-s.done
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,7 @@
 // been answered.
 func (s *Server) Stop() {
 	_ = s.http.Shutdown()
-	<-s.done
+	_ = <-s.done
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
