--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -58,12 +58,12 @@
 	registry metrics.Registry
 	http     *fasthttp.Server
 	routes   map[string]fasthttp.RequestHandler
-	done     chan error
+	done     chan struct{}
 }
 
 // New returns a server for the daemon.
 func New(daemon Daemon, registry metrics.Registry) *Server {
-	s := &Server{daemon: daemon, registry: registry, done: make(chan error, 1)}
+	s := &Server{daemon: daemon, registry: registry, done: make(chan struct{})}
 	s.routes = map[string]fasthttp.RequestHandler{
 		"POST /target/announce": s.announce,
 		"GET /ready":            s.ready,
@@ -88,14 +88,14 @@
 	if err != nil {
 		return &result.Error{Code: result.AddressInUse, Field: "control", Cause: err, Remedy: "free the address or name another"}
 	}
-	go func() { s.done <- s.http.Serve(listener) }()
+	go s.serve(listener)
 	return nil
 }
 
 // Stop ends the server once the calls in flight are answered.
 func (s *Server) Stop() {
 	_ = s.http.Shutdown()
-	_ = <-s.done
+	<-s.done
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
@@ -190,3 +190,10 @@
 	ctx.SetContentType(contentTypeJSON)
 	ctx.SetBody(body)
 }
+
+// serve ends when the server is shut down; before that only a broken listener
+// ends it, and then callers and peers see the address closed.
+func (s *Server) serve(listener net.Listener) {
+	defer close(s.done)
+	_ = s.http.Serve(listener)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,13 +59,13 @@
 	router Router
 	ids    *idSource
 	http   *fasthttp.Server
-	done   chan error
+	done   chan struct{}
 }
 
 // New returns a server that hands requests to the router. The seed starts the
 // ids that it makes for requests without one.
 func New(router Router, seed uint64) *Server {
-	s := &Server{router: router, ids: newIDSource(seed), done: make(chan error, 1)}
+	s := &Server{router: router, ids: newIDSource(seed), done: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "rhubarbring",
@@ -86,7 +86,7 @@
 	if err != nil {
 		return &result.Error{Code: result.AddressInUse, Field: "caller", Cause: err, Remedy: "free the address or name another"}
 	}
-	go func() { s.done <- s.http.Serve(listener) }()
+	go s.serve(listener)
 	return nil
 }
 
@@ -94,7 +94,7 @@
 // been answered.
 func (s *Server) Stop() {
 	_ = s.http.Shutdown()
-	_ = <-s.done
+	<-s.done
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
@@ -215,3 +215,10 @@
 func now() mono.Time {
 	return bootclock.Now()
 }
+
+// serve ends when the server is shut down; before that only a broken listener
+// ends it, and then callers and peers see the address closed.
+func (s *Server) serve(listener net.Listener) {
+	defer close(s.done)
+	_ = s.http.Serve(listener)
+}
