Plan, apply and promote documents

Cause: operators race on documents, and answers of the store get lost. Change: NewPlan says what a change means for whom and refuses what would move keys between slices; Update, driven by chart document_update, ends in a true verdict; Promote demands the same bytes in force in every reporting zone of the trial. A replaced version stands in the history before it is replaced.

--- /dev/null
+++ b/document/plan.go
@@ -0,0 +1,134 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+)
+
+// Fleet is what runs in an environment, as far as a plan needs it.
+type Fleet struct {
+	Hosts []FleetHost
+}
+
+// FleetHost is a living daemon and the target beside it.
+type FleetHost struct {
+	Host  host.ID
+	Place host.Place
+	// App is the app of the target; empty if none has announced itself.
+	App key.App
+	// ChecksGrants is what the target announced.
+	ChecksGrants bool
+	// Slices counts the slices that the host owns.
+	Slices int
+}
+
+// PlanKind says what sort of change an item of a plan is.
+type PlanKind string
+
+// The kinds of plan items.
+const (
+	AppAdded         PlanKind = "app_added"
+	AppRemoved       PlanKind = "app_removed"
+	LimitChanged     PlanKind = "limit_changed"
+	MovesExpected    PlanKind = "moves_expected"
+	RefusalsExpected PlanKind = "refusals_expected"
+	PlaceAdded       PlanKind = "place_added"
+	PlaceRemoved     PlanKind = "place_removed"
+	AlarmChanged     PlanKind = "alarm_changed"
+)
+
+// Item is one change of a plan.
+type Item struct {
+	// Kind says what sort of change it is.
+	Kind PlanKind `json:"kind"`
+	// Subject is what changes, such as "app catalogue".
+	Subject string `json:"subject"`
+	// Field, Old and New give the field and its values, where one changes.
+	Field string `json:"field,omitempty"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+	// Concerns says who notices.
+	Concerns string `json:"concerns"`
+	// Effect says what they notice.
+	Effect string `json:"effect"`
+	// Hosts counts the hosts that it concerns; 0 if none in particular.
+	Hosts int `json:"hosts,omitempty"`
+	// Moves counts the slices that are expected to change owner.
+	Moves int `json:"moves,omitempty"`
+}
+
+// Plan says what putting a document in force in place of another means.
+type Plan struct {
+	// Environment is whose document changes.
+	Environment string `json:"environment"`
+	// From and To are the hashes of the two documents; From is empty if
+	// there is none yet.
+	From Hash `json:"from,omitempty"`
+	To   Hash `json:"to"`
+	// Items lists the changes: places first, then apps, links and alarm.
+	Items []Item `json:"items"`
+	// Problems lists changes that a running environment can't make; a plan
+	// that has any is not applied.
+	Problems Problems `json:"problems,omitempty"`
+}
+
+// NewPlan compares the document in force, nil if there is none, with the one
+// that would replace it, for the fleet that runs. The caller fills in
+// Environment and the hashes.
+func NewPlan(old, next *Document, fleet Fleet) Plan {
+	if old == nil {
+		old = &Document{}
+	}
+	p := &planner{old: old, next: next, fleet: fleet}
+	p.places()
+	p.apps()
+	p.links()
+	p.alarm()
+	return Plan{Items: p.items, Problems: p.problems}
+}
+
+// Text returns the plan for people to read, one change a line.
+func (p Plan) Text() string {
+	var b strings.Builder
+	from := "nothing"
+	if p.From != "" {
+		from = p.From.Short()
+	}
+	fmt.Fprintf(&b, "%s: %s -> %s\n", p.Environment, from, p.To.Short())
+	for _, problem := range p.Problems {
+		fmt.Fprintf(&b, "  impossible: %s\n", problem)
+	}
+	for _, item := range p.Items {
+		b.WriteString("  " + item.String() + "\n")
+	}
+	if len(p.Items)+len(p.Problems) == 0 {
+		b.WriteString("  no change\n")
+	}
+	return b.String()
+}
+
+// String returns the item in one line.
+func (i Item) String() string {
+	s := string(i.Kind) + ": " + i.Subject
+	if i.Field != "" {
+		s += fmt.Sprintf(" %s %s -> %s", i.Field, or(i.Old, "none"), or(i.New, "none"))
+	}
+	s += "; " + i.Concerns + ": " + i.Effect
+	if i.Hosts > 0 {
+		s += fmt.Sprintf(" [hosts: %d]", i.Hosts)
+	}
+	if i.Moves > 0 {
+		s += fmt.Sprintf(" [slices: %d]", i.Moves)
+	}
+	return s
+}
+
+func or(s, otherwise string) string {
+	if s == "" {
+		return otherwise
+	}
+	return s
+}
--- /dev/null
+++ b/document/plan_test.go
@@ -0,0 +1,125 @@
+package document_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+func edited(t *testing.T, pairs ...string) *document.Document {
+	t.Helper()
+	return parsed(t, []byte(strings.NewReplacer(pairs...).Replace(string(example(t, "rayuela")))))
+}
+
+func fleet() document.Fleet {
+	return document.Fleet{Hosts: []document.FleetHost{
+		{Host: "h1", Place: host.Place{Region: "pampa-norte", Zone: "pampa-norte-1"}, App: "catalogue", Slices: 128},
+		{Host: "h2", Place: host.Place{Region: "patagonia-sur", Zone: "patagonia-sur-2"}, App: "catalogue", Slices: 128},
+		{Host: "h3", Place: host.Place{Region: "pampa-norte", Zone: "pampa-norte-2"}, App: "payments", ChecksGrants: true},
+	}}
+}
+
+// A first document, a change of many fields and a change of none, as an
+// operator reads them.
+func TestPlans(t *testing.T) {
+	now := edited(t)
+	next := edited(t,
+		`"patagonia-sur-2"`, `"patagonia-sur-3"`,
+		`"name": "payments"`, `"name": "deposits"`,
+		`"maximum": "2s"`, `"maximum": "1s"`,
+		`"imbalance": 6`, `"imbalance": 2`,
+		`"queue_bound": 24`, `"queue_bound": 12`,
+		`"targets_check_grants": false`, `"targets_check_grants": true`,
+		`"request_share": 0.5`, `"request_share": 0.4`,
+		`"unowned_key": "5s"`, `"unowned_key": "4s"`,
+		`"share": 0.1`, `"share": 0.2`)
+	var text strings.Builder
+	for _, p := range []document.Plan{
+		document.NewPlan(nil, now, fleet()),
+		document.NewPlan(now, next, fleet()),
+		document.NewPlan(now, now, fleet()),
+	} {
+		p.Environment, p.From, p.To = "rayuela", document.HashOf([]byte("old")), document.HashOf([]byte("new"))
+		text.WriteString(p.Text() + "\n")
+	}
+	golden(t, "plans.txt", text.String())
+	raw, err := json.MarshalIndent(document.NewPlan(now, next, fleet()), "", "  ")
+	must.NoError(t, err)
+	golden(t, "plan.json", string(raw)+"\n")
+}
+
+// What decides a key's slice can't change under a running fleet.
+func TestPlanRefusesAnotherDivision(t *testing.T) {
+	now := edited(t)
+	p := document.NewPlan(now, edited(t, `"slices": 256`, `"slices": 512`), fleet())
+	must.Len(t, 2, p.Problems)
+	must.Eq(t, "apps[0].slices", p.Problems[0].Field)
+	p = document.NewPlan(now, edited(t, "\"divided_by_key\": true,\n      \"slices\": 256", `"divided_by_key": false`, `"hot_keys": {
+        "share": 0.1,
+        "expiry": "5m",
+        "maximum": 32
+      },`, ""), fleet())
+	must.Len(t, 2, p.Problems)
+	must.StrContains(t, p.Text(), "impossible: apps[0].divided_by_key")
+}
+
+func TestPromote(t *testing.T) {
+	raw := example(t, "rayuela")
+	doc := parsed(t, raw)
+	hash := document.HashOf(raw)
+	stored := &document.Stored{Version: 7, Hash: hash, Content: raw, Who: "ana", When: time.Unix(1, 0)}
+	inForce := document.InForce{Version: 7, Hash: hash, Hosts: 3}
+	older := document.InForce{Version: 6, Hash: "x", Hosts: 3}
+	zones := func(a, b document.InForce) map[host.Zone]document.InForce {
+		return map[host.Zone]document.InForce{"pampa-norte-1": a, "patagonia-sur-1": b, "elsewhere": older}
+	}
+	cases := []struct {
+		name  string
+		trial document.TrialState
+		want  result.Code
+	}{
+		{"in force", document.TrialState{Environment: "rayuela-trial", Stored: stored, Zones: zones(inForce, inForce)}, result.OK},
+		{"another trial", document.TrialState{Environment: "other", Stored: stored, Zones: zones(inForce, inForce)}, result.NotTried},
+		{"never applied", document.TrialState{Environment: "rayuela-trial"}, result.NotTried},
+		{"other bytes", document.TrialState{Environment: "rayuela-trial", Stored: &document.Stored{Hash: "y"}, Zones: zones(inForce, inForce)}, result.HashMismatch},
+		{"one zone behind", document.TrialState{Environment: "rayuela-trial", Stored: stored, Zones: zones(inForce, older)}, result.NotTried},
+		{"no daemon", document.TrialState{Environment: "rayuela-trial", Stored: stored}, result.NotTried},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			evidence, err := document.Promote(hash, doc, c.trial)
+			if c.want == result.OK {
+				must.NoError(t, err)
+				must.Eq(t, &document.Evidence{Environment: "rayuela-trial", Version: 7, Hash: hash, Hosts: 6}, evidence)
+				return
+			}
+			must.ErrorIs(t, err, &result.Error{Code: c.want})
+		})
+	}
+}
+
+// The stored bytes are the operator's, and a value that was tampered with is
+// refused.
+func TestStoredKeepsTheBytes(t *testing.T) {
+	raw := example(t, "kalderimi")
+	s := &document.Stored{Version: 1, Hash: document.HashOf(raw), Content: raw, Token: "t"}
+	value, err := s.Encode()
+	must.NoError(t, err)
+	back, err := document.DecodeStored(value)
+	must.NoError(t, err)
+	must.Eq(t, string(raw), string(back.Content))
+	_, err = back.Document()
+	must.NoError(t, err)
+	s.Content = raw[1:]
+	value, err = s.Encode()
+	must.NoError(t, err)
+	_, err = document.DecodeStored(value)
+	must.ErrorIs(t, err, &result.Error{Code: result.HashMismatch})
+}
--- /dev/null
+++ b/document/planner_limits.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/rhubarbring/rhubarbring/host"
+)
+
+// change notes a limit of a subject if its value changed.
+func (p *planner) change(kind PlanKind, subject, field, old, next, concerns, effect string) {
+	if old == next {
+		return
+	}
+	p.add(Item{Kind: kind, Subject: subject, Field: field, Old: old, New: next, Concerns: concerns, Effect: effect})
+}
+
+func (p *planner) limits(old, a App) {
+	subject := "app " + string(a.Name)
+	p.change(LimitChanged, subject, "deadline.default", old.Deadline.Default.String(), a.Deadline.Default.String(),
+		"callers that name no deadline", "wait that long")
+	p.change(LimitChanged, subject, "deadline.maximum", old.Deadline.Maximum.String(), a.Deadline.Maximum.String(),
+		"callers that name a longer deadline", "are refused as bad_deadline")
+	p.change(LimitChanged, subject, "queue_bound", strconv.Itoa(old.QueueBound), strconv.Itoa(a.QueueBound),
+		"callers when a target is busy", "are refused as queue_full beyond the bound")
+	p.change(LimitChanged, subject, "retry_budget", number(old.RetryBudget), number(a.RetryBudget),
+		"requests that a gate refused", "are retried up to the budget, then refused as retry_budget_spent")
+	if a.Deadline.Maximum < old.Deadline.Maximum {
+		p.add(Item{
+			Kind: RefusalsExpected, Subject: subject, Concerns: "callers that name a deadline above " + a.Deadline.Maximum.String(),
+			Effect: "are refused as bad_deadline; none of their requests runs",
+		})
+	}
+	if a.QueueBound < old.QueueBound {
+		p.add(Item{
+			Kind: RefusalsExpected, Subject: subject, Concerns: "callers when more than " + strconv.Itoa(a.QueueBound) + " wait for a target",
+			Effect: "are refused as queue_full; none of their requests runs",
+		})
+	}
+}
+
+func (p *planner) placement(old, a App) {
+	subject := "app " + string(a.Name)
+	p.change(LimitChanged, subject, "max_moves_per_round", strconv.Itoa(old.MaxMovesPerRound), strconv.Itoa(a.MaxMovesPerRound),
+		"targets of the app", "take part in that many planned moves a round")
+	p.change(LimitChanged, subject, "hot_keys", hotKeys(old.HotKeys), hotKeys(a.HotKeys),
+		"callers of hot keys", "find them on slices of their own by this rule")
+	if old.Weights == a.Weights || !a.DividedByKey {
+		return
+	}
+	p.change(LimitChanged, subject, "weights", weights(old.Weights), weights(a.Weights),
+		"targets of the app", "are weighed anew against each other")
+	hosts, _ := p.targets(a)
+	p.add(Item{
+		Kind: MovesExpected, Subject: subject, Concerns: "callers of the slices that move",
+		Effect: fmt.Sprintf("up to %d slices move in each round by planned handover until the new weights are met", a.MaxMovesPerRound),
+		Hosts:  hosts, Moves: a.MaxMovesPerRound,
+	})
+}
+
+// grants names the targets that do not check although the document says so.
+func (p *planner) grants(old, a App) {
+	subject := "app " + string(a.Name)
+	p.change(LimitChanged, subject, "targets_check_grants", strconv.FormatBool(old.TargetsCheckGrants), strconv.FormatBool(a.TargetsCheckGrants),
+		"targets of the app", "a takeover waits for the longest deadline unless the target checks grants")
+	if !a.TargetsCheckGrants {
+		return
+	}
+	hosts, _ := p.count(func(h FleetHost) bool { return h.App == a.Name && !h.ChecksGrants })
+	if hosts > 0 && !old.TargetsCheckGrants {
+		p.add(Item{
+			Kind: LimitChanged, Subject: subject, Concerns: "targets that announce that they do not check",
+			Effect: "are treated as targets that do not check", Hosts: hosts,
+		})
+	}
+}
+
+func (p *planner) links() {
+	for _, l := range p.next.Links {
+		old, had := p.old.Link(l.Between[0], l.Between[1])
+		subject := fmt.Sprintf("link %s-%s", l.Between[0], l.Between[1])
+		if !had {
+			old = Link{Between: []host.Region{"", ""}}
+		}
+		p.change(LimitChanged, subject, "bits_per_second", strconv.FormatInt(old.BitsPerSecond, 10), strconv.FormatInt(l.BitsPerSecond, 10),
+			"callers across the link", "their requests beyond the share are refused as link_share_exhausted")
+		p.change(LimitChanged, subject, "request_share", number(old.RequestShare), number(l.RequestShare),
+			"callers across the link", "their requests beyond the share are refused as link_share_exhausted")
+		p.change(LimitChanged, subject, "control_share", number(old.ControlShare), number(l.ControlShare),
+			"daemons across the link", "send that much between regions")
+	}
+}
+
+func (p *planner) alarm() {
+	old, next := p.old.Alarm, p.next.Alarm
+	const who = "the alarm's receiver"
+	p.change(AlarmChanged, "alarm", "receiver", old.Receiver, next.Receiver, "old and new receiver", "alarms go to the new one")
+	p.change(AlarmChanged, "alarm", "unowned_key", old.UnownedKey.String(), next.UnownedKey.String(), who, "slices without an owner ring after that time")
+	p.change(AlarmChanged, "alarm", "document_not_in_force", old.DocumentNotInForce.String(), next.DocumentNotInForce.String(), who, "documents not in force ring after that time")
+	p.change(AlarmChanged, "alarm", "assignment_at_risk", old.AssignmentAtRisk.String(), next.AssignmentAtRisk.String(), who, "assignments at risk ring after that time")
+	p.change(AlarmChanged, "alarm", "cannot_see", old.CannotSee.String(), next.CannotSee.String(), who, "a part of the fleet without news is named after that time")
+}
+
+func number(f float64) string {
+	return strconv.FormatFloat(f, 'g', -1, 64)
+}
+
+func weights(w Weights) string {
+	return fmt.Sprintf("imbalance=%s churn=%s unavailable=%s", number(w.Imbalance), number(w.Churn), number(w.Unavailable))
+}
+
+func hotKeys(h *HotKeys) string {
+	if h == nil {
+		return ""
+	}
+	return fmt.Sprintf("share=%s expiry=%s maximum=%d", number(h.Share), h.Expiry, h.Maximum)
+}
--- /dev/null
+++ b/document/promote.go
@@ -0,0 +1,68 @@
+package document
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// TrialState is what the store tells of the trial environment.
+type TrialState struct {
+	// Environment is the trial's name.
+	Environment string
+	// Stored is the trial's document; nil if it has none.
+	Stored *Stored
+	// Zones holds the InForce record of each availability zone that has one.
+	Zones map[host.Zone]InForce
+}
+
+// Promote decides whether the bytes with the given hash may go from the trial
+// to the document's own environment. It returns the evidence that the stored
+// document then carries, or the reason why not: the trial holds other bytes,
+// or one of its availability zones doesn't have them in force.
+func Promote(want Hash, doc *Document, trial TrialState) (*Evidence, error) {
+	if trial.Environment != doc.Trial {
+		return nil, refuse(result.NotTried, "trial", fmt.Sprintf("the document names %s as its trial, not %s", doc.Trial, trial.Environment), "promote from the trial that the document names")
+	}
+	if trial.Stored == nil {
+		return nil, refuse(result.NotTried, "trial", trial.Environment+" has no document", "apply the document in trial first")
+	}
+	if trial.Stored.Hash != want {
+		return nil, refuse(result.HashMismatch, "hash", fmt.Sprintf("%s holds %s by %s, not %s", trial.Environment, trial.Stored.Hash.Short(), trial.Stored.Who, want.Short()), "promote the bytes that were tried, or apply these in trial first")
+	}
+	return evidence(doc, trial)
+}
+
+// evidence demands the trial's version of every zone of the document that
+// has reported, and at least one report.
+func evidence(doc *Document, trial TrialState) (*Evidence, error) {
+	e := &Evidence{Environment: trial.Environment, Version: trial.Stored.Version, Hash: trial.Stored.Hash}
+	for _, zone := range reported(doc, trial) {
+		z := trial.Zones[zone]
+		if z.Version != e.Version || z.Hash != e.Hash {
+			return nil, refuse(result.NotTried, "trial", fmt.Sprintf("availability zone %s of %s has version %d in force, not %d", zone, trial.Environment, z.Version, e.Version), "wait until rhubarb status shows it in force there, then promote")
+		}
+		e.Hosts += z.Hosts
+	}
+	if e.Hosts == 0 {
+		return nil, refuse(result.NotTried, "trial", "no daemon of "+trial.Environment+" has had it in force", "start the trial's daemons, wait until rhubarb status shows it in force, then promote")
+	}
+	return e, nil
+}
+
+func reported(doc *Document, trial TrialState) []host.Zone {
+	var zones []host.Zone
+	for zone := range trial.Zones {
+		if _, ok := doc.RegionOf(zone); ok {
+			zones = append(zones, zone)
+		}
+	}
+	sort.Slice(zones, func(i, j int) bool { return zones[i] < zones[j] })
+	return zones
+}
+
+func refuse(code result.Code, field, detail, remedy string) error {
+	return &result.Error{Code: code, Field: field, Detail: detail, Remedy: remedy}
+}
--- /dev/null
+++ b/document/stored.go
@@ -0,0 +1,100 @@
+package document
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Kinds of the objects in the platform's store that concern documents.
+const (
+	// Kind holds the document of an environment, named by the environment.
+	Kind = "document"
+	// HistoryKind holds replaced versions, each named by HistoryName.
+	HistoryKind = "document-history"
+	// InForceKind holds InForce records, each named by InForceName.
+	InForceKind = "document-in-force"
+)
+
+// Stored is a document as it stands in the store. Its bytes are those that
+// the operator wrote; nothing is formatted anew.
+type Stored struct {
+	// Version rises by one with each accepted change of the environment's
+	// document, also when the content is an earlier one.
+	Version uint64 `json:"version"`
+	// Hash is the hash of Content.
+	Hash Hash `json:"hash"`
+	// Content is the document's exact bytes.
+	Content []byte `json:"content"`
+	// Token is unique to the change, so that a writer whose answer was lost
+	// can tell whether its write landed.
+	Token string `json:"token"`
+	// Who made the change, as named on the command line.
+	Who string `json:"who"`
+	// When the change was made, by the clock of the operator's machine.
+	When time.Time `json:"when"`
+	// Trial is the evidence that the content was in force in the trial; nil
+	// in the trial itself.
+	Trial *Evidence `json:"trial,omitempty"`
+}
+
+// Evidence says where and as which version a content was in force before it
+// was promoted.
+type Evidence struct {
+	// Environment is the trial environment.
+	Environment string `json:"environment"`
+	// Version is the version that was in force there.
+	Version uint64 `json:"version"`
+	// Hash is the hash that was in force there.
+	Hash Hash `json:"hash"`
+	// Hosts counts the daemons that had it in force.
+	Hosts int `json:"hosts"`
+}
+
+// InForce is written by the relay of an availability zone once every living
+// daemon of the zone has a version in force.
+type InForce struct {
+	// Version and Hash are those of the document in force.
+	Version uint64 `json:"version"`
+	Hash    Hash   `json:"hash"`
+	// Hosts counts the daemons of the zone that have it in force.
+	Hosts int `json:"hosts"`
+	// When the last of them had it, by the clock of the relay's host.
+	When time.Time `json:"when"`
+}
+
+// HistoryName names the object of a replaced version.
+func HistoryName(environment string, version uint64) string {
+	return environment + "." + strconv.FormatUint(version, 10)
+}
+
+// InForceName names the InForce record of an availability zone.
+func InForceName(environment string, zone host.Zone) string {
+	return environment + "." + string(zone)
+}
+
+// Encode returns the value as it is stored.
+func (s *Stored) Encode() ([]byte, error) {
+	return json.Marshal(s)
+}
+
+// DecodeStored reads a stored document and checks that content and hash agree.
+func DecodeStored(raw []byte) (*Stored, error) {
+	var s Stored
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, &result.Error{Code: result.BadDocument, Detail: "the stored value does not decode", Cause: err}
+	}
+	if HashOf(s.Content) != s.Hash {
+		return nil, &result.Error{Code: result.HashMismatch, Field: "hash", Detail: "the stored content does not have the hash " + s.Hash.Short()}
+	}
+	return &s, nil
+}
+
+// Document parses the stored content.
+func (s *Stored) Document() (*Document, error) {
+	doc, problems := Parse(s.Content)
+	return doc, problems.Err()
+}
--- /dev/null
+++ b/document/update.go
@@ -0,0 +1,220 @@
+package document
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/chart"
+	"github.com/rhubarbring/rhubarbring/charts"
+)
+
+// UpdateConfig describes a change of an environment's document.
+type UpdateConfig struct {
+	// Environment is whose document changes.
+	Environment string
+	// Content is the new document's exact bytes.
+	Content []byte
+	// Token is unique to the change. A change that ended as Unclear is run
+	// again with the same token.
+	Token string
+	// Who and When stand in the stored document.
+	Who  string
+	When time.Time
+	// Trial is the evidence of a promoted document.
+	Trial *Evidence
+	// Base is the version that the operator planned against; nil takes
+	// whichever is in force when the update starts. A change that is run
+	// again with its token needs the base it had.
+	Base *uint64
+	// Tries bounds the calls to the store that may fail.
+	Tries int
+	// Pause is the time before the first new try; it doubles up to MaxPause.
+	Pause    time.Duration
+	MaxPause time.Duration
+}
+
+// Update is one change of an environment's document. The chart
+// document_update drives it. It is not safe for concurrent use.
+type Update struct {
+	cfg      UpdateConfig
+	chart    *chart.Chart
+	state    chart.State
+	base     *Stored
+	revision uint64
+	mine     Stored
+	other    *Stored
+	failures int
+	pause    time.Duration
+}
+
+// NewUpdate returns an update that has not started.
+func NewUpdate(cfg UpdateConfig) *Update {
+	c := charts.MustLoad("document_update")
+	return &Update{
+		cfg:   cfg,
+		chart: c,
+		state: c.Initial,
+		pause: cfg.Pause,
+		mine: Stored{
+			Hash:    HashOf(cfg.Content),
+			Content: cfg.Content,
+			Token:   cfg.Token,
+			Who:     cfg.Who,
+			When:    cfg.When,
+			Trial:   cfg.Trial,
+		},
+	}
+}
+
+// Start returns the first action.
+func (u *Update) Start() UpdateAction {
+	return Load{Object: u.document()}
+}
+
+// Step takes the answer to the last action and returns the next, or nil if
+// the event answers nothing that is open.
+func (u *Update) Step(ev UpdateEvent) UpdateAction {
+	e := u.classify(ev)
+	if e == "failed" || e == "doubt" {
+		u.failures++
+	}
+	action := u.follow(e)
+	if u.failures >= u.cfg.Tries && u.mayGiveUp() {
+		return u.follow("given_up")
+	}
+	return action
+}
+
+// mayGiveUp reports whether the state has an end for spent tries.
+func (u *Update) mayGiveUp() bool {
+	_, ok := u.chart.Next(u.state, "given_up")
+	return ok
+}
+
+// follow takes the chart's transition and returns its action; a final state
+// returns the result. It returns nil if the state ignores the event.
+func (u *Update) follow(e chart.Event) UpdateAction {
+	next, ok := u.chart.Next(u.state, e)
+	if !ok {
+		return nil
+	}
+	u.state = next.To
+	if u.chart.States[u.state].Final {
+		return Finish{Result: UpdateResult{Verdict: Verdict(u.state), Mine: u.mine, Other: u.other}}
+	}
+	return u.act(next.Do[0])
+}
+
+func (u *Update) act(a chart.Action) UpdateAction {
+	switch a {
+	case "load_document":
+		return Load{Object: u.document()}
+	case "load_history":
+		return Load{Object: Object{Kind: HistoryKind, Name: HistoryName(u.cfg.Environment, u.mine.Version)}}
+	case "save_history":
+		return Save{Object: Object{Kind: HistoryKind, Name: HistoryName(u.cfg.Environment, u.base.Version)}, Value: mustEncode(u.base)}
+	case "save_document":
+		return Save{Object: u.document(), IfRevision: u.revision, Value: mustEncode(&u.mine)}
+	}
+	pause := u.pause
+	u.pause = min(2*u.pause, u.cfg.MaxPause)
+	return Pause{For: pause}
+}
+
+func (u *Update) document() Object {
+	return Object{Kind: Kind, Name: u.cfg.Environment}
+}
+
+// mustEncode encodes a stored document, which holds nothing that JSON can't.
+func mustEncode(s *Stored) []byte {
+	raw, err := s.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// classify says which event of the chart an answer is.
+func (u *Update) classify(ev UpdateEvent) chart.Event {
+	switch ev := ev.(type) {
+	case Loaded:
+		return u.loaded(ev)
+	case LoadFailed:
+		return "failed"
+	case Saved:
+		return "saved"
+	case SaveRefused:
+		return "refused"
+	case SaveInDoubt:
+		return "doubt"
+	}
+	return "pause_over"
+}
+
+func (u *Update) loaded(ev Loaded) chart.Event {
+	var found *Stored
+	if ev.Revision != 0 {
+		stored, err := DecodeStored(ev.Value)
+		if err != nil {
+			return "failed"
+		}
+		found = stored
+	}
+	if u.state == "reading" {
+		return u.start(found, ev.Revision)
+	}
+	return u.compare(found, ev.Revision)
+}
+
+// start takes the document that the change is based on.
+func (u *Update) start(found *Stored, revision uint64) chart.Event {
+	u.base = found
+	u.revision = revision
+	var version uint64
+	if found != nil {
+		version = found.Version
+	}
+	if found != nil && found.Token == u.cfg.Token {
+		u.mine = *found
+		return "mine"
+	}
+	if u.cfg.Base == nil {
+		u.cfg.Base = &version
+	}
+	u.mine.Version = *u.cfg.Base + 1
+	if version != *u.cfg.Base {
+		u.other = found
+		return "base_other"
+	}
+	if found == nil {
+		return "base_none"
+	}
+	if found.Hash == u.mine.Hash {
+		u.other = found
+		return "base_same"
+	}
+	return "base_ok"
+}
+
+// compare tells whose the document is that was read after a write.
+func (u *Update) compare(found *Stored, revision uint64) chart.Event {
+	if found != nil && found.Token == u.cfg.Token {
+		return "mine"
+	}
+	if u.state == "searching" {
+		return u.searched(found)
+	}
+	if revision == u.revision {
+		return "unchanged"
+	}
+	u.other = found
+	return "moved"
+}
+
+// searched judges the history's entry for this change's version. None means
+// that whoever was first at that version is still in force.
+func (u *Update) searched(found *Stored) chart.Event {
+	if found != nil {
+		u.other = found
+	}
+	return "moved"
+}
--- /dev/null
+++ b/document/update_result.go
@@ -0,0 +1,72 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Verdict is how an update ended: a final state of the chart document_update.
+type Verdict string
+
+// The verdicts.
+const (
+	AcceptedNow    Verdict = "in_force"
+	AcceptedBefore Verdict = "already_in_force"
+	Replaced       Verdict = "replaced"
+	Conflict       Verdict = "conflict"
+	NotWritten     Verdict = "not_written"
+	Unclear        Verdict = "unknown"
+)
+
+// UpdateResult is how an update ended.
+type UpdateResult struct {
+	// Verdict is the end.
+	Verdict Verdict `json:"verdict"`
+	// Mine is the document of this change. Its version is 0 if none was
+	// ever tried.
+	Mine Stored `json:"mine"`
+	// Other is the document in force instead, if it was read.
+	Other *Stored `json:"other,omitempty"`
+}
+
+// Err returns nil if the change is or was in force, else the error with its
+// remedy.
+func (r UpdateResult) Err() error {
+	switch r.Verdict {
+	case AcceptedNow, AcceptedBefore, Replaced:
+		return nil
+	case Conflict:
+		return &result.Error{Code: result.DocumentConflict, Field: "version", Detail: r.conflict(), Remedy: "read the version in force, plan again, apply again"}
+	case NotWritten:
+		return &result.Error{Code: result.StoreUnavailable, Detail: "not in force: the store could not be reached, and nothing was written", Remedy: "run the command again when the store answers"}
+	}
+	return &result.Error{Code: result.StoreDoubt, Detail: "unknown: the write may have landed or may land yet", Remedy: "run the same command again with " + r.again()}
+}
+
+// again returns the flags that make the same command continue this change.
+func (r UpdateResult) again() string {
+	return fmt.Sprintf("--base %d --token %s", r.Mine.Version-1, r.Mine.Token)
+}
+
+func (r UpdateResult) conflict() string {
+	if r.Other == nil {
+		return "not in force: another change came first"
+	}
+	return "not in force: version " + describeStored(r.Other) + " came before this change to " + describeStored(&r.Mine)
+}
+
+func describeStored(s *Stored) string {
+	text, err := json.Marshal(struct {
+		Version uint64 `json:"version"`
+		Hash    string `json:"hash"`
+		Who     string `json:"who"`
+		When    string `json:"when"`
+	}{s.Version, s.Hash.Short(), s.Who, s.When.UTC().Format(time.RFC3339)})
+	if err != nil {
+		return s.Hash.Short()
+	}
+	return string(text)
+}
