--- a/document/update_test.go
+++ b/document/update_test.go
@@ -209,6 +209,11 @@
 			return fmt.Sprintf("change %d ended as %q and was accepted %d times", i, res.Verdict, n)
 		}
 	}
+	return missing(s)
+}
+
+// missing names a replaced version that does not stand in the history.
+func missing(s *modelStore) string {
 	for v := 1; v < len(s.accepted); v++ {
 		raw := s.objects[document.Object{Kind: document.HistoryKind, Name: document.HistoryName("e", uint64(v))}].value
 		old, err := document.DecodeStored(raw)
