Packs, deltas and maps of assignments; the holder of slices

Cause: the daemon needs to know which slices it may serve, and how one leaves it without a second owner; the first Pack kept every session per slice. Change: package assignment interns sessions per pack, cuts apps into packs of 512 slices, keeps carve-outs in the pack of their parent slice, makes and applies deltas and looks keys up in a Map.

--- /dev/null
+++ b/assignment/assignment_test.go
@@ -0,0 +1,190 @@
+package assignment_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func drawSession(t *rapid.T) host.Session {
+	n := rapid.IntRange(0, 12).Draw(t, "session")
+	if n == 0 {
+		return host.Nobody
+	}
+	return host.Session{Host: host.ID(fmt.Sprintf("h%d", n%5)), Incarnation: uint64(n)}
+}
+
+const total = assignment.PackSlices + 40
+
+func drawEdit(t *rapid.T, p *assignment.Pack) {
+	id := p.First + key.SliceID(rapid.IntRange(0, 5).Draw(t, "slice"))
+	switch rapid.IntRange(0, 3).Draw(t, "edit") {
+	case 0:
+		p.CarveOut(fmt.Sprintf("key%d", rapid.IntRange(0, 40).Draw(t, "key")))
+	case 1:
+		for _, c := range p.CarveOuts() {
+			if p.Merge(c.ID) {
+				break
+			}
+		}
+	default:
+		if cs := p.CarveOuts(); len(cs) > 0 && rapid.Bool().Draw(t, "carved") {
+			id = rapid.SampledFrom(cs).Draw(t, "carve-out").ID
+		}
+		epoch := uint64(rapid.Uint32().Draw(t, "epoch"))
+		must.True(t, p.Set(id, assignment.Slice{Owner: drawSession(t), Epoch: epoch, Next: drawSession(t)}))
+	}
+}
+
+func encode(t must.T, p *assignment.Pack) []byte {
+	raw, err := p.Encode()
+	must.NoError(t, err)
+	return raw
+}
+
+// A pack survives encoding; a delta leads to the same pack, on its own and
+// through a map; a map gives back what was put in.
+func TestPacksDeltasAndMapsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := key.SliceID(rapid.SampledFrom([]int{0, assignment.PackSlices}).Draw(t, "first"))
+		p := assignment.NewPack("catalogue", total, first)
+		relay, peer := assignment.NewMap(), assignment.NewMap()
+		relay.Put(p, 1)
+		peer.Put(p, 1)
+		for v := uint64(2); v < 8; v++ {
+			next := p.Clone()
+			next.Token = fmt.Sprint("w", v)
+			for range rapid.IntRange(0, 4).Draw(t, "edits") {
+				drawEdit(t, next)
+			}
+			raw := encode(t, next)
+			back, err := assignment.Decode(raw)
+			must.NoError(t, err)
+			must.Eq(t, raw, encode(t, back))
+
+			held, base := relay.Pack("catalogue", first)
+			must.Eq(t, encode(t, p), encode(t, held))
+			d := assignment.Diff(held, base, back, v)
+			applied, err := p.Apply(d)
+			must.NoError(t, err)
+			must.Eq(t, raw, encode(t, applied))
+			changes, err := peer.Apply(d)
+			must.NoError(t, err)
+			must.Eq(t, relay.Put(back, v), changes)
+			p = next
+		}
+		for _, c := range p.CarveOuts() {
+			s, assigned, ok := peer.Lookup("catalogue", c.Key)
+			must.True(t, ok)
+			must.Eq(t, c.ID, s.ID)
+			must.Eq(t, c.Assigned, assigned)
+		}
+	})
+}
+
+func TestAMapNoticesAGapAndNeverGoesBack(t *testing.T) {
+	p := assignment.NewPack("catalogue", total, 0)
+	q := p.Clone()
+	alpha := host.Session{Host: "alpha", Incarnation: 1}
+	must.True(t, q.Set(7, assignment.Slice{Owner: alpha, Epoch: 1}))
+	m := assignment.NewMap()
+	m.Put(p, 3)
+	_, err := m.Apply(assignment.Diff(p, 5, q, 6))
+	must.ErrorIs(t, err, &result.Error{Code: result.StaleMessage})
+	changes, err := m.Apply(assignment.Diff(p, 3, q, 6))
+	must.NoError(t, err)
+	must.SliceLen(t, 1, changes)
+	must.SliceEmpty(t, m.Put(p, 3))
+	s, _ := m.At(key.Slice{App: "catalogue", ID: 7})
+	must.Eq(t, alpha, s.Owner)
+}
+
+// A merge needs one owner and no handover; it raises the parent's epoch, and
+// the key's next carve-out begins above every earlier epoch.
+func TestMergeRules(t *testing.T) {
+	alpha, beta := host.Session{Host: "alpha", Incarnation: 1}, host.Session{Host: "beta", Incarnation: 1}
+	p := assignment.NewPack("catalogue", 64, 0)
+	_, ok := p.CarveOut("k")
+	must.False(t, ok, must.Sprint("the parent has no owner"))
+	parent, _ := p.Parent("k")
+	p.Set(parent, assignment.Slice{Owner: alpha, Epoch: 9})
+	id, ok := p.CarveOut("k")
+	must.True(t, ok)
+	p.Set(id, assignment.Slice{Owner: beta, Epoch: 2})
+	must.False(t, p.Merge(id))
+	p.Set(id, assignment.Slice{Owner: alpha, Epoch: 3, Next: beta})
+	must.False(t, p.Merge(id))
+	p.Set(id, assignment.Slice{Owner: alpha, Epoch: 3})
+	must.True(t, p.Merge(id))
+	s, _ := p.At(parent)
+	must.Eq(t, assignment.Slice{Owner: alpha, Epoch: 10}, s)
+	again, ok := p.CarveOut("k")
+	must.True(t, ok)
+	must.Eq(t, id, again)
+	s, _ = p.At(again)
+	must.Eq(t, 4, s.Epoch)
+}
+
+// Neither the number of sessions that pass through a pack nor through a map
+// makes it grow.
+func TestTablesOfSessionsAreBounded(t *testing.T) {
+	p := assignment.NewPack("catalogue", 64, 0)
+	m := assignment.NewMap()
+	for i := range 200_000 {
+		p.Set(key.SliceID(i%64), assignment.Slice{Owner: host.Session{Host: "h", Incarnation: uint64(i + 1)}, Epoch: 1})
+		if i%64 == 63 {
+			m.Put(p, uint64(i))
+		}
+	}
+	must.Less(t, 2000, len(encode(t, p)))
+	last, _ := p.At(63)
+	inMap, _ := m.At(key.Slice{App: "catalogue", ID: 63})
+	must.Eq(t, last, inMap)
+}
+
+func TestNames(t *testing.T) {
+	must.Eq(t, "a.b.512", assignment.Name("a.b", 700))
+	app, first, ok := assignment.ParseName("a.b.512")
+	must.True(t, ok)
+	must.Eq(t, "a.b", app)
+	must.Eq(t, 512, first)
+	for _, bad := range []string{"", ".0", "a.1", "a", "a.-512", "a.99999999999"} {
+		_, _, ok := assignment.ParseName(bad)
+		must.False(t, ok, must.Sprint(bad))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	p := assignment.NewPack("catalogue", 64, 0)
+	p.Set(1, assignment.Slice{Owner: host.Session{Host: "alpha", Incarnation: 1}, Epoch: 300, Next: host.Session{Host: "beta", Incarnation: 2}})
+	raw, _ := p.Encode()
+	f.Add(raw)
+	f.Add(raw[:len(raw)/2])
+	f.Add([]byte{0x88, 0x61, 'w', 0x61, 'a', 0, 0x1a, 0xff, 0xff, 0xff, 0xff, 0, 0x80, 0x40, 0x80})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, err := assignment.Decode(raw)
+		if err != nil {
+			must.ErrorIs(t, err, &result.Error{Code: result.BadFrame})
+			return
+		}
+		again, err := assignment.Decode(encode(t, p))
+		must.NoError(t, err)
+		must.Eq(t, encode(t, p), encode(t, again))
+		assignment.NewMap().Put(p, 1)
+	})
+}
--- /dev/null
+++ b/assignment/delta.go
@@ -0,0 +1,149 @@
+package assignment
+
+import (
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+)
+
+// Delta is the difference between two versions of a pack, as relays send it
+// to daemons that hold the base version.
+type Delta struct {
+	_ struct{} `cbor:",toarray"`
+	// App and First name the pack.
+	App   key.App
+	First key.SliceID
+	// Base is the version that the delta applies to, Version the one that
+	// it leads to.
+	Base    uint64
+	Version uint64
+	// Token is the new version's writer token.
+	Token string
+	// Floor is the new version's highest epoch of merged carve-outs.
+	Floor uint32
+	// Sessions are the sessions that the changes name, by place from 1.
+	Sessions []host.Session
+	// Changed are the slices and carve-outs that are new or different.
+	Changed []Changed
+	// Merged are the carve-outs that are gone.
+	Merged []key.SliceID
+}
+
+// Changed is one slice or carve-out of a delta.
+type Changed struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the slice.
+	ID key.SliceID
+	// Owner and Next are places in the delta's sessions; 0 is nobody.
+	Owner uint16
+	Next  uint16
+	// Epoch is the slice's epoch.
+	Epoch uint32
+	// Key is the key of a carve-out; empty for a regular slice.
+	Key string
+}
+
+// Diff returns the delta that leads from one version of a pack to another of
+// the same app, first slice and total.
+func Diff(from *Pack, base uint64, to *Pack, version uint64) *Delta {
+	d := &Delta{App: to.App, First: to.First, Base: base, Version: version, Token: to.Token, Floor: to.floor}
+	b := deltaBuilder{delta: d, pack: to, places: map[host.Session]uint16{}}
+	for i, e := range to.entries {
+		if from.open(from.entries[i]) != to.open(e) {
+			b.add(to.First+key.SliceID(i), e, "")
+		}
+	}
+	b.carved(from)
+	return d
+}
+
+type deltaBuilder struct {
+	delta  *Delta
+	pack   *Pack
+	places map[host.Session]uint16
+}
+
+func (b *deltaBuilder) add(id key.SliceID, e entry, k string) {
+	c := Changed{ID: id, Owner: b.place(e.owner), Next: b.place(e.next), Epoch: e.epoch, Key: k}
+	b.delta.Changed = append(b.delta.Changed, c)
+}
+
+func (b *deltaBuilder) place(i uint16) uint16 {
+	if i == 0 {
+		return 0
+	}
+	s := b.pack.sessions[i]
+	if _, ok := b.places[s]; !ok {
+		b.delta.Sessions = append(b.delta.Sessions, s)
+		b.places[s] = uint16(len(b.delta.Sessions))
+	}
+	return b.places[s]
+}
+
+func (b *deltaBuilder) carved(from *Pack) {
+	old := make(map[key.SliceID]CarveOut, len(from.carved))
+	for _, c := range from.CarveOuts() {
+		old[c.ID] = c
+	}
+	for _, c := range b.pack.carved {
+		now := CarveOut{Key: c.key, ID: c.id, Assigned: b.pack.open(c.entry)}
+		if old[c.id] != now {
+			b.add(c.id, c.entry, c.key)
+		}
+		delete(old, c.id)
+	}
+	for _, c := range from.carved {
+		if _, gone := old[c.id]; gone {
+			b.delta.Merged = append(b.delta.Merged, c.id)
+		}
+	}
+}
+
+// Apply returns the pack that a delta leads to from the pack of its base
+// version. It returns a *result.Error with code BadFrame if the delta does not
+// fit the pack. The pack itself is left as it is.
+func (p *Pack) Apply(d *Delta) (*Pack, error) {
+	if d.App != p.App || d.First != p.First {
+		return nil, badPack("delta of another pack", nil)
+	}
+	q := p.Clone()
+	q.Token, q.floor = d.Token, d.Floor
+	for _, id := range d.Merged {
+		q.removeCarved(id)
+	}
+	for _, c := range d.Changed {
+		if err := q.applyChanged(d, c); err != nil {
+			return nil, err
+		}
+	}
+	return q, nil
+}
+
+func (p *Pack) applyChanged(d *Delta, c Changed) error {
+	if int(c.Owner) > len(d.Sessions) || int(c.Next) > len(d.Sessions) {
+		return badPack("delta names a session that it doesn't list", nil)
+	}
+	s := Slice{Owner: d.session(c.Owner), Epoch: uint64(c.Epoch), Next: d.session(c.Next)}
+	if c.ID < key.CarveOutBase {
+		if !p.Set(c.ID, s) {
+			return badPack("delta names a slice outside the pack", nil)
+		}
+		return nil
+	}
+	_, mine := p.Parent(c.Key)
+	if FirstOf(c.ID) != p.First || !mine || len(c.Key) > MaxKeyBytes {
+		return badPack("delta names a carve-out outside the pack", nil)
+	}
+	p.removeCarved(c.ID)
+	if p.isCarved(c.Key) {
+		return badPack("delta carves a key out twice", nil)
+	}
+	p.insertCarved(carveOut{key: c.Key, id: c.ID, entry: p.pack(s)})
+	return nil
+}
+
+func (d *Delta) session(place uint16) host.Session {
+	if place == 0 {
+		return host.Nobody
+	}
+	return d.Sessions[place-1]
+}
--- /dev/null
+++ b/handover/holder_test.go
@@ -0,0 +1,128 @@
+package handover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+var (
+	alpha = host.Session{Host: "alpha", Incarnation: 1}
+	beta  = host.Session{Host: "beta", Incarnation: 1}
+	slice = key.Slice{App: "catalogue", ID: 3}
+)
+
+const second = mono.Time(time.Second)
+
+func newHolder() *handover.Holder {
+	h := handover.New(handover.Config{Self: alpha, DrainReport: 5 * time.Second, Resend: time.Second, StopGrace: 2 * time.Second})
+	h.SetLease(1000 * second)
+	return h
+}
+
+func seen(owner host.Session, epoch uint64, next host.Session) assignment.Change {
+	return assignment.Change{Slice: slice, To: assignment.Slice{Owner: owner, Epoch: epoch, Next: next}}
+}
+
+func TestReleaseComesAfterTheLastRequest(t *testing.T) {
+	h := newHolder()
+	must.Eq(t, []handover.Action{handover.Admit{Slice: slice, Epoch: 4}}, h.Seen(1, seen(alpha, 4, host.Nobody)))
+	ticket, v := h.Begin(2, slice)
+	must.Eq(t, handover.Verdict{Code: result.OK, Epoch: 4, Newest: 4, Since: 1}, v)
+	must.Eq(t, []handover.Action{handover.StopAdmitting{Slice: slice, Epoch: 4, Next: beta}}, h.Seen(3, seen(alpha, 4, beta)))
+	must.Eq(t, result.Draining, h.Admits(4, slice).Code)
+	release := handover.TellReleased{Release: handover.Release{From: alpha, App: "catalogue", ID: 3, Epoch: 4}}
+	must.Eq(t, []handover.Action{release}, h.End(5, ticket))
+	must.SliceEmpty(t, h.Tick(6))
+	must.Eq(t, []handover.Action{release}, h.Tick(5+second))
+	must.Eq(t, handover.Counts{Released: 1}, h.Counts())
+	h.Seen(7+second, seen(beta, 5, host.Nobody))
+	must.SliceEmpty(t, h.Tick(10*second))
+	must.Eq(t, handover.Verdict{Code: result.NotOwner, Epoch: 4, Newest: 5, Since: 1}, h.Admits(11*second, slice))
+}
+
+func TestAnOldPackDoesNotUndoARelease(t *testing.T) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	h.Seen(2, seen(alpha, 4, beta))
+	must.SliceEmpty(t, h.Seen(3, seen(alpha, 4, host.Nobody)))
+	must.Eq(t, result.NotOwner, h.Admits(4, slice).Code)
+	h.Seen(5, seen(beta, 5, host.Nobody))
+	must.SliceEmpty(t, h.Seen(6, seen(alpha, 4, host.Nobody)))
+	must.Eq(t, result.NotOwner, h.Admits(7, slice).Code)
+	h.Seen(8, seen(alpha, 6, host.Nobody))
+	must.True(t, h.Admits(9, slice).Admitted())
+}
+
+func TestAWithdrawnHandoverAdmitsAgain(t *testing.T) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	ticket, _ := h.Begin(2, slice)
+	h.Seen(3, seen(alpha, 4, beta))
+	must.Eq(t, []handover.Action{handover.Admit{Slice: slice, Epoch: 4}}, h.Seen(4, seen(alpha, 4, host.Nobody)))
+	must.SliceEmpty(t, h.End(5, ticket))
+	must.True(t, h.Admits(6, slice).Admitted())
+}
+
+func TestNothingIsAdmittedWithoutALease(t *testing.T) {
+	h := newHolder()
+	h.SetLease(10)
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	must.True(t, h.Admits(9, slice).Admitted())
+	must.Eq(t, result.LeaseLapsed, h.Admits(10, slice).Code)
+	h.SetLease(20)
+	must.True(t, h.Admits(19, slice).Admitted())
+	h.EndSession()
+	must.Eq(t, result.NotOwner, h.Admits(19, slice).Code)
+}
+
+func TestPlannedStopDrainsWhatNobodyTakes(t *testing.T) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	ticket, _ := h.Begin(2, slice)
+	h.Stop(3)
+	must.SliceEmpty(t, h.Tick(4))
+	must.True(t, h.Admits(5, slice).Admitted())
+	must.SliceLen(t, 1, h.Tick(3+2*second))
+	must.False(t, h.Stopped())
+	must.Eq(t, []handover.Action{handover.ReportOverdue{Slice: slice, Epoch: 4, InFlight: 1}}, h.Tick(3+7*second))
+	must.SliceLen(t, 1, h.End(8*second, ticket))
+	must.True(t, h.Stopped())
+}
+
+// A key is served by its slice when the carve-out appears; the carve-out's
+// release must wait for that request, and not for later ones of the slice.
+func TestCarveOutWaitsForItsParentsEarlierRequests(t *testing.T) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	early, _ := h.Begin(2, slice)
+	carved := assignment.Change{Slice: key.Slice{App: "catalogue", ID: key.CarveOutBase}, Key: "k", Parent: 3, To: assignment.Slice{Owner: alpha, Epoch: 1}}
+	h.Seen(3, carved)
+	late, _ := h.Begin(4, slice)
+	carved.To.Next = beta
+	must.SliceLen(t, 1, h.Seen(5, carved))
+	must.SliceLen(t, 1, h.End(6, early))
+	must.Eq(t, handover.Counts{Owned: 1, Released: 1}, h.Counts())
+	must.SliceEmpty(t, h.End(7, late))
+}
+
+// The parent's release must wait for requests of a carve-out merged into it.
+func TestParentWaitsForAMergedCarveOut(t *testing.T) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	carved := assignment.Change{Slice: key.Slice{App: "catalogue", ID: key.CarveOutBase}, Key: "k", Parent: 3, To: assignment.Slice{Owner: alpha, Epoch: 1}}
+	h.Seen(2, carved)
+	ticket, _ := h.Begin(3, carved.Slice)
+	h.Seen(4, assignment.Change{Slice: carved.Slice, Key: "k", Parent: 3, Merged: true})
+	h.Seen(5, seen(alpha, 5, host.Nobody))
+	must.SliceLen(t, 1, h.Seen(6, seen(alpha, 5, beta)))
+	must.SliceLen(t, 1, h.End(7, ticket))
+}
