--- a/internal/daemon/thin.go
+++ b/internal/daemon/thin.go
@@ -151,25 +151,25 @@
 func (d *Daemon) assignApp(v *view, app key.App, owners []host.Session) {
 	sort.Slice(owners, func(i, j int) bool { return owners[i].Host < owners[j].Host })
 	old := v.packs[app]
-	pack := &assignment.Pack{App: app, Slices: make([]assignment.Slice, thinSlices)}
+	pack := assignment.NewPack(app, thinSlices, 0)
 	changed := old == nil
-	for i := range pack.Slices {
-		want := owners[i%len(owners)]
-		pack.Slices[i] = assignment.Slice{Owner: want, Epoch: 1}
-		if old == nil {
-			continue
+	for i := range key.SliceID(thinSlices) {
+		want := owners[int(i)%len(owners)]
+		held := assignment.Slice{}
+		if old != nil {
+			held, _ = old.At(i)
 		}
-		pack.Slices[i] = old.Slices[i]
-		if old.Slices[i].Owner != want {
-			pack.Slices[i] = assignment.Slice{Owner: want, Epoch: old.Slices[i].Epoch + 1}
+		if held.Owner != want {
+			held = assignment.Slice{Owner: want, Epoch: held.Epoch + 1}
 			changed = true
 		}
+		pack.Set(i, held)
 	}
 	raw, err := pack.Encode()
 	if err != nil || !changed {
 		return
 	}
-	name := string(app) + ".0"
+	name := assignment.Name(app, 0)
 	_, _ = d.store.Put("assignment", name, v.versions["assignment/"+name], raw)
 }
 
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -23,6 +23,7 @@
 	if !ok {
 		return assignment.Slice{}, 0, false
 	}
-	s := key.SliceOf(app, k, uint32(len(pack.Slices)))
-	return pack.Slices[s.ID], s.ID, true
+	s := key.SliceOf(app, k, pack.Total)
+	assigned, ok := pack.At(s.ID)
+	return assigned, s.ID, ok
 }
