Decide a request's life at the entry daemon and at the gate

Cause: nothing decided yet what becomes of a request between caller and target. Change: charts request and admission; packages request (Router), gate, idmemory, retry, timer; chart.Compile turns a chart into a table for hot paths. Request gains Seq, AcceptedMs and NoSlice; Answer gains Seq, OwnEpoch and Wait. Codes 308 repeat_refused and 309 id_reused: a refusal of a repeat by someone who can't know the earlier sending is no true "not run".

--- /dev/null
+++ b/gate/job.go
@@ -0,0 +1,151 @@
+package gate
+
+import (
+	"github.com/rhubarbring/rhubarbring/chart"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/idmemory"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+)
+
+// The states, events and actions of charts/admission.json, in the order of
+// the lists below.
+const (
+	stateArrived uint8 = iota
+	stateQueued
+	stateRunning
+	stateCancelling
+	stateLingering
+	stateClosed
+)
+
+const (
+	eventRefuse uint8 = iota
+	eventQueue
+	eventStart
+	eventWithdraw
+	eventAnswered
+	eventRefused
+	eventLost
+	eventOverdue
+	eventOverdueOnce
+	eventStopped
+	eventNotStopped
+	eventRelease
+)
+
+const (
+	doStart uint8 = iota
+	doCancel
+	doAnswer
+	doRaise
+	doSettle
+	doFree
+)
+
+var (
+	states  = []chart.State{"arrived", "queued", "running", "cancelling", "lingering", "closed"}
+	events  = []chart.Event{"refuse", "queue", "start", "withdraw", "answered", "refused", "lost", "overdue", "overdue_once", "stopped", "not_stopped", "release"}
+	actions = []chart.Action{"start", "cancel", "answer", "raise", "settle", "free"}
+)
+
+// origin is one sending that waits for a job's answer.
+type origin struct {
+	from    host.Session
+	attempt uint32
+	seq     uint64
+}
+
+// noConnection marks a job that holds no connection.
+const noConnection = -1
+
+// job is one request at the gate.
+type job struct {
+	req       *request.Request
+	first     origin
+	joined    []origin
+	abandoned bool // the first origin is lost
+	deadline  mono.Time
+	state     uint8
+	slot      idmemory.Slot
+	timer     uint64
+	queuedIn  *queue
+	// From the start on:
+	run       uint64
+	conn      int
+	startedAt mono.Time
+	epoch     uint64
+	due       mono.Time // when the target's time for it is up
+}
+
+// owned reports whether the job needs the ownership of its slice.
+func (j *job) owned() bool {
+	return j.req.Slice != request.NoSlice
+}
+
+// waits reports whether anyone waits for the job's answer.
+func (j *job) waits() bool {
+	return !j.abandoned || len(j.joined) > 0
+}
+
+func (g *Gate) newJob() *job {
+	if len(g.free) == 0 {
+		return &job{conn: noConnection}
+	}
+	j := g.free[len(g.free)-1]
+	g.free = g.free[:len(g.free)-1]
+	return j
+}
+
+// drop forgets a job that is over. Its memory is used again; a timer that
+// still points to it is told by its number.
+func (g *Gate) drop(j *job) {
+	if j.run != 0 {
+		delete(g.runs, j.run)
+	}
+	if j.queuedIn != nil {
+		j.queuedIn.gone(j)
+	}
+	*j = job{conn: noConnection, joined: j.joined[:0]}
+	g.free = append(g.free, j)
+}
+
+func (g *Gate) setTimer(j *job, at mono.Time) {
+	j.timer = g.timers.Add(at, j)
+}
+
+// step takes the chart's transition and does its actions. The answer is what
+// the event says of the outcome, or nil.
+func (g *Gate) step(now mono.Time, j *job, event uint8, a *request.Answer, out *Actions) {
+	cell := g.table.Next(j.state, event)
+	if !cell.Taken {
+		return
+	}
+	j.state = cell.To
+	for _, do := range cell.Do {
+		g.do(now, j, do, a, out)
+	}
+	if j.state == stateLingering && event != eventRelease {
+		g.setTimer(j, j.deadline.Add(g.cfg.RunHold))
+	}
+	if j.state == stateClosed {
+		g.drop(j)
+	}
+}
+
+func (g *Gate) do(now mono.Time, j *job, action uint8, a *request.Answer, out *Actions) {
+	switch action {
+	case doStart:
+		g.start(now, j, out)
+	case doCancel:
+		out.Cancels = append(out.Cancels, CancelRun{ID: j.req.ID, Run: j.run})
+	case doAnswer:
+		g.answer(now, j, a, out)
+	case doRaise:
+		g.raise(j, a, out)
+	case doSettle:
+		g.settle(now, j, a, out)
+	case doFree:
+		g.freeSlot(j)
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -31,7 +31,12 @@
 	RepeatAgain
 )
 
-// Request is a caller's request as it travels between daemons.
+// NoSlice stands for the slice of a request that any gate of its app may run:
+// an idempotent one of an app that is not divided by key.
+const NoSlice key.SliceID = 1<<32 - 1
+
+// Request is a caller's request as it travels between daemons. It is not
+// changed once it was given to a gate: each sending has its own copy.
 type Request struct {
 	_ struct{} `cbor:",toarray"`
 	// ID is the caller's id, or one that the entry daemon made.
@@ -40,12 +45,20 @@
 	App key.App
 	// Key is the caller's key; empty for an app that is not divided by key.
 	Key string
-	// Slice is where the key belongs.
+	// Slice is where the key belongs. In an app that is not divided by key
+	// it is where the id belongs, so that each repeat meets the same gate's
+	// memory; NoSlice if the request is idempotent.
 	Slice key.SliceID
-	// Epoch is the owner's epoch by the sender's map: a hint.
+	// Epoch is the owner's epoch by the sender's map. The gate refuses an
+	// epoch that is not its own for a request that is not idempotent, so
+	// that a sending delayed across a change of owner never runs.
 	Epoch uint64
 	// Attempt counts the sendings between daemons, from 1.
 	Attempt uint32
+	// Seq numbers all sendings of the entry daemon's session, rising. A gate
+	// drops what does not rise: a duplicate, or a leftover of an older
+	// connection.
+	Seq uint64
 	// Idempotent says that the request may be run more than once.
 	Idempotent bool
 	// Repeat is the caller's statement about earlier sendings.
@@ -57,6 +70,9 @@
 	// IDTimeMs is when the id was made, in milliseconds since 1970; 0 if
 	// the id does not say.
 	IDTimeMs int64
+	// AcceptedMs is when the entry daemon took the request from the caller,
+	// in milliseconds since 1970 by the entry daemon's clock.
+	AcceptedMs int64
 	// Method, Path, Type and Body are passed to the target unchanged.
 	Method string
 	Path   string
@@ -67,19 +83,40 @@
 // Answer is the answer to one attempt of a request.
 type Answer struct {
 	_ struct{} `cbor:",toarray"`
-	// ID and Attempt name the attempt that is answered.
+	// ID, Attempt and Seq name the sending that is answered.
 	ID      string
 	Attempt uint32
+	Seq     uint64
 	// Code is the result.
 	Code result.Code
 	// Owner is the host that ran or refused the request.
 	Owner string
 	// Epoch is the newest epoch of the slice that the answerer knows.
 	Epoch uint64
+	// OwnEpoch is the epoch at which the answerer itself owns the slice; 0
+	// if it does not.
+	OwnEpoch uint64
 	// RetryAfter says when the caller should come back; 0 says nothing.
 	RetryAfter time.Duration
+	// Wait is how long a new request would wait at the gate for a slot, by
+	// the gate's own count.
+	Wait time.Duration
 	// Status, Type and Body are the target's answer.
 	Status int
 	Type   string
 	Body   []byte
 }
+
+// FinalCode returns what a caller may be told of code c. That this sending did
+// not run says nothing of earlier sendings of the same id, of which the daemon
+// that refuses can't know: a caller who were told "not run" then would make a
+// new id and run the request twice.
+func FinalCode(r *Request, c result.Code) result.Code {
+	if r.Idempotent || r.Repeat == RepeatFirst {
+		return c
+	}
+	if c.Outcome() != result.NotRun {
+		return c
+	}
+	return result.RepeatRefused
+}
--- /dev/null
+++ b/request/router.go
@@ -0,0 +1,296 @@
+package request
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/chart"
+	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/retry"
+	"github.com/rhubarbring/rhubarbring/timer"
+)
+
+// Route is what the entry daemon's map says of a key or an id.
+type Route struct {
+	Slice key.SliceID
+	// Owner is the session that serves the slice, or nobody.
+	Owner host.Session
+	Epoch uint64
+}
+
+// Map is the entry daemon's map of owners: a hint, never an authority.
+type Map interface {
+	// Divided reports whether the app is divided by key, and whether the
+	// app is known at all.
+	Divided(app key.App) (divided, known bool)
+	// Route returns where text, a key or an id, belongs in the app.
+	Route(app key.App, text string) Route
+}
+
+// Chooser chooses gates for requests that any gate of the app may run.
+type Chooser interface {
+	// Choose returns a gate other than the one given, or the code of the
+	// refusal: budget is the time left, size the bytes of the request.
+	Choose(app key.App, now mono.Time, budget time.Duration, size int, not host.Session) (host.Session, result.Code)
+	// Sent counts a sending to a gate.
+	Sent(to host.Session, now mono.Time)
+	// Ended counts its end and how long it took; code is the gate's answer
+	// or the failure.
+	Ended(to host.Session, now mono.Time, took time.Duration, code result.Code, size int)
+}
+
+// Config sets a Router up.
+type Config struct {
+	// Self is the session of this daemon.
+	Self host.Session
+	// Map is the map of owners.
+	Map Map
+	// Chooser balances apps that are not divided by key.
+	Chooser Chooser
+	// Retry bounds the sendings beyond the first.
+	Retry retry.Config
+	// MaxCalls bounds the calls that are not yet answered.
+	MaxCalls int
+	// MaxWaiting bounds the requests that wait for an owner.
+	MaxWaiting int
+	// MaxWait is how long a request waits for an owner.
+	MaxWait time.Duration
+	// ReplyMargin is the time kept for the way back of an answer: a gate is
+	// given that much less than the caller's time, at most a quarter of it.
+	ReplyMargin time.Duration
+	// MaxDoubtful bounds the requests whose outcome is unknown and whose
+	// late answer is still waited for.
+	MaxDoubtful int
+	// DoubtKept is how long a late answer is waited for.
+	DoubtKept time.Duration
+	// RetryAfter is the advice to a caller who is refused for want of an
+	// owner or a reachable gate.
+	RetryAfter time.Duration
+	// Seed fixes the jitter.
+	Seed uint64
+}
+
+// DefaultConfig returns the settings of a daemon that has none of its own;
+// Self, Map and Chooser are left to the caller.
+func DefaultConfig() Config {
+	return Config{
+		Retry:       retry.DefaultConfig(),
+		MaxCalls:    16384,
+		MaxWaiting:  4096,
+		MaxWait:     2 * time.Second,
+		ReplyMargin: 10 * time.Millisecond,
+		MaxDoubtful: 4096,
+		DoubtKept:   30 * time.Second,
+		RetryAfter:  500 * time.Millisecond,
+	}
+}
+
+// Counters counts what a router did. They only rise.
+type Counters struct {
+	Submitted uint64
+	Replied   uint64
+	Sent      uint64
+	Retried   uint64
+	// Strays counts answers that match no sending: late, doubled or foreign.
+	Strays uint64
+	// Waited counts requests that waited for an owner.
+	Waited uint64
+	Raised uint64
+}
+
+// Router decides what becomes of the requests that callers ask this daemon:
+// whom they are sent to, whether they may be sent again, and what the caller
+// is told. Every submitted request is replied to once, unless its caller hung
+// up. It is used by one thread.
+type Router struct {
+	cfg      Config
+	table    *chart.Table
+	budget   *retry.Budget
+	backoff  *retry.Backoff
+	callers  map[Caller]*call
+	sends    map[uint64]*call
+	waiting  []*call
+	free     []*call
+	inState  [stateClosed + 1]int
+	timers   timer.Queue[*call]
+	seq      uint64
+	counters Counters
+	guards   guards
+}
+
+// guards lets tests of this package drop one guard at a time, to see that its
+// loss is found. All are false outside of such tests.
+type guards struct {
+	resendOnce   bool // resend what is not idempotent after a lost connection
+	anyPeer      bool // take an answer from any session
+	anyAttempt   bool // take an answer to any attempt
+	plainNotRun  bool // tell "not run" to a repeat
+	silentDoubt  bool // raise nothing
+	forgetOrphan bool // drop the outcome when the caller hung up
+}
+
+// call is one request of one caller.
+type call struct {
+	req      *Request
+	caller   Caller
+	deadline mono.Time
+	state    uint8
+	gone     bool // the caller hung up
+	listed   bool // it stands in the list of those that wait, so it is not used again
+	to       host.Session
+	sentAt   mono.Time
+	attempt  uint32
+	timer    uint64 // the timer that counts; 0 for none
+	// Where the last refusal says that the slice is now.
+	hintTo    host.Session
+	hintEpoch uint64
+	// What the last sending was refused with, and the advice that came with it.
+	lastCode  result.Code
+	lastAfter time.Duration
+	lastEpoch uint64
+}
+
+// NewRouter returns a router without requests.
+func NewRouter(cfg Config) *Router {
+	return &Router{
+		cfg:     cfg,
+		table:   charts.MustLoad("request").MustCompile(states, events, actions),
+		budget:  retry.NewBudget(cfg.Retry),
+		backoff: retry.NewBackoff(cfg.Retry, cfg.Seed),
+		callers: make(map[Caller]*call),
+		sends:   make(map[uint64]*call),
+	}
+}
+
+// Counters returns the counts so far.
+func (r *Router) Counters() Counters {
+	return r.counters
+}
+
+// Live returns the requests whose outcome is still to be told or recorded.
+func (r *Router) Live() int {
+	return r.inState[stateReceived] + r.inState[stateWaiting] + r.inState[statePaused] + r.inState[stateSent]
+}
+
+// Submit takes a caller's request. The router fills in Slice, Epoch, Attempt,
+// Seq and Budget; the shell has checked and filled in the rest.
+func (r *Router) Submit(now mono.Time, req *Request, deadline mono.Time, caller Caller, out *Actions) {
+	c := r.newCall()
+	c.req = req
+	c.caller = caller
+	c.deadline = deadline
+	r.counters.Submitted++
+	r.callers[caller] = c
+	if r.Live() > r.cfg.MaxCalls {
+		r.refuse(now, c, result.QueueFull, out)
+		return
+	}
+	divided, known := r.cfg.Map.Divided(req.App)
+	if !known {
+		r.refuse(now, c, result.UnknownApp, out)
+		return
+	}
+	if divided && req.Key == "" {
+		r.refuse(now, c, result.MissingKey, out)
+		return
+	}
+	if !divided && req.Idempotent {
+		req.Slice = NoSlice
+	}
+	r.budget.Deposit()
+	r.route(now, c, out)
+}
+
+// MapChanged looks again at the requests that wait for an owner.
+func (r *Router) MapChanged(now mono.Time, out *Actions) {
+	waiting := r.waiting
+	r.waiting = nil
+	for _, c := range waiting {
+		if c.state != stateWaiting {
+			continue
+		}
+		r.route(now, c, out)
+	}
+}
+
+// CallerGone says that a caller hung up. A request that was never sent or is
+// idempotent is dropped; any other goes on, and its outcome is recorded.
+func (r *Router) CallerGone(now mono.Time, caller Caller, out *Actions) {
+	c, ok := r.callers[caller]
+	if !ok {
+		return
+	}
+	c.gone = true
+	delete(r.callers, caller)
+	if c.state == stateSent && !c.req.Idempotent {
+		return
+	}
+	if c.state == stateSent {
+		r.ended(now, c, result.Cancelled, 0)
+	}
+	r.step(now, c, eventGone, nil, out)
+}
+
+// SendFailed says that a sending never left this process; code says why.
+func (r *Router) SendFailed(now mono.Time, seq uint64, code result.Code, out *Actions) {
+	c, ok := r.sends[seq]
+	if !ok || c.state != stateSent {
+		return
+	}
+	r.ended(now, c, code, 0)
+	c.lastCode = code
+	c.lastAfter = r.cfg.RetryAfter
+	r.again(now, c, out)
+}
+
+// PeerLost says that the connection to a session was lost: everything sent to
+// it and not answered may have run.
+func (r *Router) PeerLost(now mono.Time, peer host.Session, out *Actions) {
+	var seqs []uint64
+	for seq, c := range r.sends {
+		if c.to == peer && c.state == stateSent {
+			seqs = append(seqs, seq)
+		}
+	}
+	sort.Slice(seqs, func(i, j int) bool { return seqs[i] < seqs[j] })
+	for _, seq := range seqs {
+		r.ConnectionLost(now, seq, out)
+	}
+}
+
+// ConnectionLost says that the connection was lost after a sending left this
+// process.
+func (r *Router) ConnectionLost(now mono.Time, seq uint64, out *Actions) {
+	c, ok := r.sends[seq]
+	if !ok || c.state != stateSent {
+		return
+	}
+	r.ended(now, c, result.PeerLost, 0)
+	r.lost(now, c, result.PeerLost, out)
+}
+
+// Tick handles what is due at now. Call it at NextTick, or every few
+// milliseconds.
+func (r *Router) Tick(now mono.Time, out *Actions) {
+	for {
+		e, due := r.timers.PopDue(now)
+		if !due {
+			return
+		}
+		if e.Item.timer != e.ID {
+			continue
+		}
+		e.Item.timer = 0
+		r.due(now, e.Item, out)
+	}
+}
+
+// NextTick returns when Tick has something to do at the earliest, and false
+// if nothing is due ever.
+func (r *Router) NextTick() (mono.Time, bool) {
+	return r.timers.Next()
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -37,6 +37,8 @@
 	LeaseLapsedAfter Code = 305
 	AnswerTruncated  Code = 306
 	AlreadyRan       Code = 307
+	RepeatRefused    Code = 308
+	IDReused         Code = 309
 
 	BadSettings      Code = 400
 	AddressInUse     Code = 401
@@ -88,6 +90,8 @@
 	{LeaseLapsedAfter, "lease_lapsed_after", Unknown, 504, "Do not repeat unless idempotent; look the outcome up."},
 	{AnswerTruncated, "answer_truncated", Unknown, 502, "The answer broke off or exceeded the limit; do not repeat unless idempotent."},
 	{AlreadyRan, "already_ran", Unknown, 409, "An attempt with this id ran or may have run; its answer is no longer kept."},
+	{RepeatRefused, "repeat_refused", Unknown, 503, "This sending did not run, an earlier one with this id may have; repeat it with the same id after Retry-After."},
+	{IDReused, "id_reused", Unknown, 409, "The id belongs to a request with another content; look its outcome up before making a new id."},
 	{BadSettings, "bad_settings", None, 0, "Correct the named setting and start again."},
 	{AddressInUse, "address_in_use", None, 0, "Free the address or name another."},
 	{BadDocument, "bad_document", None, 0, "Correct the named field."},
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,36 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/retry"
+)
+
+// When everything fails, retries stay a tenth of the first sendings.
+func TestBudgetBoundsRetries(t *testing.T) {
+	cfg := retry.DefaultConfig()
+	b := retry.NewBudget(cfg)
+	const firsts = 10000
+	retries := 0
+	for range firsts {
+		b.Deposit()
+		for b.Spend() {
+			retries++
+		}
+	}
+	must.Between(t, firsts/10, retries, firsts/10+int(cfg.Burst))
+}
+
+func TestPausesGrowToTheirBound(t *testing.T) {
+	cfg := retry.Config{Base: 10 * time.Millisecond, Max: 100 * time.Millisecond}
+	b := retry.NewBackoff(cfg, 1)
+	for attempt := uint32(2); attempt < 60; attempt++ {
+		p := b.Pause(attempt)
+		must.Between(t, cfg.Base/2, p, cfg.Max)
+	}
+	again := retry.NewBackoff(cfg, 1)
+	must.Eq(t, retry.NewBackoff(cfg, 1).Pause(3), again.Pause(3))
+}
