Sessions, witnesses and takeovers as pure cores

Cause: the daemon needs an owner's lease that outlives a store outage, and a way to record a silent owner as lost that time alone can't make wrong. Change: package session (record, conditional writer, lease by witnesses or by the store, choice of witnesses), witness (renewals and seals), takeover (asks, seals, the write of the lost record); charts session, record_write, takeover; log events 2001 to 2013; a random model over the real cores. A session's object is named host.incarnation, so that a restarted daemon waits for nobody.

--- a/event/session.go
+++ b/event/session.go
@@ -1,3 +1,22 @@
 package event
 
-var sessionEvents = []Def{}
+// Sessions, witnesses and takeovers.
+const (
+	SessionCreated   ID = 2001
+	WitnessesChanged ID = 2002
+	SessionLost      ID = 2003
+	TakeoverStarted  ID = 2010
+	TakeoverStuck    ID = 2011
+	TakeoverRecorded ID = 2012
+	TakeoverDropped  ID = 2013
+)
+
+var sessionEvents = []Def{
+	{SessionCreated, "session_created", Info, "", "The store holds the daemon's session record."},
+	{WitnessesChanged, "witnesses_changed", Info, "detail", "The session is to have these witnesses; none means a lease in the store."},
+	{SessionLost, "session_lost", Warn, "detail", "The daemon's own session was taken over, or its name was taken. It serves nothing and starts anew as a new session."},
+	{TakeoverStarted, "takeover_started", Info, "peer", "A session that this daemon is a witness of is silent."},
+	{TakeoverStuck, "takeover_stuck", Warn, "peer detail", "A silent session can't be taken over: the detail says what is missing. It goes on by itself."},
+	{TakeoverRecorded, "takeover_recorded", Info, "peer", "The store holds the session as lost; its slices may be assigned anew."},
+	{TakeoverDropped, "takeover_dropped", Info, "peer detail", "The takeover is over without effect: the session renews again, ended otherwise or has other witnesses."},
+}
--- /dev/null
+++ b/session/core.go
@@ -0,0 +1,368 @@
+package session
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/rhubarbring/rhubarbring/chart"
+	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+var sessionChart = charts.MustLoad("session")
+
+// Config describes a daemon's session. The Incarnation must be higher than
+// any earlier one of the host; the conditional write refuses one in use.
+type Config struct {
+	Session host.Session
+	Place   host.Place
+	Peer    string
+	Control string
+	Caller  string
+	Seed    uint64
+	Timing  Timing
+}
+
+// Core is the holder's side of a daemon's own session. It writes the record,
+// has the lease renewed, and replaces witnesses. It is not safe for
+// concurrent use.
+//
+// The invariant: Holds is true only while a majority of every witness set
+// that may be the recorded one has granted the lease, counted from when the
+// renewals were sent. While a write that changes the set is under way, both
+// sets may be, so both majorities are needed from before the write is sent
+// until its outcome is known.
+type Core struct {
+	cfg      Config
+	rng      *rand.Rand
+	state    chart.State
+	recorded Versioned    // The record as it last was known to stand.
+	sets     []witnessSet // Recorded set, then the one being written, if any.
+	wanted   Record       // What the record shall say, but for token and witnesses.
+	writer   *Writer
+	writes   uint64
+	lease    lease
+	held     mono.Time
+	renewAt  mono.Time
+	members  []Member
+	probe    probe
+}
+
+// New returns a session that has no record yet. It starts when it is first
+// told the Members.
+func New(cfg Config) *Core {
+	rng := rand.New(rand.NewPCG(cfg.Seed, cfg.Session.Incarnation))
+	return &Core{
+		cfg:    cfg,
+		rng:    rng,
+		state:  sessionChart.Initial,
+		wanted: Record{Session: cfg.Session, Place: cfg.Place, Peer: cfg.Peer, Control: cfg.Control, Caller: cfg.Caller, State: Live},
+		writer: NewWriter(cfg.Timing, rng),
+		lease:  newLease(cfg.Timing.Lease),
+		held:   mono.Never,
+		probe:  probe{avoid: make(map[host.Session]mono.Time)},
+	}
+}
+
+// Holds reports whether the session may serve its slices at the instant now.
+func (c *Core) Holds(now mono.Time) bool {
+	return now.Before(c.held)
+}
+
+// HeldUntil returns the instant from which Holds is false unless the lease is
+// renewed again; mono.Never if the session holds no lease.
+func (c *Core) HeldUntil() mono.Time {
+	return c.held
+}
+
+// State returns the session's state by its chart.
+func (c *Core) State() chart.State {
+	return c.state
+}
+
+// Recorded returns the record as it last was known to stand in the store.
+func (c *Core) Recorded() Versioned {
+	return c.recorded
+}
+
+// Stale returns how many messages were dropped as old or not asked for.
+func (c *Core) Stale() uint64 {
+	return c.lease.stale
+}
+
+// Step takes an event and returns what to do.
+func (c *Core) Step(now mono.Time, ev Event) []Action {
+	if c.over() {
+		return nil
+	}
+	out := c.handle(now, ev)
+	c.recount()
+	return out
+}
+
+func (c *Core) handle(now mono.Time, ev Event) []Action {
+	switch e := ev.(type) {
+	case Tick:
+		return c.tick(now)
+	case Renewed:
+		return c.renewed(now, e)
+	case PutResult:
+		outcome, acts := c.writer.PutResult(now, e)
+		return c.written(now, outcome, acts)
+	case GetResult:
+		outcome, acts := c.writer.GetResult(now, e)
+		return append(c.written(now, outcome, acts), c.checked(now, e)...)
+	case Seen:
+		return c.seen(now, e.Found)
+	case Members:
+		c.members = e.List
+		return c.maintain(now)
+	case Announce:
+		c.wanted.Target = e.Target
+		return c.maintain(now)
+	case Drain:
+		c.wanted.State = Draining
+		return append(c.take("drain"), c.maintain(now)...)
+	case Leave:
+		return c.leave(now)
+	}
+	return nil
+}
+
+func (c *Core) tick(now mono.Time) []Action {
+	out := c.writer.Tick(now)
+	out = append(out, c.maintain(now)...)
+	if !now.Before(c.renewAt) {
+		out = append(out, c.renew(now)...)
+	}
+	return out
+}
+
+// renew starts a round of renewals to every witness of every set, and to
+// those being tried.
+func (c *Core) renew(now mono.Time) []Action {
+	c.renewAt = now.Add(c.cfg.Timing.RenewEvery)
+	if c.state == "leaving" {
+		return nil
+	}
+	asked := c.asked()
+	c.lease.startRound(now, asked)
+	var out []Action
+	for _, w := range asked {
+		out = append(out, c.renewTo(w))
+	}
+	if c.storeRenewalDue() {
+		out = append(out, c.write(now, c.recorded.Record.Generation, c.recorded.Record.Witnesses)...)
+	}
+	return out
+}
+
+func (c *Core) asked() []host.Session {
+	var asked []host.Session
+	for _, s := range c.sets {
+		asked = appendNew(asked, s.witnesses)
+	}
+	return appendNew(asked, c.probe.witnesses)
+}
+
+func (c *Core) renewTo(w host.Session) Renew {
+	m := Renew{Session: c.cfg.Session, Witness: w, Seq: c.lease.seq}
+	if rank, ok := c.recorded.Record.Rank(w); ok {
+		m.Generation = c.recorded.Record.Generation
+		m.Rank = uint8(rank)
+	}
+	return m
+}
+
+func (c *Core) storeRenewalDue() bool {
+	return c.recorded.Version > 0 && c.recorded.Record.StoreLeased() && c.writer.Idle()
+}
+
+func (c *Core) renewed(now mono.Time, m Renewed) []Action {
+	if m.Session != c.cfg.Session || !c.lease.renewed(now, m) {
+		return nil
+	}
+	out := c.maintain(now)
+	if m.Reply == Ended && c.recorded.Version > 0 && c.writer.Idle() {
+		out = append(out, Get{Session: c.cfg.Session})
+	}
+	return out
+}
+
+// maintain does what is due about the record and the witnesses.
+func (c *Core) maintain(now mono.Time) []Action {
+	if !c.writer.Idle() || c.over() {
+		return nil
+	}
+	if c.state == "leaving" {
+		return c.write(now, c.recorded.Record.Generation, c.recorded.Record.Witnesses)
+	}
+	if c.state == sessionChart.Initial {
+		return c.join(now)
+	}
+	if out, changing := c.changeWitnesses(now); changing {
+		return out
+	}
+	if c.outdated() {
+		return c.write(now, c.recorded.Record.Generation, c.recorded.Record.Witnesses)
+	}
+	return nil
+}
+
+// outdated reports whether the record says other than what is wanted.
+func (c *Core) outdated() bool {
+	r := &c.recorded.Record
+	return r.State != c.wanted.State || !sameTarget(r.Target, c.wanted.Target)
+}
+
+// write starts a conditional write of what is wanted, with the given set.
+// From here on the lease needs the majorities of both sets.
+func (c *Core) write(now mono.Time, generation uint64, witnesses []host.Session) []Action {
+	c.writes++
+	r := c.wanted
+	r.Token = c.cfg.Session.String() + "#" + strconv.FormatUint(c.writes, 10)
+	r.Generation = generation
+	r.Witnesses = witnesses
+	r.Renewals = c.recorded.Record.Renewals
+	if len(witnesses) == 0 {
+		r.Renewals++
+	}
+	// Should the write land, a taker counts the lease in the store from no
+	// earlier than now.
+	next := witnessSet{generation: generation, witnesses: witnesses, storeUntil: now.Add(c.cfg.Timing.Lease)}
+	c.sets = append(c.sets, next)
+	return c.writer.Start(now, Put{IfVersion: c.recorded.Version, Record: r})
+}
+
+// written follows up a write whose outcome may have become known.
+func (c *Core) written(now mono.Time, outcome Outcome, out []Action) []Action {
+	switch outcome {
+	case Landed:
+		if c.writer.Pending().Record.Generation != c.recorded.Record.Generation {
+			c.renewAt = now // Tells the witnesses that the record names them.
+		}
+		c.adopt(Versioned{Version: c.writer.Version, Record: c.writer.Pending().Record})
+		out = append(out, c.landed()...)
+		return append(out, c.maintain(now)...)
+	case Moved:
+		return append(out, c.moved(now)...)
+	}
+	return out
+}
+
+// adopt takes a record as the one that stands. Its set is the only one.
+func (c *Core) adopt(v Versioned) {
+	c.recorded = v
+	set := witnessSet{generation: v.Record.Generation, witnesses: v.Record.Witnesses, storeUntil: mono.Never}
+	if v.Record.Token == c.writer.Pending().Record.Token {
+		set.storeUntil = c.writer.FirstSent().Add(c.cfg.Timing.Lease)
+	}
+	c.sets = append(c.sets[:0], set)
+}
+
+func (c *Core) landed() []Action {
+	if c.recorded.Record.State == Left {
+		return c.take("left")
+	}
+	if c.state == "creating" {
+		return append([]Action{Log{ID: event.SessionCreated}}, c.take("created")...)
+	}
+	return nil
+}
+
+// moved takes a record that another wrote in place of the own write.
+func (c *Core) moved(now mono.Time) []Action {
+	v := c.writer.Found
+	if v.Version == 0 || v.Record.State.Final() || c.state == "creating" {
+		return c.gone(v)
+	}
+	c.adopt(v)
+	return c.maintain(now)
+}
+
+// checked takes a read that was made since a witness said that the session
+// has ended.
+func (c *Core) checked(_ mono.Time, r GetResult) []Action {
+	if c.over() || r.Session != c.cfg.Session || !c.writer.Idle() {
+		return nil
+	}
+	if r.Found.Version > c.recorded.Version && r.Found.Record.State.Final() {
+		return c.gone(r.Found)
+	}
+	return nil
+}
+
+// seen takes the own record as a watch or a peer showed it.
+func (c *Core) seen(now mono.Time, v Versioned) []Action {
+	if v.Record.Session != c.cfg.Session || v.Version <= c.recorded.Version {
+		return nil
+	}
+	if !c.writer.Idle() {
+		outcome, acts := c.writer.Seen(now, v)
+		return c.written(now, outcome, acts)
+	}
+	if v.Record.State.Final() {
+		return c.gone(v)
+	}
+	return nil
+}
+
+func (c *Core) gone(v Versioned) []Action {
+	return append([]Action{Log{ID: event.SessionLost, Detail: string(v.Record.State)}}, c.take("gone")...)
+}
+
+// leave gives the lease up before the store is told, since others may own the
+// slices as soon as the write lands.
+func (c *Core) leave(now mono.Time) []Action {
+	c.wanted.State = Left
+	c.probe.stop()
+	out := c.take("leave")
+	return append(out, c.maintain(now)...)
+}
+
+func (c *Core) take(e chart.Event) []Action {
+	t, ok := sessionChart.Next(c.state, e)
+	if !ok {
+		return nil
+	}
+	c.state = t.To
+	if !c.over() {
+		return nil
+	}
+	return []Action{Finished{State: State(c.state), Detail: string(e)}}
+}
+
+func (c *Core) over() bool {
+	return sessionChart.States[c.state].Final
+}
+
+// recount works out how long the lease is held.
+func (c *Core) recount() {
+	if c.recorded.Version == 0 || c.over() || c.state == "leaving" {
+		c.held = mono.Never
+		return
+	}
+	held := c.lease.until(&c.sets[0])
+	for i := range c.sets[1:] {
+		held = min(held, c.lease.until(&c.sets[1+i]))
+	}
+	c.held = held
+}
+
+func appendNew(list, more []host.Session) []host.Session {
+	for _, s := range more {
+		if !contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func sameTarget(a, b *Target) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
--- /dev/null
+++ b/session/faults_test.go
@@ -0,0 +1,183 @@
+package session_test
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// callTimeout is when the shell gives a call to the store up as in doubt.
+const callTimeout = time.Second
+
+// send carries a message, or loses, delays or repeats it.
+func (f *fleet) send(from *node, to host.ID, handle func(*process)) {
+	if f.chance(f.faults.loss) {
+		return
+	}
+	f.carry(from, to, handle)
+	if f.chance(f.faults.twice) {
+		f.carry(from, to, handle)
+	}
+}
+
+func (f *fleet) carry(from *node, to host.ID, handle func(*process)) {
+	dst := f.node(to)
+	delay := f.between(f.faults.delayLo, f.faults.delayHi)
+	if f.chance(f.faults.late) {
+		delay += f.between(0, 4*time.Second)
+	}
+	if dst == nil || f.apart(from, dst) {
+		return
+	}
+	f.after(delay, func() {
+		if dst.proc != nil && !f.apart(from, dst) {
+			p := dst.proc
+			p.deliver(func() { handle(p) })
+		}
+	})
+}
+
+func (f *fleet) node(id host.ID) *node {
+	for _, n := range f.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *fleet) apart(a, b *node) bool {
+	if a == b {
+		return false
+	}
+	return a.island || b.island || f.cut && a.place.Region != b.place.Region
+}
+
+func (f *fleet) storeApart(n *node) bool {
+	return f.storeDown || n.noStore || n.island || f.cut && n.place.Region != "r1"
+}
+
+// put makes a conditional write. It may be refused, land with its answer
+// lost, or land long after its writer was told that it is in doubt.
+func (f *fleet) put(p *process, act session.Put, answer func(session.PutResult)) {
+	f.calls++
+	r := session.PutResult{Token: act.Record.Token, Code: result.StoreUnavailable}
+	reply := func(d time.Duration) { f.after(d, func() { p.deliver(func() { answer(r) }) }) }
+	trip := f.between(f.faults.storeLo, f.faults.storeHi)
+	if f.storeApart(p.node) {
+		if f.chance(.5) {
+			r.Code = result.StoreDoubt
+		}
+		reply(trip)
+		return
+	}
+	if !f.chance(f.faults.storeDoubt) {
+		f.after(trip/2, func() {
+			r.Code, r.Version = f.land(act)
+			reply(trip / 2)
+		})
+		return
+	}
+	r.Code = result.StoreDoubt
+	reply(callTimeout)
+	if f.chance(.7) {
+		f.after(f.between(0, 6*time.Second), func() { f.land(act) })
+	}
+}
+
+func (f *fleet) land(act session.Put) (result.Code, uint64) {
+	s := act.Record.Session
+	o := f.store[s]
+	blind := f.drop == conditional && act.Record.State == session.Lost && !o.record.State.Final()
+	if o.version != act.IfVersion && !blind {
+		return result.StoreConflict, o.version
+	}
+	f.revision++
+	f.store[s] = object{version: f.revision, record: act.Record}
+	f.note("store: %s %s gen %d witnesses %v by %s", s, act.Record.State, act.Record.Generation, act.Record.Witnesses, act.Record.Token)
+	if act.Record.State == session.Lost {
+		f.lost++
+	}
+	for _, p := range f.lives {
+		if p.id == s {
+			f.check(p)
+		}
+	}
+	f.watched(session.Versioned{Version: f.revision, Record: act.Record})
+	return result.OK, f.revision
+}
+
+// watched tells all daemons that reach the store of a change.
+func (f *fleet) watched(v session.Versioned) {
+	for _, n := range f.nodes {
+		p := n.proc
+		if p == nil || f.storeApart(n) {
+			continue
+		}
+		f.after(f.between(f.faults.watchLo, f.faults.watchHi), func() { p.deliver(func() { p.saw(v) }) })
+	}
+}
+
+func (f *fleet) get(p *process, act session.Get, answer func(session.GetResult)) {
+	f.calls++
+	r := session.GetResult{Session: act.Session, Code: result.StoreUnavailable}
+	trip := f.between(f.faults.storeLo, f.faults.storeHi)
+	reply := func() { p.deliver(func() { answer(r) }) }
+	if f.storeApart(p.node) || f.chance(f.faults.storeDoubt) {
+		f.after(trip, reply)
+		return
+	}
+	f.after(trip/2, func() {
+		o, ok := f.store[act.Session]
+		r.Code = result.StoreNotFound
+		if ok {
+			r.Code = result.OK
+			r.Found = session.Versioned{Version: o.version, Record: o.record}
+		}
+		f.after(trip/2, reply)
+	})
+}
+
+// everySecond draws new faults, each for a while.
+func (f *fleet) everySecond() {
+	f.after(time.Second, f.everySecond)
+	if f.quiet || f.faults.calm {
+		return
+	}
+	for _, n := range f.nodes {
+		f.nodeFaults(n)
+	}
+	if f.chance(f.faults.everySecond) {
+		f.during("the store is down", func(on bool) { f.storeDown = on })
+	}
+	if f.chance(f.faults.everySecond / 2) {
+		f.during("the regions are cut", func(on bool) { f.cut = on })
+	}
+}
+
+func (f *fleet) nodeFaults(n *node) {
+	p := f.faults.everySecond / float64(len(f.nodes))
+	if f.chance(2 * p) {
+		n.paused = f.now + f.between(0, f.faults.longest)
+		f.note("%s is paused until %v", n.id, n.paused)
+	}
+	if f.chance(p) {
+		n.crash()
+		f.after(f.between(0, f.faults.longest), n.start)
+	}
+	if f.chance(p) {
+		f.during(string(n.id)+" is cut off", func(on bool) { n.island = on })
+	}
+	if f.chance(p) {
+		f.during(string(n.id)+" does not reach the store", func(on bool) { n.noStore = on })
+	}
+}
+
+func (f *fleet) during(what string, set func(on bool)) {
+	d := f.between(0, f.faults.longest)
+	f.note("%s for %v", what, d)
+	set(true)
+	f.after(d, func() { set(false) })
+}
--- /dev/null
+++ b/session/model_test.go
@@ -0,0 +1,125 @@
+package session_test
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+var modelRuns = flag.Int("model.runs", 240, "random runs of the model")
+
+const (
+	roughFor = 40 * time.Second
+	quietFor = 20 * time.Second
+)
+
+// verdict is what a run showed.
+type verdict struct {
+	lost  int
+	bad   string // Safety: an ended session held its lease.
+	stuck string // Progress: something was not put right in the quiet end.
+}
+
+// modelFleet returns the fleet of a seed. Every fourth
+// fleet is too small for witnesses.
+func modelFleet(seed uint64, drop broken) *fleet {
+	size := 5 + int(seed%4)
+	if seed%4 == 3 {
+		size = 2 + int(seed/4%2)
+	}
+	return newFleet(seed, places(size), roughFaults(), drop)
+}
+
+// verdict runs a fleet through faults and then a quiet time.
+func (f *fleet) verdict() verdict {
+	f.run(roughFor)
+	f.quiet = true
+	f.faults.storeDoubt = 0
+	f.run(roughFor + f.faults.longest + quietFor)
+	return verdict{lost: f.lost, bad: f.bad, stuck: f.unfinished()}
+}
+
+// unfinished says what is not right after a quiet time: a living session
+// without a lease, or a dead one not recorded though its witnesses live.
+func (f *fleet) unfinished() string {
+	for _, p := range f.lives {
+		o, ok := f.store[p.id]
+		if !p.dead && !p.holder.Holds(p.node.clock()) {
+			return fmt.Sprintf("%s lives and holds no lease", p.id)
+		}
+		if p.dead && ok && !o.record.State.Final() && f.canBeTaken(o.record) {
+			return fmt.Sprintf("%s died at %v and is not recorded lost", p.id, p.diedAt)
+		}
+	}
+	return ""
+}
+
+func (f *fleet) canBeTaken(r session.Record) bool {
+	if r.StoreLeased() {
+		return true
+	}
+	alive := 0
+	for _, w := range r.Witnesses {
+		if n := f.node(w.Host); n.proc != nil && n.proc.id == w && !n.proc.dead {
+			alive++
+		}
+	}
+	return alive >= session.Majority(len(r.Witnesses))
+}
+
+// runMany runs seeds 1 to n on a few threads.
+func runMany(n int, drop broken, stop func(verdict) bool) []verdict {
+	const threads = 4
+	out := make([]verdict, n)
+	var wg sync.WaitGroup
+	for t := range threads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := t; i < n; i += threads {
+				out[i] = modelFleet(uint64(i+1), drop).verdict()
+				if stop != nil && stop(out[i]) {
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// Whatever pauses, crashes, cuts, outages, lost, late and repeated messages,
+// and writes whose answer is lost or that land late, a session recorded as
+// lost or left never holds its lease; and when they stop, all is put right.
+func TestModelKeepsSoleOwnership(t *testing.T) {
+	takeovers := 0
+	for i, v := range runMany(*modelRuns, none, nil) {
+		must.Eq(t, "", v.bad, must.Sprintf("seed %d", i+1))
+		must.Eq(t, "", v.stuck, must.Sprintf("seed %d", i+1))
+		takeovers += v.lost
+	}
+	t.Logf("%d runs, %d takeovers", *modelRuns, takeovers)
+	must.Greater(t, *modelRuns, takeovers)
+}
+
+var modelTrace = flag.Uint64("model.trace", 0, "seed of a run of the model to print")
+
+// TestModelTrace prints one run, to look into a failure.
+func TestModelTrace(t *testing.T) {
+	if *modelTrace == 0 {
+		t.Skip("needs -model.trace=SEED")
+	}
+	f := modelFleet(*modelTrace, none)
+	f.tracing = true
+	v := f.verdict()
+	for _, line := range f.trace {
+		t.Log(line)
+	}
+	t.Logf("%+v", v)
+}
--- a/session/record.go
+++ b/session/record.go
@@ -1,17 +1,27 @@
-// Package session keeps a daemon's session: the record of it in the
-// platform's store, and the lease that its witnesses renew.
+// Package session keeps a daemon's session: the record of it in the platform's
+// store, and the lease that its witnesses renew.
+//
+// Core is the holder's side. Writer takes a conditional write to a known
+// outcome; Choice chooses witnesses. The witnesses' side is package witness,
+// and package takeover records silent sessions as lost.
 package session
 
 import (
+	"encoding/json"
+	"strconv"
+
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/key"
 )
 
+// Kind is the kind of a session's object in the store.
+const Kind = "session"
+
 // State is the state of a session as recorded in the store.
 type State string
 
-// The states of a session. Lost and left are final: the record then changes
-// only when a new session of the host replaces it.
+// The states of a session. Lost and left are final: the record then never
+// changes again and may be deleted once no assignment names the session.
 const (
 	Live     State = "live"
 	Draining State = "draining"
@@ -19,6 +29,11 @@
 	Lost     State = "lost"
 )
 
+// Final reports whether the session has ended for good.
+func (s State) Final() bool {
+	return s == Left || s == Lost
+}
+
 // Target is what the target on a host announced of itself.
 type Target struct {
 	App          key.App `json:"app"`
@@ -28,8 +43,9 @@
 	ChecksGrants bool    `json:"checks_grants"`
 }
 
-// Record is a session's object in the store: kind "session", named by the
-// host, one per host.
+// Record is a session's object in the store: kind "session", named by Name,
+// one per session. A daemon that restarts creates an object of its own and
+// leaves that of its earlier life to the takeover.
 type Record struct {
 	// Token is unique to the write, so that a writer whose answer was lost
 	// can tell whether its write landed.
@@ -44,6 +60,9 @@
 	Caller  string `json:"caller"`
 	// State is the session's state.
 	State State `json:"state"`
+	// Generation counts the witness sets of the session, from 1. A witness
+	// that sealed a generation may still serve a later one.
+	Generation uint64 `json:"generation"`
 	// Witnesses are the sessions whose majority renews the lease. Empty
 	// means that the lease is renewed in the store itself.
 	Witnesses []host.Session `json:"witnesses"`
@@ -52,3 +71,55 @@
 	// Target is the target beside the daemon; nil until one announces itself.
 	Target *Target `json:"target,omitempty"`
 }
+
+// Name returns the object name of a session's record: "host.incarnation".
+func Name(s host.Session) string {
+	return string(s.Host) + "." + strconv.FormatUint(s.Incarnation, 10)
+}
+
+// Encode returns the record as it is stored.
+func (r *Record) Encode() ([]byte, error) {
+	return json.Marshal(r)
+}
+
+// Decode reads a stored record.
+func Decode(raw []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(raw, &r)
+	return r, err
+}
+
+// StoreLeased reports whether the lease is renewed in the store.
+func (r *Record) StoreLeased() bool {
+	return len(r.Witnesses) == 0
+}
+
+// Rank returns the place of a session among the record's witnesses, from 0,
+// and whether it is one.
+func (r *Record) Rank(witness host.Session) (int, bool) {
+	for i, w := range r.Witnesses {
+		if w == witness {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// AsLost returns the record as a taker writes it: lost, under the taker's
+// token.
+func (r Record) AsLost(token string) Record {
+	r.State = Lost
+	r.Token = token
+	return r
+}
+
+// Versioned is a record as read from the store, with the version that it had.
+type Versioned struct {
+	Version uint64
+	Record  Record
+}
+
+// Majority returns how many of n witnesses make a majority.
+func Majority(n int) int {
+	return n/2 + 1
+}
--- /dev/null
+++ b/session/timing.go
@@ -0,0 +1,45 @@
+package session
+
+import "time"
+
+// WitnessCount is how many witnesses a session has, if that many can be had.
+const WitnessCount = 3
+
+// Timing holds the durations that all daemons of a deployment must share.
+type Timing struct {
+	// Lease is how long a renewal holds, counted by the holder from the
+	// instant it was sent and by the witness from the instant it came.
+	Lease time.Duration
+	// RenewEvery is the time between two renewals.
+	RenewEvery time.Duration
+	// Margin is what a taker waits beyond the end of a lease. It must be at
+	// least 2*d*Lease, where d is the greatest relative drift of a clock.
+	Margin time.Duration
+	// SilentAfter is how long a witness may leave renewals unanswered before
+	// the holder replaces it.
+	SilentAfter time.Duration
+	// ProbeFor is how long a new witness has to answer before another is
+	// tried.
+	ProbeFor time.Duration
+	// AvoidFor is how long a witness that did not answer is not chosen.
+	AvoidFor time.Duration
+	// RetryMin and RetryMax bound the pause before a call to the store is
+	// repeated; the pause doubles from one to the other, less a random part.
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+// DefaultTiming returns the durations of a deployment. A margin of 200 ms
+// covers clocks that drift by up to 5%.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:       2 * time.Second,
+		RenewEvery:  500 * time.Millisecond,
+		Margin:      200 * time.Millisecond,
+		SilentAfter: 3 * time.Second,
+		ProbeFor:    time.Second,
+		AvoidFor:    30 * time.Second,
+		RetryMin:    100 * time.Millisecond,
+		RetryMax:    5 * time.Second,
+	}
+}
--- /dev/null
+++ b/takeover/outbox.go
@@ -0,0 +1,69 @@
+package takeover
+
+import (
+	"cmp"
+
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/witness"
+)
+
+// outbox gathers the actions of one step, and what goes to one daemon into
+// one message.
+type outbox struct {
+	actions []Action
+	asks    map[host.Session][]Ask
+	seals   map[host.Session][]witness.Seal
+}
+
+func (o *outbox) add(a Action) {
+	o.actions = append(o.actions, a)
+}
+
+func (o *outbox) log(id event.ID, peer host.Session, detail string) {
+	o.add(Log{session.Log{ID: id, Peer: peer, Detail: detail}})
+}
+
+func (o *outbox) store(acts []session.Action) {
+	for _, a := range acts {
+		switch act := a.(type) {
+		case session.Put:
+			o.add(Put{act})
+		case session.Get:
+			o.add(Get{act})
+		}
+	}
+}
+
+func (o *outbox) ask(to host.Session, a Ask) {
+	if o.asks == nil {
+		o.asks = make(map[host.Session][]Ask)
+	}
+	o.asks[to] = append(o.asks[to], a)
+}
+
+func (o *outbox) seal(to host.Session, s witness.Seal) {
+	if o.seals == nil {
+		o.seals = make(map[host.Session][]witness.Seal)
+	}
+	o.seals[to] = append(o.seals[to], s)
+}
+
+func (o *outbox) flush(self host.Session, seq *uint64) []Action {
+	out := o.actions
+	for _, to := range sorted(o.asks) {
+		*seq++
+		out = append(out, Asks{From: self, To: to, Seq: *seq, List: o.asks[to]})
+	}
+	for _, to := range sorted(o.seals) {
+		*seq++
+		out = append(out, Seals{From: self, To: to, Seq: *seq, List: o.seals[to]})
+	}
+	*o = outbox{}
+	return out
+}
+
+func compare(a, b host.Session) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+}
--- /dev/null
+++ b/witness/witness.go
@@ -0,0 +1,237 @@
+// Package witness is the side of a daemon that renews the leases of other
+// daemons' sessions, and that can promise never to renew one again.
+//
+// A witness keeps nothing on disk. A daemon that restarts is another session,
+// and so never the witness that it was.
+package witness
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// Seal is a witness's promise never to renew a session's lease again for its
+// generations up to Generation. It holds as long as the witness lives.
+type Seal struct {
+	_ struct{} `cbor:",toarray"`
+	// Session is the session that is sealed, and Witness who promises.
+	Session host.Session
+	Witness host.Session
+	// Generation is the highest witness set that the promise covers.
+	Generation uint64
+	// Remaining is how long, from when the message was sent, a lease granted
+	// earlier may still run. A message that is delayed makes the receiver
+	// wait longer, never shorter.
+	Remaining time.Duration
+}
+
+// entry is what a witness knows of a session.
+type entry struct {
+	session    host.Session
+	seq        uint64    // Highest sequence of a renewal.
+	until      mono.Time // End of the last lease granted.
+	deadline   mono.Time // From when the session counts as silent.
+	generation uint64    // Newest witness set known to name this witness, or 0.
+	rank       uint8     // Place in that set.
+	sealed     uint64    // Highest generation promised never to be renewed.
+}
+
+// Core is the witness of a daemon. It is not safe for concurrent use. It
+// holds an entry for each session that it is a witness of, and a number for
+// each host that had one; nothing in it grows with keys or with time.
+type Core struct {
+	self    host.Session
+	lease   time.Duration
+	entries map[host.Session]*entry
+	ended   map[host.ID]uint64 // Highest incarnation known to be lost or left.
+	stale   uint64
+}
+
+// New returns the witness of the daemon whose session is self.
+func New(self host.Session, lease time.Duration) *Core {
+	return &Core{
+		self:    self,
+		lease:   lease,
+		entries: make(map[host.Session]*entry),
+		ended:   make(map[host.ID]uint64),
+	}
+}
+
+// Stale returns how many renewals were dropped as older than another.
+func (c *Core) Stale() uint64 {
+	return c.stale
+}
+
+// Len returns how many sessions the witness knows.
+func (c *Core) Len() int {
+	return len(c.entries)
+}
+
+// Renew takes a renewal and returns the answer; false if there is none
+// because the message is older than another of the session.
+func (c *Core) Renew(now mono.Time, m session.Renew) (session.Renewed, bool) {
+	answer := session.Renewed{Session: m.Session, Witness: m.Witness, Seq: m.Seq}
+	if m.Witness != c.self {
+		answer.Reply = session.Stranger
+		return answer, true
+	}
+	if c.hasEnded(m.Session) {
+		answer.Reply = session.Ended
+		return answer, true
+	}
+	e := c.entry(m.Session)
+	if m.Seq <= e.seq {
+		c.stale++
+		return answer, false
+	}
+	c.grant(now, e, m)
+	c.supersede(now, m.Session)
+	answer.Reply = session.Granted
+	answer.Sealed = e.sealed
+	return answer, true
+}
+
+func (c *Core) grant(now mono.Time, e *entry, m session.Renew) {
+	e.seq = m.Seq
+	e.until = max(e.until, now.Add(c.lease))
+	e.deadline = e.until
+	if m.Generation >= e.generation && m.Generation > 0 {
+		e.generation = m.Generation
+		e.rank = m.Rank
+	}
+}
+
+// supersede counts earlier sessions of the host as silent at once: a daemon
+// that renews under a new session has restarted.
+func (c *Core) supersede(now mono.Time, s host.Session) {
+	for _, e := range c.entries {
+		if e.session.Host == s.Host && e.session.Incarnation < s.Incarnation {
+			e.deadline = min(e.deadline, now)
+		}
+	}
+}
+
+// Learn takes a record as read from the store.
+func (c *Core) Learn(now mono.Time, v session.Versioned) {
+	r := &v.Record
+	if r.State.Final() {
+		c.End(r.Session)
+		return
+	}
+	rank, named := r.Rank(c.self)
+	if named {
+		c.LearnNamed(now, r.Session, r.Generation, uint8(rank))
+		return
+	}
+	if e := c.entries[r.Session]; e != nil && r.Generation > e.generation {
+		e.generation = 0
+		c.drop(now, e)
+	}
+}
+
+// LearnNamed takes word that a witness set of a session names this witness.
+// The session then has the time of a lease to renew before it is silent.
+func (c *Core) LearnNamed(now mono.Time, s host.Session, generation uint64, rank uint8) {
+	if c.hasEnded(s) {
+		return
+	}
+	e := c.entry(s)
+	if generation <= e.generation {
+		return
+	}
+	e.generation = generation
+	e.rank = rank
+	e.deadline = max(e.deadline, now.Add(c.lease))
+}
+
+// End takes word that a session's record is lost, left or deleted. The
+// session is never renewed again, nor an earlier one of its host.
+func (c *Core) End(s host.Session) {
+	if c.entries[s] == nil {
+		return
+	}
+	delete(c.entries, s)
+	c.ended[s.Host] = max(c.ended[s.Host], s.Incarnation)
+}
+
+// Silent returns the sessions that name this witness and have not renewed
+// for the time of a lease, or are sealed. It forgets silent ones that do not
+// name it.
+func (c *Core) Silent(now mono.Time) []host.Session {
+	var out []host.Session
+	for _, e := range c.entries {
+		if c.drop(now, e) {
+			continue
+		}
+		if e.silent(now) {
+			out = append(out, e.session)
+		}
+	}
+	slices.SortFunc(out, compare)
+	return out
+}
+
+// IsSilent reports whether Silent would return the session.
+func (c *Core) IsSilent(now mono.Time, s host.Session) bool {
+	e := c.entries[s]
+	return e != nil && e.silent(now)
+}
+
+// Rank returns this witness's place in the session's newest set, from 0.
+func (c *Core) Rank(s host.Session) int {
+	if e := c.entries[s]; e != nil {
+		return int(e.rank)
+	}
+	return 0
+}
+
+// Seal promises never to renew the newest generation of a silent session, or
+// returns the promise made before. It reports false if the session is not
+// silent.
+func (c *Core) Seal(now mono.Time, s host.Session) (Seal, bool) {
+	e := c.entries[s]
+	if e == nil || !e.silent(now) {
+		return Seal{}, false
+	}
+	e.sealed = max(e.sealed, e.generation)
+	remaining := max(0, e.until.Sub(now))
+	return Seal{Session: s, Witness: c.self, Generation: e.sealed, Remaining: remaining}, true
+}
+
+func (e *entry) silent(now mono.Time) bool {
+	if e.generation == 0 {
+		return false
+	}
+	return !now.Before(e.deadline) || e.sealed >= e.generation
+}
+
+// drop forgets an entry that binds nobody: not named, not sealed, run out.
+func (c *Core) drop(now mono.Time, e *entry) bool {
+	if e.generation > 0 || e.sealed > 0 || now.Before(e.until) {
+		return false
+	}
+	delete(c.entries, e.session)
+	return true
+}
+
+func (c *Core) entry(s host.Session) *entry {
+	e := c.entries[s]
+	if e == nil {
+		e = &entry{session: s, until: mono.Never, deadline: mono.Never}
+		c.entries[s] = e
+	}
+	return e
+}
+
+func (c *Core) hasEnded(s host.Session) bool {
+	return s.Incarnation <= c.ended[s.Host]
+}
+
+func compare(a, b host.Session) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+}
