Load tool: callers over HTTP that record what they saw

Change: rhubarb-load plans arrivals from a seed (Poisson, Zipf keys, a mix of apps), sends to any live daemon, repeats only what a caller may, and writes a record for each request with all its sendings and whether the answer was its own and whole. The store stand-in is compared with a naive list of writes. Conclusion: the tests cover foreign and cut answers and broken connections.

--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/targetstand"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	dialTimeout        = 500 * time.Millisecond
+	maxConnsPerDaemon  = 1024
+	maxIdleConnTimeout = 10 * time.Second
+)
+
+// dialError marks an error after which nothing was sent.
+type dialError struct{ cause error }
+
+// Error returns the cause's text.
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.cause }
+
+// client is the sender over HTTP.
+type client struct {
+	http  *fasthttp.Client
+	grace time.Duration
+}
+
+func newClient(grace time.Duration) *client {
+	return &client{grace: grace, http: &fasthttp.Client{
+		Dial:                     dial,
+		MaxConnsPerHost:          maxConnsPerDaemon,
+		MaxIdleConnDuration:      maxIdleConnTimeout,
+		NoDefaultUserAgentHeader: true,
+		// The callers themselves decide what is sent again.
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return conn, nil
+}
+
+func (c *client) send(r Request, daemon string, attempt int, budget time.Duration) reply {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	fill(req, r, daemon, attempt, budget)
+	w := Word{Daemon: daemon, SentNs: int64(bootclock.Now())}
+	err := c.http.DoTimeout(req, resp, budget+c.grace)
+	w.AnsweredNs = int64(bootclock.Now())
+	w.Connected = connected(err)
+	if err != nil {
+		w.Error = err.Error()
+		return reply{word: w}
+	}
+	read(&w, resp, r)
+	ms, _ := strconv.ParseInt(string(resp.Header.Peek("Rhubarb-Retry-After")), 10, 64)
+	return reply{word: w, retryAfter: time.Duration(ms) * time.Millisecond}
+}
+
+func connected(err error) bool {
+	var d *dialError
+	return !errors.As(err, &d) && !errors.Is(err, fasthttp.ErrNoFreeConns)
+}
+
+func fill(req *fasthttp.Request, r Request, daemon string, attempt int, budget time.Duration) {
+	req.SetRequestURI("http://" + daemon + "/app/" + r.App + "/items")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	if r.Key != "" {
+		req.Header.Set("Rhubarb-Key", r.Key)
+	}
+	req.Header.Set("Rhubarb-Request-Id", r.ID)
+	req.Header.Set("Rhubarb-Id-Time", idTime(r.ID))
+	req.Header.Set("Rhubarb-Attempt", strconv.Itoa(attempt))
+	req.Header.Set("Rhubarb-Deadline", strconv.FormatInt(max(1, budget.Milliseconds()), 10))
+	req.Header.Set("Rhubarb-Idempotent", strconv.FormatBool(r.Idempotent))
+	if r.Urgent {
+		req.Header.Set("Rhubarb-Class", "urgent")
+	}
+	req.SetBody(r.Body)
+}
+
+// read takes what the answer says. An answer that is not the daemon's (no
+// outcome header) or that bears another request's id tells the caller nothing.
+func read(w *Word, resp *fasthttp.Response, r Request) {
+	header := func(name string) string { return string(resp.Header.Peek(name)) }
+	w.Status = resp.StatusCode()
+	w.Code, _ = strconv.Atoi(header("Rhubarb-Code"))
+	w.Outcome = header("Rhubarb-Outcome")
+	if w.Outcome != result.Done.String() {
+		return
+	}
+	w.Own = header("Rhubarb-Request-Id") == r.ID && targetstand.IsWhole(resp.Body(), r.ID, r.Key, r.Body)
+}
--- /dev/null
+++ b/internal/load/client_test.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/internal/targetstand"
+)
+
+// serve answers requests on a loopback port until the test ends.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: handler}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	t.Cleanup(func() {
+		must.NoError(t, ln.Close())
+		must.NoError(t, <-done)
+	})
+	return ln.Addr().String()
+}
+
+// answers runs requests at a target and returns the answers, as a daemon does.
+func answers(t *testing.T) fasthttp.RequestHandler {
+	target := targetstand.New(targetstand.Config{Slots: 64, Connections: 64, Behaviour: targetstand.Behaviour{FalseLoad: -1}})
+	handler := targetstand.NewServer(target).Handler
+	must.NotNil(t, handler)
+	return func(ctx *fasthttp.RequestCtx) {
+		id := string(ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+		ctx.Request.Header.Del("Rhubarb-Deadline")
+		handler(ctx)
+		ctx.Response.Header.Set("Rhubarb-Request-Id", id)
+		ctx.Response.Header.Set("Rhubarb-Outcome", "done")
+	}
+}
+
+var order = Request{ID: "1-a", App: "x", Key: "k", Body: []byte("b")}
+
+func TestOwnAnswer(t *testing.T) {
+	daemon := serve(t, answers(t))
+	w := newClient(time.Second).send(order, daemon, 1, time.Second).word
+	must.Eq(t, "done", w.Outcome)
+	must.True(t, w.Own)
+}
+
+// An answer of another request, an answer cut short and an answer under
+// another id are not the caller's own.
+func TestForeignAnswers(t *testing.T) {
+	run := answers(t)
+	spoil := map[string]fasthttp.RequestHandler{
+		"of another request": func(ctx *fasthttp.RequestCtx) {
+			ctx.Request.Header.Set("Rhubarb-Request-Id", "other")
+			run(ctx)
+			ctx.Response.Header.Set("Rhubarb-Request-Id", "1-a")
+		},
+		"of another body": func(ctx *fasthttp.RequestCtx) {
+			ctx.Request.SetBodyString("other")
+			run(ctx)
+		},
+		"under another id": func(ctx *fasthttp.RequestCtx) {
+			run(ctx)
+			ctx.Response.Header.Set("Rhubarb-Request-Id", "other")
+		},
+		"cut short": func(ctx *fasthttp.RequestCtx) {
+			run(ctx)
+			body := ctx.Response.Body()
+			ctx.SetBody(bytes.Clone(body[:len(body)-2]))
+		},
+	}
+	for name, handler := range spoil {
+		t.Run(name, func(t *testing.T) {
+			w := newClient(time.Second).send(order, serve(t, handler), 1, time.Second).word
+			must.Eq(t, "done", w.Outcome)
+			must.False(t, w.Own)
+		})
+	}
+}
+
+// A connection that breaks after the request is never used to send it again
+// behind the caller's back.
+func TestBrokenConnectionIsOneSending(t *testing.T) {
+	var requests atomic.Int64
+	daemon := serve(t, func(ctx *fasthttp.RequestCtx) {
+		requests.Add(1)
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	})
+	w := newClient(time.Second).send(order, daemon, 1, time.Second).word
+	must.True(t, w.Connected)
+	must.Eq(t, "", w.Outcome)
+	must.Eq(t, 1, requests.Load())
+}
+
+func TestNobodyListens(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, ln.Close())
+	w := newClient(time.Second).send(order, ln.Addr().String(), 1, time.Second).word
+	must.False(t, w.Connected)
+}
+
+// A run records each request once, and the summary agrees with the records.
+func TestRun(t *testing.T) {
+	var seen sync.Map
+	run := answers(t)
+	daemon := serve(t, func(ctx *fasthttp.RequestCtx) {
+		id := string(ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+		if _, again := seen.LoadOrStore(id, true); again || id[len(id)-1] != '7' {
+			run(ctx)
+			return
+		}
+		ctx.Response.Header.Set("Rhubarb-Outcome", "not_run")
+		ctx.SetStatusCode(503)
+	})
+	c := mix()
+	c.Daemons, c.ForMs, c.MaxInFlight, c.GraceMs = []string{daemon}, 200, 1000, 1000
+	var out bytes.Buffer
+	summary, err := Run(c, &out)
+	must.NoError(t, err)
+	lines := bufio.NewScanner(&out)
+	records := uint64(0)
+	for lines.Scan() {
+		var r Record
+		must.NoError(t, json.Unmarshal(lines.Bytes(), &r))
+		last, answered := r.Last()
+		must.True(t, answered)
+		must.True(t, last.Own)
+		records++
+	}
+	must.Eq(t, records, summary.Requests)
+	must.Eq(t, records, summary.Done)
+	must.Eq(t, 0, summary.Foreign)
+	must.Positive(t, records)
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	histogramMaxUs   = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+	idTimeBase       = 10
+	microsPerMilli   = 1000
+	percentileMedian = 50
+	percentile99     = 99
+)
+
+// Summary is what a run counted.
+type Summary struct {
+	Requests uint64 `json:"requests"`
+	// NotSent counts arrivals above the bound of requests in flight.
+	NotSent uint64 `json:"not_sent"`
+	// Done, NotRun, Unknown and Late count the last words; NoAnswer the
+	// requests without one.
+	Done     uint64 `json:"done"`
+	NotRun   uint64 `json:"not_run"`
+	Unknown  uint64 `json:"unknown"`
+	Late     uint64 `json:"late"`
+	NoAnswer uint64 `json:"no_answer"`
+	// Foreign counts "done" answers that were not whole or another's.
+	Foreign uint64 `json:"foreign"`
+	// P50Ms and P99Ms are latencies of requests done, from the planned
+	// arrival to the last answer.
+	P50Ms float64 `json:"p50_ms"`
+	P99Ms float64 `json:"p99_ms"`
+	MaxMs float64 `json:"max_ms"`
+}
+
+// run collects what the callers of one run saw.
+type run struct {
+	mu      sync.Mutex
+	summary Summary
+	latency *hdrhistogram.Histogram
+	records *recorder
+}
+
+// idPrefix makes the ids of a run unique, and says when they were made.
+func idPrefix(now time.Time) string {
+	return strconv.FormatInt(now.UnixMilli(), idTimeBase)
+}
+
+// idTime returns the milliseconds since 1970 that an id begins with.
+func idTime(id string) string {
+	ms, _, _ := strings.Cut(id, "-")
+	return ms
+}
+
+// Run drives the planned requests and writes a record for each. It ends when
+// every request has its last word, at most the longest deadline and the grace
+// after the last arrival.
+func Run(c Config, records io.Writer) (Summary, error) {
+	state := &run{
+		latency: hdrhistogram.New(1, histogramMaxUs, histogramDigits),
+		records: newRecorder(records),
+	}
+	plan := Plan(c, idPrefix(time.Now()))
+	daemons := newDaemonList(c.Daemons)
+	sender := newClient(time.Duration(c.GraceMs) * time.Millisecond)
+	places := make(chan struct{}, c.MaxInFlight)
+	start := bootclock.Now()
+	var wait sync.WaitGroup
+	for i, r := range plan {
+		asked := start.Add(r.At)
+		time.Sleep(asked.Sub(bootclock.Now()))
+		select {
+		case places <- struct{}{}:
+		default:
+			state.notSent()
+			continue
+		}
+		wait.Go(func() {
+			defer func() { <-places }()
+			state.add(newCaller(c, daemons, sender, uint64(i)).call(r, asked))
+		})
+	}
+	wait.Wait()
+	return state.end()
+}
+
+func (s *run) notSent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.summary.NotSent++
+}
+
+func (s *run) add(rec Record) {
+	s.records.write(rec)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.summary.Requests++
+	w, answered := rec.Last()
+	if !answered {
+		s.summary.NoAnswer++
+		return
+	}
+	switch w.Outcome {
+	case result.Done.String():
+		s.summary.Done++
+		s.addDone(rec, w)
+	case result.NotRun.String():
+		s.summary.NotRun++
+	case result.Late.String():
+		s.summary.Late++
+	default:
+		s.summary.Unknown++
+	}
+}
+
+func (s *run) addDone(rec Record, w Word) {
+	if !w.Own {
+		s.summary.Foreign++
+	}
+	us := mono.Time(w.AnsweredNs).Sub(mono.Time(rec.AskedNs)).Microseconds()
+	_ = s.latency.RecordValue(min(max(1, us), histogramMaxUs))
+}
+
+func (s *run) end() (Summary, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.summary.P50Ms = float64(s.latency.ValueAtPercentile(percentileMedian)) / microsPerMilli
+	s.summary.P99Ms = float64(s.latency.ValueAtPercentile(percentile99)) / microsPerMilli
+	s.summary.MaxMs = float64(s.latency.Max()) / microsPerMilli
+	return s.summary, s.records.err
+}
--- /dev/null
+++ b/internal/storestand/objects_test.go
@@ -0,0 +1,161 @@
+package storestand_test
+
+import (
+	"flag"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbring/rhubarbring/internal/storestand"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// naive keeps every write for ever and works everything out from the list.
+type naive struct {
+	writes []naiveWrite
+}
+
+type naiveWrite struct {
+	kind  string
+	event storestand.Event
+}
+
+func (n *naive) get(kind, name string) (storestand.Event, bool) {
+	for _, w := range slices.Backward(n.writes) {
+		if w.kind == kind && w.event.Name == name {
+			return w.event, !w.event.Deleted
+		}
+	}
+	return storestand.Event{}, false
+}
+
+func (n *naive) write(kind string, e storestand.Event) uint64 {
+	e.Version = uint64(len(n.writes) + 1)
+	n.writes = append(n.writes, naiveWrite{kind, e})
+	return e.Version
+}
+
+func (n *naive) put(kind, name string, ifVersion uint64, value []byte) (uint64, storestand.Outcome) {
+	current, exists := n.get(kind, name)
+	if !exists {
+		current.Version = 0
+	}
+	if current.Version != ifVersion {
+		return current.Version, storestand.Conflict
+	}
+	return n.write(kind, storestand.Event{Name: name, Value: value}), storestand.Written
+}
+
+func (n *naive) remove(kind, name string, ifVersion uint64) (uint64, storestand.Outcome) {
+	current, exists := n.get(kind, name)
+	if !exists {
+		return 0, storestand.Absent
+	}
+	if current.Version != ifVersion {
+		return current.Version, storestand.Conflict
+	}
+	return n.write(kind, storestand.Event{Name: name, Deleted: true}), storestand.Written
+}
+
+func (n *naive) list(kind string) map[string]storestand.Object {
+	out := map[string]storestand.Object{}
+	for _, w := range n.writes {
+		if w.kind != kind {
+			continue
+		}
+		delete(out, w.event.Name)
+		if !w.event.Deleted {
+			out[w.event.Name] = storestand.Object{Name: w.event.Name, Version: w.event.Version, Value: w.event.Value}
+		}
+	}
+	return out
+}
+
+func (n *naive) since(kind string, revision uint64) []storestand.Event {
+	out := []storestand.Event{}
+	for _, w := range n.writes {
+		if w.kind == kind && w.event.Version > revision {
+			out = append(out, w.event)
+		}
+	}
+	return out
+}
+
+const historyInTest = 4
+
+func TestObjectsAgreeWithNaiveStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		objects, model := storestand.NewObjects(historyInTest), &naive{}
+		kinds := rapid.SampledFrom([]string{"a", "b"})
+		names := rapid.SampledFrom([]string{"x", "y", "z"})
+		// version draws the current version, or now and then another.
+		version := func(kind, name string) uint64 {
+			current, exists := model.get(kind, name)
+			if !exists {
+				current.Version = 0
+			}
+			return current.Version + rapid.SampledFrom([]uint64{0, 0, 0, 1}).Draw(t, "off")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				kind, name := kinds.Draw(t, "kind"), names.Draw(t, "name")
+				ifVersion, value := version(kind, name), rapid.SliceOfN(rapid.Byte(), 1, 2).Draw(t, "value")
+				want, wantOutcome := model.put(kind, name, ifVersion, value)
+				got, outcome := objects.Put(kind, name, ifVersion, value)
+				must.Eq(t, want, got)
+				must.Eq(t, wantOutcome, outcome)
+			},
+			"delete": func(t *rapid.T) {
+				kind, name := kinds.Draw(t, "kind"), names.Draw(t, "name")
+				ifVersion := version(kind, name)
+				want, wantOutcome := model.remove(kind, name, ifVersion)
+				got, outcome := objects.Delete(kind, name, ifVersion)
+				must.Eq(t, want, got)
+				must.Eq(t, wantOutcome, outcome)
+			},
+			"": func(t *rapid.T) { compare(t, objects, model, kinds.Draw(t, "kind")) },
+		})
+	})
+}
+
+func compare(t *rapid.T, objects *storestand.Objects, model *naive, kind string) {
+	want := model.list(kind)
+	got := map[string]storestand.Object{}
+	for after, pages := "", 0; pages == 0 || after != ""; pages++ {
+		var items []storestand.Object
+		items, after = objects.List(kind, after, 2)
+		for _, o := range items {
+			got[o.Name] = o
+		}
+	}
+	must.Eq(t, want, got)
+	for _, name := range slices.Sorted(maps.Keys(want)) {
+		object, ok := objects.Get(kind, name)
+		must.True(t, ok)
+		must.Eq(t, want[name], object)
+	}
+	compareWatch(t, objects, model, kind)
+}
+
+// compareWatch checks that a watch gets all changes or learns that it can't,
+// and that it can if no more changes were made than are kept.
+func compareWatch(t *rapid.T, objects *storestand.Objects, model *naive, kind string) {
+	now := uint64(len(model.writes))
+	must.Eq(t, now, objects.Revision())
+	revision := rapid.Uint64Range(0, now+1).Draw(t, "revision")
+	want := model.since(kind, revision)
+	got, known := objects.Since(kind, revision)
+	must.Eq(t, revision <= now && len(want) <= historyInTest, known)
+	if known {
+		must.Eq(t, want, append([]storestand.Event{}, got...))
+	}
+}
