--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,10 @@
 
 ci: lint test
 
+# A trial of the whole system on loopback addresses; docs/TRIAL.md. Its
+# settings are variables: make trial SEED=7 LAYOUT=kalderimi
+trial: build
+	SEED=$(SEED) LAYOUT=$(LAYOUT) bash scripts/trial.sh
+
 clean:
 	rm -rf bin trial
--- /dev/null
+++ b/cmd/rhubarb-trial/main.go
@@ -0,0 +1,24 @@
+// Command rhubarb-trial prepares a trial on loopback addresses and judges it.
+// scripts/trial.sh starts and stops the processes.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(command(), os.Stderr))
+}
+
+func command() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "rhubarb-trial",
+		Short: "Prepare and judge a trial",
+	}
+	cmd.AddCommand(settingsCommand(), waitCommand(), postCommand(), uploadCommand(), markCommand(), keptCommand(), judgeCommand())
+	return cmd
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -19,6 +19,10 @@
 	ExitSettings = 2
 )
 
+// ErrReported makes a command fail without another line: it has already
+// written what failed.
+var ErrReported = errors.New("failed")
+
 // Run executes the command and returns the exit code. An error is written to
 // stderr in one line.
 func Run(cmd *cobra.Command, stderr io.Writer) int {
@@ -31,6 +35,9 @@
 	if err == nil {
 		return ExitOK
 	}
+	if errors.Is(err, ErrReported) {
+		return ExitFailed
+	}
 	fmt.Fprintf(stderr, "%s: %s\n", cmd.Name(), err)
 	if isSettings(err) {
 		return ExitSettings
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"fine", nil, nil, cli.ExitOK, ""},
 		{"failed", nil, errors.New("broken"), cli.ExitFailed, "tool: broken\n"},
+		{"reported", nil, cli.ErrReported, cli.ExitFailed, ""},
 		{"settings", nil, &result.Error{Code: result.AddressInUse, Field: "address"}, cli.ExitSettings, "tool: address_in_use (401) address\n"},
 		{"flag", []string{"--none"}, nil, cli.ExitSettings, "tool: bad_settings (400) flag: unknown flag: --none; see --help\n"},
 	}
--- /dev/null
+++ b/internal/trial/layout.go
@@ -0,0 +1,151 @@
+// Package trial lays out a trial on loopback addresses: the hosts of a
+// customer, the settings of every process, the commands that start them, and
+// the traffic.
+package trial
+
+import (
+	"strconv"
+
+	"github.com/rhubarbring/rhubarbring/internal/judge"
+	"github.com/rhubarbring/rhubarbring/internal/load"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// AppLayout is the servers of one app and the traffic to it.
+type AppLayout struct {
+	Servers      int
+	ChecksGrants bool
+	// MeanServiceMs is the mean service time of its servers.
+	MeanServiceMs float64
+	Traffic       load.App
+}
+
+// Layout is the fleet of one customer.
+type Layout struct {
+	Name        string
+	Region      map[string]string // Region of each availability zone.
+	Zones       []string
+	Slots       int
+	Connections int
+	Apps        []AppLayout
+	// StopHost and KillHost are the hosts of the planned stop and the kill.
+	StopHost string
+	KillHost string
+}
+
+var layouts = []Layout{
+	{
+		Name:  "rayuela",
+		Zones: []string{"pampa-norte-1", "patagonia-sur-1", "pampa-norte-2", "patagonia-sur-2"},
+		Region: map[string]string{
+			"pampa-norte-1": "pampa-norte", "pampa-norte-2": "pampa-norte",
+			"patagonia-sur-1": "patagonia-sur", "patagonia-sur-2": "patagonia-sur",
+		},
+		Slots:       12,
+		Connections: 130,
+		Apps: []AppLayout{
+			{Servers: 6, MeanServiceMs: 10, Traffic: load.App{
+				Name: "catalogue", Keys: 5000, Zipf: 1.1, Weight: 6, Urgent: 0.05, DeadlineMs: 2000, BodyBytes: 64,
+			}},
+			{Servers: 5, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
+				Name: "reservation", Keys: 2000, Zipf: 1.05, Weight: 3, NonIdempotent: 0.5, DeadlineMs: 5000, BodyBytes: 256,
+			}},
+			{Servers: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
+				Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 256,
+			}},
+		},
+		StopHost: "h2",
+		KillHost: "h8",
+	},
+	{
+		Name:  "kalderimi",
+		Zones: []string{"mainland-1", "islands-1", "mainland-2", "islands-2"},
+		Region: map[string]string{
+			"mainland-1": "mainland", "mainland-2": "mainland",
+			"islands-1": "islands", "islands-2": "islands",
+		},
+		Slots:       6,
+		Connections: 60,
+		Apps: []AppLayout{
+			{Servers: 5, MeanServiceMs: 10, Traffic: load.App{
+				Name: "availability", Keys: 3000, Zipf: 1.1, Weight: 5, DeadlineMs: 2000, BodyBytes: 32,
+			}},
+			{Servers: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
+				Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 256,
+			}},
+			{Servers: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
+				Name: "booking", Keys: 1000, Zipf: 1.05, Weight: 2, NonIdempotent: 0.7, DeadlineMs: 5000, BodyBytes: 256,
+			}},
+		},
+		StopHost: "h2",
+		KillHost: "h11",
+	},
+}
+
+// Find returns the layout of a name.
+func Find(name string) (Layout, error) {
+	for _, l := range layouts {
+		if l.Name == name {
+			return l, nil
+		}
+	}
+	return Layout{}, &result.Error{
+		Code:   result.BadSettings,
+		Field:  "layout",
+		Detail: strconv.Quote(name) + " is not a layout",
+		Remedy: "name rayuela or kalderimi",
+	}
+}
+
+// Offsets of the ports from the base port.
+const (
+	storeOffset   = 0
+	peerOffset    = 1000
+	controlOffset = 2000
+	callerOffset  = 3000
+	targetOffset  = 4000
+	maxBasePort   = 60000
+	minBasePort   = 1024
+)
+
+// Host is a host of the layout with its addresses.
+type Host struct {
+	judge.Host
+	Region  string
+	Peer    string
+	Control string
+	Target  string
+	App     AppLayout
+}
+
+func address(port int) string {
+	return "127.0.0.1:" + strconv.Itoa(port)
+}
+
+// StoreAddress returns the address of the store.
+func StoreAddress(basePort int) string {
+	return address(basePort + storeOffset)
+}
+
+// Hosts returns the hosts of the layout. Zones are filled in turn.
+func (l Layout) Hosts(basePort int) []Host {
+	var out []Host
+	for _, app := range l.Apps {
+		for range app.Servers {
+			n := len(out) + 1
+			zone := l.Zones[(n-1)%len(l.Zones)]
+			out = append(out, Host{
+				Host: judge.Host{
+					Name: "h" + strconv.Itoa(n), Zone: zone, App: app.Traffic.Name,
+					Slots: l.Slots, Caller: address(basePort + callerOffset + n),
+				},
+				Region:  l.Region[zone],
+				Peer:    address(basePort + peerOffset + n),
+				Control: address(basePort + controlOffset + n),
+				Target:  address(basePort + targetOffset + n),
+				App:     app,
+			})
+		}
+	}
+	return out
+}
