Judge a request's promises from the targets' own records

Cause: an entry daemon lost between a gate's answer and its caller left an outcome that nobody raised; found by the model's runs. The router could not be shown to need its guards. Change: Ack from entry daemon to gate, in batches; a gate raises what a lost entry daemon did not acknowledge. Actions.Ends says when a run holds its slice no longer, for handovers. Conclusion: at most once, true not run, right answer, one reply, raised unknowns, kept slots and connections hold in the model.

--- a/gate/actions.go
+++ b/gate/actions.go
@@ -41,7 +41,11 @@
 // Actions collects what the gate asks of its shell. The shell empties it with
 // Reset when all was done.
 type Actions struct {
-	Starts  []Start
+	Starts []Start
+	// Ends are the runs that hold their slice no longer: over, or past their
+	// deadline with the outcome raised as unknown. Each start ends once. A
+	// handover waits for the ends of what was started.
+	Ends    []uint64
 	Cancels []CancelRun
 	Answers []Answer
 	Raises  []request.Risk
@@ -53,6 +57,7 @@
 	clear(a.Starts)
 	clear(a.Answers)
 	a.Starts = a.Starts[:0]
+	a.Ends = a.Ends[:0]
 	a.Cancels = a.Cancels[:0]
 	a.Answers = a.Answers[:0]
 	a.Raises = a.Raises[:0]
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -85,6 +85,8 @@
 	// CancelWait is how long the target's answer to a cancellation is
 	// waited for.
 	CancelWait time.Duration
+	// MaxUnacked bounds the answers whose acknowledgement is waited for.
+	MaxUnacked int
 	// RetryAfter is the advice when no better one is known.
 	RetryAfter time.Duration
 }
@@ -106,6 +108,7 @@
 		DrainGrace:     2 * time.Second,
 		RunHold:        10 * time.Second,
 		CancelWait:     100 * time.Millisecond,
+		MaxUnacked:     4096,
 		RetryAfter:     500 * time.Millisecond,
 	}
 }
@@ -144,6 +147,7 @@
 	slots    int // slots taken
 	conns    []bool
 	seen     map[host.ID]lastSeen
+	unacked  unacked
 	service  estimator
 	timers   timer.Queue[*job]
 	free     []*job
@@ -180,6 +184,8 @@
 		memory: idmemory.New(cfg.Memory),
 		runs:   make(map[uint64]*job),
 		seen:   make(map[host.ID]lastSeen),
+
+		unacked: newUnacked(cfg.MaxUnacked),
 	}
 }
 
--- a/gate/job.go
+++ b/gate/job.go
@@ -76,6 +76,7 @@
 	startedAt mono.Time
 	epoch     uint64
 	due       mono.Time // when the target's time for it is up
+	ended     bool      // it holds its slice no longer
 }
 
 // owned reports whether the job needs the ownership of its slice.
@@ -125,14 +126,34 @@
 	for _, do := range cell.Do {
 		g.do(now, j, do, a, out)
 	}
-	if j.state == stateLingering && event != eventRelease {
-		g.setTimer(j, j.deadline.Add(g.cfg.RunHold))
+	if j.state == stateLingering {
+		g.linger(now, j, out)
 	}
 	if j.state == stateClosed {
+		g.end(j, out)
 		g.drop(j)
 	}
 }
 
+// linger lets a run that was answered for hold its slice to its deadline, and
+// its slot for a while longer.
+func (g *Gate) linger(now mono.Time, j *job, out *Actions) {
+	if now.Before(j.deadline) {
+		g.setTimer(j, j.deadline)
+		return
+	}
+	g.end(j, out)
+	g.setTimer(j, j.deadline.Add(g.cfg.RunHold))
+}
+
+func (g *Gate) end(j *job, out *Actions) {
+	if j.run == 0 || j.ended {
+		return
+	}
+	j.ended = true
+	out.Ends = append(out.Ends, j.run)
+}
+
 func (g *Gate) do(now mono.Time, j *job, action uint8, a *request.Answer, out *Actions) {
 	switch action {
 	case doStart:
@@ -142,7 +163,9 @@
 	case doAnswer:
 		g.answer(now, j, a, out)
 	case doRaise:
-		g.raise(j, a, out)
+		if !j.req.Idempotent {
+			g.raise(j, a, out)
+		}
 	case doSettle:
 		g.settle(now, j, a, out)
 	case doFree:
--- /dev/null
+++ b/gate/model_test.go
@@ -0,0 +1,438 @@
+package gate
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/retry"
+)
+
+// The model: two entry daemons and two gates with a target each, a network
+// that loses, delays, doubles and reorders, owners that change, and callers
+// that keep to the contract. What ran is judged by the targets' own records.
+
+const (
+	modelApp     key.App = "pay"
+	modelSlices          = 2
+	modelSlots           = 2
+	modelConns           = 3
+	modelLease           = 300 * time.Millisecond
+	longestCall          = 400 * time.Millisecond
+	wallStartMs  int64   = 1_700_000_000_000
+	wallSkewMs           = 20
+	drainedAfter         = 30 * time.Second
+)
+
+// source draws numbers; rapid and seeded generators both serve.
+type source interface {
+	IntN(n int) int
+}
+
+// dropped names the guards of the router and of the shells that a run lacks.
+type dropped struct {
+	lossIsNotRun bool // a lost connection counts as "never left"
+	byIDOnly     bool // answers are matched by id alone
+	plainNotRun  bool // "not run" to repeats
+	noRaises     bool // the router raises nothing
+	noAcks       bool // gates don't wait for acknowledgements
+}
+
+// op is what a caller wants done once.
+type op struct {
+	body       string
+	key        string
+	idempotent bool
+	id         string
+	idMs       int64
+	attempt    int
+	entry      int
+	caller     request.Caller
+	waiting    bool // a reply is due
+	told       []result.Code
+	done       bool
+	ran        int
+	ranByID    map[string]int
+	notRun     []string // ids that were told "not run"
+	ids        []string // all ids that the caller used
+}
+
+type entry struct {
+	self   host.Session
+	router *request.Router
+	routes [modelSlices]request.Route
+	calls  map[request.Caller]*op
+	latest map[string]message // newest sending of each id
+}
+
+// site is a gate with its target.
+type site struct {
+	self  host.Session
+	gate  *Gate
+	views [modelSlices]Admission
+	lease mono.Time
+	cut   bool
+	runs  []*targetRun
+	held  map[uint64]key.SliceID // runs that hold their slice
+	fence [modelSlices]uint64    // highest epoch that the target saw
+}
+
+// targetRun is a run as the target sees it.
+type targetRun struct {
+	start     Start
+	executed  bool
+	over      bool // the target is done with it
+	connected bool
+	cancelled bool // a cancellation waits for its answer
+}
+
+type message struct {
+	entry   int
+	gate    int
+	session host.Session // of the entry daemon
+	req     *request.Request
+	cancel  *request.Cancel
+	ack     *request.Ack
+	answer  *request.Answer
+}
+
+type world struct {
+	src     source
+	now     mono.Time
+	divided bool
+	checks  bool
+	entries [2]*entry
+	sites   [2]*site
+	truth   [modelSlices]request.Route
+	net     []message
+	ops     []*op
+	caller  request.Caller
+	nextID  int
+	drop    dropped
+	raised  map[string]bool
+	bad     []string
+}
+
+func newWorld(src source, drop dropped, g guards) *world {
+	w := &world{src: src, now: 1, drop: drop, raised: map[string]bool{}}
+	w.divided = src.IntN(2) == 0
+	w.checks = src.IntN(2) == 0
+	for i := range w.sites {
+		w.sites[i] = w.newSite(i, g)
+	}
+	for s := range w.truth {
+		w.grant(s, s%2, 1)
+	}
+	for i := range w.entries {
+		w.entries[i] = w.newEntry(i, 1)
+	}
+	return w
+}
+
+func (w *world) newSite(i int, g guards) *site {
+	s := &site{self: host.Session{Host: host.ID(fmt.Sprint("g", i)), Incarnation: 1}, lease: w.now.Add(modelLease), held: map[uint64]key.SliceID{}}
+	cfg := DefaultConfig()
+	cfg.Self = s.self
+	cfg.App = modelApp
+	cfg.Owner = ownerView{w: w, s: s}
+	cfg.MaxQueued = 3
+	cfg.Memory.MaxIDs = 6
+	cfg.Memory.Skew = 2 * wallSkewMs * time.Millisecond
+	cfg.RunHold = time.Second
+	s.gate = New(cfg)
+	s.gate.guards = g
+	var out Actions
+	s.gate.Announced(w.now.Add(-time.Minute), w.announcement(Warm), &out)
+	return s
+}
+
+func (w *world) announcement(state State) Announcement {
+	return Announcement{Slots: modelSlots, Connections: modelConns, ChecksGrants: w.checks, State: state}
+}
+
+func (w *world) newEntry(i int, incarnation uint64) *entry {
+	e := &entry{self: host.Session{Host: host.ID(fmt.Sprint("e", i)), Incarnation: incarnation}, calls: map[request.Caller]*op{}, latest: map[string]message{}}
+	e.routes = w.truth
+	cfg := request.DefaultConfig()
+	cfg.Self = e.self
+	cfg.Map = mapView{w: w, e: e}
+	cfg.Chooser = chooserView{w: w}
+	cfg.Retry = retry.Config{Ratio: 0.5, Burst: 5, Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}
+	cfg.MaxWaiting = 3
+	cfg.MaxWait = 100 * time.Millisecond
+	cfg.Seed = uint64(i)
+	e.router = request.NewRouter(cfg)
+	return e
+}
+
+func (w *world) wallMs() int64 {
+	return wallStartMs + time.Duration(w.now).Milliseconds()
+}
+
+// ownerView is what a gate knows of its ownership.
+type ownerView struct {
+	w *world
+	s *site
+}
+
+func (v ownerView) Admit(_ key.App, _ string, s key.SliceID, _ mono.Time) Admission {
+	a := v.s.views[s]
+	a.Expires = v.s.lease
+	return a
+}
+
+type mapView struct {
+	w *world
+	e *entry
+}
+
+func (v mapView) Divided(app key.App) (bool, bool) {
+	return v.w.divided, app == modelApp
+}
+
+func (v mapView) Route(app key.App, text string) request.Route {
+	r := v.e.routes[key.SliceOf(app, text, modelSlices).ID]
+	return r
+}
+
+type chooserView struct{ w *world }
+
+func (v chooserView) Choose(_ key.App, _ mono.Time, _ time.Duration, _ int, not host.Session) (host.Session, result.Code) {
+	i := v.w.src.IntN(2)
+	if v.w.sites[i].self == not {
+		i = 1 - i
+	}
+	return v.w.sites[i].self, result.OK
+}
+func (chooserView) Sent(host.Session, mono.Time)                                   {}
+func (chooserView) Ended(host.Session, mono.Time, time.Duration, result.Code, int) {}
+
+// grant makes a site the owner of a slice.
+func (w *world) grant(s, to int, epoch uint64) {
+	w.truth[s] = request.Route{Slice: key.SliceID(s), Owner: w.sites[to].self, Epoch: epoch}
+	for i, site := range w.sites {
+		if i == to {
+			site.views[s] = Admission{Epoch: epoch, Newest: epoch, KnownSinceMs: w.wallMs()}
+			continue
+		}
+		if !site.cut {
+			site.views[s] = Admission{Code: result.NotOwner, Newest: epoch}
+		}
+	}
+}
+
+func (w *world) siteOf(self host.Session) int {
+	for i, s := range w.sites {
+		if s.self == self {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.bad = append(w.bad, fmt.Sprintf(format, args...))
+}
+
+// submit asks one entry daemon for an operation.
+func (w *world) submit(o *op, i int, rep request.Repeat) {
+	e := w.entries[i]
+	w.caller++
+	o.caller = w.caller
+	o.entry = i
+	o.waiting = true
+	o.attempt++
+	e.calls[w.caller] = o
+	r := &request.Request{ID: o.id, App: modelApp, Idempotent: o.idempotent, Repeat: rep, IDTimeMs: o.idMs, AcceptedMs: w.wallMs() - wallSkewMs, Body: []byte(o.body)}
+	if w.divided {
+		r.Key = o.key
+	}
+	if w.src.IntN(2) == 0 {
+		r.Class = request.Urgent
+	}
+	if o.idempotent && !w.divided {
+		r.Slice = request.NoSlice
+	}
+	deadline := w.now.Add(time.Duration(20+w.src.IntN(int(longestCall/time.Millisecond)-20)) * time.Millisecond)
+	var out request.Actions
+	e.router.Submit(w.now, r, deadline, w.caller, &out)
+	w.doRouter(i, &out)
+}
+
+// newOp is a caller's new wish, now and then under an id that is taken.
+func (w *world) newOp() {
+	o := &op{body: fmt.Sprint("op", len(w.ops)), key: fmt.Sprint("k", w.src.IntN(4)), idempotent: w.src.IntN(4) == 0, ranByID: map[string]int{}}
+	w.ops = append(w.ops, o)
+	w.freshID(o)
+	if len(w.ops) > 1 && w.src.IntN(12) == 0 {
+		o.id = w.ops[w.src.IntN(len(w.ops)-1)].id
+		o.ids[0] = o.id
+	}
+	rep := request.RepeatFirst
+	if w.src.IntN(4) == 0 {
+		rep = request.RepeatUnsaid
+	}
+	w.submit(o, w.src.IntN(2), rep)
+}
+
+func (w *world) freshID(o *op) {
+	w.nextID++
+	o.id = fmt.Sprint("id", w.nextID)
+	o.ids = append(o.ids, o.id)
+	o.idMs = w.wallMs() + int64(w.src.IntN(2*wallSkewMs)) - wallSkewMs
+	if w.src.IntN(8) == 0 {
+		o.idMs = 0
+	}
+	o.attempt = 0
+}
+
+// again is what a caller does who keeps to the contract: after "not run" the
+// wish goes out under a new id, after anything else under the same.
+func (w *world) again(o *op) {
+	if o.waiting || o.done {
+		return
+	}
+	if o.told[len(o.told)-1].Outcome() == result.NotRun {
+		w.freshID(o)
+		w.submit(o, w.src.IntN(2), request.RepeatFirst)
+		return
+	}
+	w.submit(o, w.src.IntN(2), request.RepeatAgain)
+}
+
+func (w *world) reply(e *entry, r request.Reply) {
+	o := e.calls[r.Caller]
+	if o == nil || !o.waiting || o.caller != r.Caller {
+		w.fail("reply to nobody: caller %d", r.Caller)
+		return
+	}
+	delete(e.calls, r.Caller)
+	o.waiting = false
+	code := r.Answer.Code
+	if w.drop.plainNotRun && code == result.RepeatRefused {
+		code = result.QueueFull
+	}
+	o.told = append(o.told, code)
+	if code == result.OK {
+		o.done = true
+		if !bytes.Equal(r.Answer.Body, []byte("did "+o.body)) {
+			w.fail("%s got another's answer %q", o.body, r.Answer.Body)
+		}
+	}
+	if code.Outcome() == result.NotRun {
+		o.notRun = append(o.notRun, o.id)
+	}
+}
+
+func (w *world) raise(risks []request.Risk) {
+	for _, r := range risks {
+		w.raised[r.ID] = true
+	}
+}
+
+// doRouter performs a router's actions.
+func (w *world) doRouter(i int, out *request.Actions) {
+	e := w.entries[i]
+	if !w.drop.noRaises {
+		w.raise(out.Raises)
+	}
+	for _, r := range out.Replies {
+		w.reply(e, r)
+		if r.Answer.Code.Outcome() == result.Unknown || r.Answer.Code.Outcome() == result.Late {
+			w.checkRaised(r.Answer.ID, out)
+		}
+	}
+	for _, c := range out.Cancels {
+		w.net = append(w.net, message{entry: i, gate: w.siteOf(c.To), session: e.self, cancel: &c.Cancel})
+	}
+	for _, a := range out.Acks {
+		w.net = append(w.net, message{entry: i, gate: w.siteOf(a.To), session: e.self, ack: &a.Ack})
+	}
+	for _, s := range out.Sends {
+		w.transmit(i, s)
+	}
+}
+
+func (w *world) checkRaised(id string, out *request.Actions) {
+	for _, o := range w.ops {
+		if o.idempotent && o.id == id {
+			return
+		}
+	}
+	if !w.raised[id] {
+		w.fail("unknown told for %s and not raised", id)
+	}
+}
+
+func (w *world) transmit(i int, s request.Send) {
+	if w.src.IntN(12) == 0 {
+		var out request.Actions
+		w.entries[i].router.SendFailed(w.now, s.Request.Seq, result.PeerUnreachable, &out)
+		w.doRouter(i, &out)
+		return
+	}
+	own := *s.Request
+	m := message{entry: i, gate: w.siteOf(s.To), session: w.entries[i].self, req: &own}
+	w.entries[i].latest[own.ID] = m
+	w.net = append(w.net, m)
+}
+
+// doGate performs a gate's actions.
+func (w *world) doGate(i int, out *Actions) {
+	s := w.sites[i]
+	w.raise(out.Raises)
+	for _, st := range out.Starts {
+		w.begin(s, st)
+	}
+	for _, c := range out.Cancels {
+		for _, r := range s.runs {
+			if r.start.Run == c.Run {
+				r.cancelled = true
+			}
+		}
+	}
+	for _, run := range out.Ends {
+		if _, held := s.held[run]; !held {
+			w.fail("run %d ended twice", run)
+		}
+		delete(s.held, run)
+	}
+	for _, a := range out.Answers {
+		w.send(i, a)
+		if w.drop.noAcks {
+			s.gate.Acked(a.To, request.Ack{Seqs: []uint64{a.Answer.Seq}})
+		}
+	}
+}
+
+func (w *world) begin(s *site, st Start) {
+	s.held[st.Run] = st.Request.Slice
+	for _, r := range s.runs {
+		if r.connected && r.start.Connection == st.Connection {
+			w.fail("connection %d of %s is used twice", st.Connection, s.self)
+		}
+	}
+	if st.Epoch != 0 && w.now >= s.lease {
+		w.fail("%s starts a run without a lease", s.self)
+	}
+	if st.Connection < 0 || st.Connection >= modelConns {
+		w.fail("connection %d does not exist", st.Connection)
+	}
+	s.runs = append(s.runs, &targetRun{start: st, connected: true})
+	if len(s.runs) > modelSlots {
+		w.fail("%d slots of %s are taken", len(s.runs), s.self)
+	}
+}
+
+func (w *world) send(i int, a Answer) {
+	for n, e := range w.entries {
+		if e.self.Host == a.To.Host {
+			w.net = append(w.net, message{entry: n, gate: i, session: a.To, answer: a.Answer})
+		}
+	}
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -211,10 +212,15 @@
 	g.pump(now, out)
 }
 
-// OriginLost says that an entry daemon's session is lost. What it sent and
-// still waits is dropped; what runs goes on if it is not idempotent, and its
-// outcome is raised, since nobody is there to be told.
+// OriginLost says that the session of an entry daemon is over for good. What
+// it sent and still waits is dropped, and what comes of it late too. What runs
+// goes on if it is not idempotent, and its outcome is raised, since nobody is
+// there to be told; so are the answers that it did not acknowledge.
 func (g *Gate) OriginLost(now mono.Time, from host.Session, out *Actions) {
+	if g.seen[from.Host].incarnation <= from.Incarnation {
+		g.seen[from.Host] = lastSeen{incarnation: from.Incarnation, seq: math.MaxUint64}
+	}
+	g.raiseUnacked(from, out)
 	for _, j := range g.jobs() {
 		j.joined = slices.DeleteFunc(j.joined, func(o origin) bool { return o.from == from })
 		if j.first.from == from {
@@ -268,8 +274,16 @@
 	case stateCancelling:
 		g.step(now, j, eventNotStopped, g.outcome(j, result.OutcomeUnknown), out)
 	case stateLingering:
-		g.step(now, j, eventRelease, nil, out)
+		g.lingered(now, j, out)
+	}
+}
+
+func (g *Gate) lingered(now mono.Time, j *job, out *Actions) {
+	if !j.ended {
+		g.linger(now, j, out)
+		return
 	}
+	g.step(now, j, eventRelease, nil, out)
 }
 
 // overdue cancels a run whose time is up. If only the lease at its start is
@@ -308,99 +322,3 @@
 	a.RetryAfter = g.adviceFor(code)
 	g.step(now, j, eventRefuse, a, out)
 }
-
-// outcome makes an answer to a job's request.
-func (g *Gate) outcome(j *job, code result.Code) *request.Answer {
-	return &request.Answer{ID: j.req.ID, Code: code, Owner: string(g.cfg.Self.Host), Epoch: j.epoch}
-}
-
-// answer tells everyone who waits for a job, and remembers what became of it.
-func (g *Gate) answer(now mono.Time, j *job, a *request.Answer, out *Actions) {
-	g.remember(j, a)
-	g.tell(now, j, a, out)
-	if a.Code == result.LeaseLapsedAfter {
-		g.raise(j, a, out)
-	}
-	if a.Code == result.OK && !j.waits() {
-		g.raise(j, &request.Answer{Code: result.AnswerLost}, out)
-	}
-}
-
-func (g *Gate) tell(now mono.Time, j *job, a *request.Answer, out *Actions) {
-	a.Wait = g.expectedWait(now, request.Normal)
-	if !j.abandoned {
-		g.send(j.first, a, out)
-	}
-	for _, o := range j.joined {
-		g.send(o, a, out)
-	}
-}
-
-// remember notes in the memory of ids what became of a job.
-func (g *Gate) remember(j *job, a *request.Answer) {
-	switch a.Code.Outcome() {
-	case result.NotRun:
-		g.memory.Forget(j.slot)
-	case result.Done:
-		g.memory.Finish(j.slot, a)
-	default:
-		if g.guards.forgetLost {
-			g.memory.Forget(j.slot)
-			return
-		}
-		g.memory.Finish(j.slot, nil)
-	}
-}
-
-// send answers one sending. Each gets its own copy, since the answer is kept.
-func (g *Gate) send(o origin, a *request.Answer, out *Actions) {
-	g.counters.Answered++
-	own := *a
-	own.Attempt = o.attempt
-	own.Seq = o.seq
-	out.Answers = append(out.Answers, Answer{To: o.from, Answer: &own})
-}
-
-// settle passes on what became of a run that was answered before its end.
-func (g *Gate) settle(now mono.Time, j *job, a *request.Answer, out *Actions) {
-	if j.req.Idempotent {
-		return
-	}
-	g.remember(j, a)
-	g.tell(now, j, a, out)
-	switch a.Code.Outcome() {
-	case result.Done:
-		out.Settles = append(out.Settles, settlement(j.req, result.Late))
-	case result.NotRun:
-		if request.FinalCode(j.req, a.Code) == a.Code {
-			out.Settles = append(out.Settles, settlement(j.req, result.NotRun))
-		}
-	}
-}
-
-func (g *Gate) raise(j *job, a *request.Answer, out *Actions) {
-	if j.req.Idempotent || g.guards.silent {
-		return
-	}
-	g.counters.Raised++
-	out.Raises = append(out.Raises, request.Risk{
-		ID:      j.req.ID,
-		App:     j.req.App,
-		Key:     j.req.Key,
-		Slice:   j.req.Slice,
-		Epoch:   j.epoch,
-		Owner:   g.cfg.Self,
-		Code:    a.Code,
-		Outcome: result.Unknown,
-	})
-}
-
-func settlement(r *request.Request, o result.Outcome) request.Settlement {
-	return request.Settlement{ID: r.ID, App: r.App, Key: r.Key, Outcome: o}
-}
-
-// Forget drops what is remembered of a host whose session is recorded as lost
-// and replaced, so that the memory follows the fleet.
-func (g *Gate) Forget(h host.ID) {
-	delete(g.seen, h)
-}
--- a/request/actions.go
+++ b/request/actions.go
@@ -30,6 +30,19 @@
 	Cancel Cancel
 }
 
+// Ack tells a gate which of its answers were handed to their callers. Should
+// the entry daemon be lost, the gate raises the ones that were not.
+type Ack struct {
+	_    struct{} `cbor:",toarray"`
+	Seqs []uint64
+}
+
+// SendAck asks to send an Ack to a gate, which may be the local one.
+type SendAck struct {
+	To  host.Session
+	Ack Ack
+}
+
 // Reply asks to answer a caller. It is the only answer of the call.
 type Reply struct {
 	Caller Caller
@@ -71,6 +84,7 @@
 	// Local are sendings to the gate of this daemon.
 	Local   []*Request
 	Cancels []SendCancel
+	Acks    []SendAck
 	Replies []Reply
 	Raises  []Risk
 	Settles []Settlement
@@ -80,10 +94,12 @@
 func (a *Actions) Reset() {
 	clear(a.Sends)
 	clear(a.Local)
+	clear(a.Acks)
 	clear(a.Replies)
 	a.Sends = a.Sends[:0]
 	a.Local = a.Local[:0]
 	a.Cancels = a.Cancels[:0]
+	a.Acks = a.Acks[:0]
 	a.Replies = a.Replies[:0]
 	a.Raises = a.Raises[:0]
 	a.Settles = a.Settles[:0]
--- a/request/answer.go
+++ b/request/answer.go
@@ -31,10 +31,7 @@
 }
 
 func (r *Router) matches(c *call, from host.Session, a *Answer) bool {
-	if from != c.to && !r.guards.anyPeer {
-		return false
-	}
-	return a.ID == c.req.ID && a.Attempt == c.attempt && a.Seq == c.req.Seq || r.guards.anyAttempt
+	return from == c.to && a.ID == c.req.ID && a.Attempt == c.attempt && a.Seq == c.req.Seq
 }
 
 // decide says what an answer in time leads to.
@@ -132,11 +129,7 @@
 
 // reply answers the caller, or records the outcome if the caller hung up.
 func (r *Router) reply(c *call, a *Answer, out *Actions) {
-	code := a.Code
-	if !r.guards.plainNotRun {
-		code = FinalCode(c.req, code)
-	}
-	if code != a.Code {
+	if code := FinalCode(c.req, a.Code); code != a.Code {
 		final := *a
 		final.Code = code
 		final.RetryAfter = max(final.RetryAfter, r.cfg.RetryAfter)
@@ -147,6 +140,9 @@
 		return
 	}
 	r.counters.Replied++
+	if a.Code == result.OK {
+		r.noteAck(c)
+	}
 	delete(r.callers, c.caller)
 	out.Replies = append(out.Replies, Reply{Caller: c.caller, Answer: a})
 	if c.state == stateClosed && a.Code.Outcome() != result.Done && a.Code.Outcome() != result.NotRun {
@@ -157,13 +153,15 @@
 // recordOrphan keeps the outcome of a request whose caller hung up. In the
 // doubtful state the raise follows from the chart.
 func (r *Router) recordOrphan(c *call, a *Answer, out *Actions) {
-	if c.state == stateClosed && !r.guards.forgetOrphan {
-		r.raise(c, a, out)
+	if c.state != stateClosed {
+		return
 	}
+	r.raise(c, a, out)
+	r.noteAck(c)
 }
 
 func (r *Router) raise(c *call, a *Answer, out *Actions) {
-	if c.req.Idempotent || r.guards.silentDoubt {
+	if c.req.Idempotent {
 		return
 	}
 	r.counters.Raised++
--- a/request/life.go
+++ b/request/life.go
@@ -261,7 +261,7 @@
 
 // lost decides after a sending whose answer will not come.
 func (r *Router) lost(now mono.Time, c *call, code result.Code, out *Actions) {
-	if !c.req.Idempotent && !r.guards.resendOnce {
+	if !c.req.Idempotent {
 		r.doubt(now, c, code, out)
 		return
 	}
--- a/request/router.go
+++ b/request/router.go
@@ -67,6 +67,8 @@
 	MaxDoubtful int
 	// DoubtKept is how long a late answer is waited for.
 	DoubtKept time.Duration
+	// AckEvery is the time between two acknowledgements to a gate.
+	AckEvery time.Duration
 	// RetryAfter is the advice to a caller who is refused for want of an
 	// owner or a reachable gate.
 	RetryAfter time.Duration
@@ -85,6 +87,7 @@
 		ReplyMargin: 10 * time.Millisecond,
 		MaxDoubtful: 4096,
 		DoubtKept:   30 * time.Second,
+		AckEvery:    50 * time.Millisecond,
 		RetryAfter:  500 * time.Millisecond,
 	}
 }
@@ -115,22 +118,12 @@
 	sends    map[uint64]*call
 	waiting  []*call
 	free     []*call
+	acks     []pendingAck
+	nextAck  mono.Time
 	inState  [stateClosed + 1]int
 	timers   timer.Queue[*call]
 	seq      uint64
 	counters Counters
-	guards   guards
-}
-
-// guards lets tests of this package drop one guard at a time, to see that its
-// loss is found. All are false outside of such tests.
-type guards struct {
-	resendOnce   bool // resend what is not idempotent after a lost connection
-	anyPeer      bool // take an answer from any session
-	anyAttempt   bool // take an answer to any attempt
-	plainNotRun  bool // tell "not run" to a repeat
-	silentDoubt  bool // raise nothing
-	forgetOrphan bool // drop the outcome when the caller hung up
 }
 
 // call is one request of one caller.
@@ -276,6 +269,7 @@
 // Tick handles what is due at now. Call it at NextTick, or every few
 // milliseconds.
 func (r *Router) Tick(now mono.Time, out *Actions) {
+	r.sendAcks(now, out)
 	for {
 		e, due := r.timers.PopDue(now)
 		if !due {
@@ -292,5 +286,9 @@
 // NextTick returns when Tick has something to do at the earliest, and false
 // if nothing is due ever.
 func (r *Router) NextTick() (mono.Time, bool) {
-	return r.timers.Next()
+	at, ok := r.timers.Next()
+	if len(r.acks) > 0 && (!ok || r.nextAck.Before(at)) {
+		return r.nextAck, true
+	}
+	return at, ok
 }
