--- /dev/null
+++ b/gate/modelshell_test.go
@@ -0,0 +1,108 @@
+package gate
+
+import (
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// doRouter performs a router's actions.
+func (w *world) doRouter(i int, out *request.Actions) {
+	e := w.entries[i]
+	if !w.drop.noRaises {
+		w.raise(out.Raises)
+	}
+	for _, r := range out.Replies {
+		w.reply(e, r)
+		if r.Answer.Code.Outcome() == result.Unknown || r.Answer.Code.Outcome() == result.Late {
+			w.checkRaised(r.Answer.ID)
+		}
+	}
+	for _, c := range out.Cancels {
+		w.net = append(w.net, message{entry: i, gate: w.siteOf(c.To), session: e.self, cancel: &c.Cancel})
+	}
+	for _, a := range out.Acks {
+		w.net = append(w.net, message{entry: i, gate: w.siteOf(a.To), session: e.self, ack: &a.Ack})
+	}
+	for _, s := range out.Sends {
+		w.transmit(i, s)
+	}
+}
+
+func (w *world) checkRaised(id string) {
+	for _, o := range w.ops {
+		if o.idempotent && o.id == id {
+			return
+		}
+	}
+	if !w.raised[id] {
+		w.fail("unknown told for %s and not raised", id)
+	}
+}
+
+func (w *world) transmit(i int, s request.Send) {
+	if w.src.IntN(12) == 0 {
+		var out request.Actions
+		w.entries[i].router.SendFailed(w.now, s.Request.Seq, result.PeerUnreachable, &out)
+		w.doRouter(i, &out)
+		return
+	}
+	own := *s.Request
+	m := message{entry: i, gate: w.siteOf(s.To), session: w.entries[i].self, req: &own}
+	w.entries[i].latest[own.ID] = m
+	w.net = append(w.net, m)
+}
+
+// doGate performs a gate's actions.
+func (w *world) doGate(i int, out *Actions) {
+	s := w.sites[i]
+	w.raise(out.Raises)
+	for _, st := range out.Starts {
+		w.begin(s, st)
+	}
+	for _, c := range out.Cancels {
+		for _, r := range s.runs {
+			if r.start.Run == c.Run {
+				r.cancelled = true
+			}
+		}
+	}
+	for _, run := range out.Ends {
+		if _, held := s.held[run]; !held {
+			w.fail("run %d ended twice", run)
+		}
+		delete(s.held, run)
+	}
+	for _, a := range out.Answers {
+		w.send(i, a)
+		if w.drop.noAcks {
+			s.gate.Acked(a.To, request.Ack{Seqs: []uint64{a.Answer.Seq}})
+		}
+	}
+}
+
+func (w *world) begin(s *site, st Start) {
+	s.held[st.Run] = st.Request.Slice
+	for _, r := range s.runs {
+		if r.connected && r.start.Connection == st.Connection {
+			w.fail("connection %d of %s is used twice", st.Connection, s.self)
+		}
+	}
+	if st.Epoch != 0 && w.now >= s.lease {
+		w.fail("%s starts a run without a lease", s.self)
+	}
+	if st.Connection < 0 || st.Connection >= modelConns {
+		w.fail("connection %d does not exist", st.Connection)
+	}
+	s.runs = append(s.runs, &targetRun{start: st, connected: true})
+	if len(s.runs) > modelSlots {
+		w.fail("%d slots of %s are taken", len(s.runs), s.self)
+	}
+}
+
+func (w *world) send(i int, a Answer) {
+	for n, e := range w.entries {
+		if e.self.Host == a.To.Host {
+			w.net = append(w.net, message{entry: n, gate: i, session: a.To, answer: a.Answer})
+		}
+	}
+}
--- a/gate/modelsteps_test.go
+++ b/gate/modelsteps_test.go
@@ -9,45 +9,49 @@
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
-// step does one thing that may happen at any moment.
+// happening is something that may happen at any moment, and how often.
+type happening struct {
+	weight int
+	do     func(*world)
+}
+
+var happenings = []happening{
+	{3, (*world).newOp},
+	{2, func(w *world) { w.withOp(w.again) }},
+	{7, func(w *world) { w.withMessage(w.deliver) }},
+	{1, func(w *world) { w.withMessage(w.lose) }},
+	{1, (*world).double},
+	{3, func(w *world) { w.withRun(w.execute) }},
+	{2, func(w *world) { w.withRun(w.answerRun) }},
+	{1, func(w *world) { w.withRun(w.refuseRun) }},
+	{1, func(w *world) { w.withRun(w.loseRun) }},
+	{1, func(w *world) { w.withRun(w.answerCancel) }},
+	{2, func(w *world) { w.advance(time.Duration(1+w.src.IntN(60)) * time.Millisecond) }},
+	{1, func(w *world) { w.handover(w.src.IntN(modelSlices)) }},
+	{1, func(w *world) { w.finishHandover(w.src.IntN(modelSlices)) }},
+	{1, func(w *world) { w.cutOrRejoin(w.src.IntN(2)) }},
+	{1, func(w *world) { w.updateMap(w.src.IntN(2)) }},
+	{1, func(w *world) { w.loseEntry(w.src.IntN(2)) }},
+	{1, (*world).hangUp},
+}
+
+const happeningWeights = 30
+
+// step lets one thing happen.
 func (w *world) step() {
-	switch w.src.IntN(30) {
-	case 0, 1, 2:
-		w.newOp()
-	case 3, 4:
-		if len(w.ops) > 0 {
-			w.again(w.ops[w.src.IntN(len(w.ops))])
+	n := w.src.IntN(happeningWeights)
+	for _, h := range happenings {
+		n -= h.weight
+		if n < 0 {
+			h.do(w)
+			return
 		}
-	case 5, 6, 7, 8, 9, 10, 11:
-		w.withMessage(w.deliver)
-	case 12:
-		w.withMessage(w.lose)
-	case 13:
-		w.double()
-	case 14, 15, 16:
-		w.withRun(w.execute)
-	case 17, 18:
-		w.withRun(w.answerRun)
-	case 19:
-		w.withRun(w.refuseRun)
-	case 20:
-		w.withRun(w.loseRun)
-	case 21:
-		w.withRun(w.answerCancel)
-	case 22, 23:
-		w.advance(time.Duration(1+w.src.IntN(60)) * time.Millisecond)
-	case 24:
-		w.handover(w.src.IntN(modelSlices))
-	case 25:
-		w.finishHandover(w.src.IntN(modelSlices))
-	case 26:
-		w.cutOrRejoin(w.src.IntN(2))
-	case 27:
-		w.updateMap(w.src.IntN(2))
-	case 28:
-		w.loseEntry(w.src.IntN(2))
-	case 29:
-		w.hangUp()
+	}
+}
+
+func (w *world) withOp(do func(*op)) {
+	if len(w.ops) > 0 {
+		do(w.ops[w.src.IntN(len(w.ops))])
 	}
 }
 
@@ -131,123 +135,6 @@
 	w.doRouter(m.entry, &out)
 }
 
-// execute lets the target run a request, if it still may by its own rules.
-func (w *world) execute(i int, r *targetRun) {
-	s := w.sites[i]
-	if r.executed || r.over {
-		return
-	}
-	if code := w.targetRefuses(s, r); code != result.OK {
-		w.refuse(i, r, code)
-		return
-	}
-	r.executed = true
-	req := r.start.Request
-	for _, o := range w.ops {
-		if o.body == string(req.Body) {
-			o.ran++
-			o.ranByID[req.ID]++
-		}
-	}
-}
-
-// targetRefuses says whether a target that checks grants refuses. One that
-// does not may also run what is past its deadline.
-func (w *world) targetRefuses(s *site, r *targetRun) result.Code {
-	if !w.checks {
-		return result.OK
-	}
-	if w.now > r.start.Deadline {
-		return result.DeadlineTooShort
-	}
-	if r.start.Epoch == 0 {
-		return result.OK
-	}
-	highest := &s.fence[r.start.Request.Slice]
-	if w.now >= r.start.Expires || r.start.Epoch < *highest {
-		return result.FenceRefused
-	}
-	*highest = r.start.Epoch
-	return result.OK
-}
-
-func (w *world) remove(i int, r *targetRun) {
-	s := w.sites[i]
-	r.over = true
-	for n, x := range s.runs {
-		if x == r {
-			s.runs = append(s.runs[:n:n], s.runs[n+1:]...)
-			return
-		}
-	}
-}
-
-func (w *world) answerRun(i int, r *targetRun) {
-	if !r.executed || r.over {
-		return
-	}
-	w.remove(i, r)
-	if !r.connected {
-		return
-	}
-	var out Actions
-	s := w.sites[i]
-	s.gate.TargetAnswered(w.now, r.start.Run, 200, "", []byte("did "+string(r.start.Request.Body)), &out)
-	lapsed := r.start.Epoch != 0 && !w.checks && w.now >= s.lease
-	for _, a := range out.Answers {
-		if lapsed && a.Answer.Code == result.OK {
-			w.fail("%s vouches for an answer after its lease", s.self)
-		}
-	}
-	w.doGate(i, &out)
-}
-
-func (w *world) refuseRun(i int, r *targetRun) {
-	if r.executed {
-		return
-	}
-	w.refuse(i, r, []result.Code{result.TargetShed, result.Draining, result.TargetUnavailable}[w.src.IntN(3)])
-}
-
-func (w *world) refuse(i int, r *targetRun, code result.Code) {
-	w.remove(i, r)
-	if !r.connected {
-		return
-	}
-	var out Actions
-	g := w.sites[i].gate
-	if code == result.TargetUnavailable {
-		g.TargetConnectFailed(w.now, r.start.Run, &out)
-	} else {
-		g.TargetRefused(w.now, r.start.Run, code, &out)
-	}
-	w.doGate(i, &out)
-}
-
-func (w *world) loseRun(i int, r *targetRun) {
-	if !r.connected {
-		return
-	}
-	r.connected = false
-	var out Actions
-	w.sites[i].gate.TargetLost(w.now, r.start.Run, result.AnswerLost, &out)
-	w.doGate(i, &out)
-}
-
-func (w *world) answerCancel(i int, r *targetRun) {
-	if !r.cancelled {
-		return
-	}
-	r.cancelled = false
-	stopped := !r.executed
-	if stopped {
-		w.remove(i, r)
-	}
-	var out Actions
-	w.sites[i].gate.CancelResult(w.now, r.start.Run, stopped, &out)
-	w.doGate(i, &out)
-}
-
 // advance lets time pass: leases that can be are renewed, timers are due, and
 // targets drop what is long past its time.
 func (w *world) advance(d time.Duration) {
@@ -414,41 +301,3 @@
 	}
 	w.advance(drainedAfter)
 }
-
-// judge checks what must always hold, from the targets' records.
-func (w *world) judge() {
-	for _, o := range w.ops {
-		if o.waiting {
-			w.fail("%s was never answered", o.body)
-		}
-		if o.idempotent {
-			continue
-		}
-		if o.ran > 1 {
-			w.fail("%s ran %d times under %v, told %v", o.body, o.ran, o.ids, o.told)
-		}
-		for _, id := range o.notRun {
-			if o.ranByID[id] > 0 {
-				w.fail("%s was told that %s did not run, but it did; told %v", o.body, id, o.told)
-			}
-		}
-		for id, n := range o.ranByID {
-			if n > 0 && !o.done && !w.raised[id] {
-				w.fail("%s ran as %s, its caller was not told, and nothing was raised; told %v", o.body, id, o.told)
-			}
-		}
-	}
-	for i, s := range w.sites {
-		if !s.gate.Idle() {
-			w.fail("gate %d is not idle at the end", i)
-		}
-		if s.gate.slots != 0 {
-			w.fail("gate %d holds %d slots at the end", i, s.gate.slots)
-		}
-	}
-	for _, e := range w.entries {
-		if n := e.router.Live(); n != 0 {
-			w.fail("%d calls are live at the end", n)
-		}
-	}
-}
--- /dev/null
+++ b/gate/modeltarget_test.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// execute lets the target run a request, if it still may by its own rules.
+func (w *world) execute(i int, r *targetRun) {
+	s := w.sites[i]
+	if r.executed || r.over {
+		return
+	}
+	if code := w.targetRefuses(s, r); code != result.OK {
+		w.refuse(i, r, code)
+		return
+	}
+	r.executed = true
+	req := r.start.Request
+	for _, o := range w.ops {
+		if o.body == string(req.Body) {
+			o.ran++
+			o.ranByID[req.ID]++
+		}
+	}
+}
+
+// targetRefuses says whether a target that checks grants refuses. One that
+// does not may also run what is past its deadline.
+func (w *world) targetRefuses(s *site, r *targetRun) result.Code {
+	if !w.checks {
+		return result.OK
+	}
+	if w.now > r.start.Deadline {
+		return result.DeadlineTooShort
+	}
+	if r.start.Epoch == 0 {
+		return result.OK
+	}
+	highest := &s.fence[r.start.Request.Slice]
+	if w.now >= r.start.Expires || r.start.Epoch < *highest {
+		return result.FenceRefused
+	}
+	*highest = r.start.Epoch
+	return result.OK
+}
+
+func (w *world) remove(i int, r *targetRun) {
+	s := w.sites[i]
+	r.over = true
+	for n, x := range s.runs {
+		if x == r {
+			s.runs = append(s.runs[:n:n], s.runs[n+1:]...)
+			return
+		}
+	}
+}
+
+func (w *world) answerRun(i int, r *targetRun) {
+	if !r.executed || r.over {
+		return
+	}
+	w.remove(i, r)
+	if !r.connected {
+		return
+	}
+	var out Actions
+	s := w.sites[i]
+	s.gate.TargetAnswered(w.now, r.start.Run, 200, "", []byte("did "+string(r.start.Request.Body)), &out)
+	lapsed := r.start.Epoch != 0 && !w.checks && w.now >= s.lease
+	for _, a := range out.Answers {
+		if lapsed && a.Answer.Code == result.OK {
+			w.fail("%s vouches for an answer after its lease", s.self)
+		}
+	}
+	w.doGate(i, &out)
+}
+
+func (w *world) refuseRun(i int, r *targetRun) {
+	if r.executed {
+		return
+	}
+	w.refuse(i, r, []result.Code{result.TargetShed, result.Draining, result.TargetUnavailable}[w.src.IntN(3)])
+}
+
+func (w *world) refuse(i int, r *targetRun, code result.Code) {
+	w.remove(i, r)
+	if !r.connected {
+		return
+	}
+	var out Actions
+	g := w.sites[i].gate
+	if code == result.TargetUnavailable {
+		g.TargetConnectFailed(w.now, r.start.Run, &out)
+	} else {
+		g.TargetRefused(w.now, r.start.Run, code, &out)
+	}
+	w.doGate(i, &out)
+}
+
+func (w *world) loseRun(i int, r *targetRun) {
+	if !r.connected {
+		return
+	}
+	r.connected = false
+	var out Actions
+	w.sites[i].gate.TargetLost(w.now, r.start.Run, result.AnswerLost, &out)
+	w.doGate(i, &out)
+}
+
+func (w *world) answerCancel(i int, r *targetRun) {
+	if !r.cancelled {
+		return
+	}
+	r.cancelled = false
+	stopped := !r.executed
+	if stopped {
+		w.remove(i, r)
+	}
+	var out Actions
+	w.sites[i].gate.CancelResult(w.now, r.start.Run, stopped, &out)
+	w.doGate(i, &out)
+}
