Balance over gates by the time an answer will likely take

Cause: apps that are not divided by key had no choice of gate. Change: package balance: two choices by measured time and requests in flight, nearest zone first, other region only for the deadline and within the daemon's share of the link; bytes counted by purpose. Refusals count as slow. A simulator in virtual time plays router, gates and targets under overload.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,140 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/balance"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+func gateAt(name, region, zone string) balance.Gate {
+	return balance.Gate{
+		Session: host.Session{Host: host.ID(name), Incarnation: 1},
+		Place:   host.Place{Region: host.Region(region), Zone: host.Zone(zone)},
+	}
+}
+
+var (
+	here     = gateAt("here", "north", "n1")
+	beside   = gateAt("beside", "north", "n2")
+	overLink = gateAt("over", "south", "s1")
+)
+
+func twoRegions(link balance.LinkConfig, gates ...balance.Gate) *balance.Balancer {
+	cfg := balance.DefaultConfig()
+	cfg.Place = here.Place
+	cfg.Link = link
+	b := balance.New(cfg, 0)
+	b.SetGates(simApp, gates)
+	return b
+}
+
+var wideLink = balance.LinkConfig{BytesPerSecond: 1e6, Burst: 1e6}
+
+func choose(b *balance.Balancer, now mono.Time) (host.Session, result.Code) {
+	return b.Choose(simApp, now, 100*time.Millisecond, 1000, host.Nobody)
+}
+
+func answer(b *balance.Balancer, g balance.Gate, now mono.Time, took time.Duration) {
+	b.Sent(g.Session, now)
+	b.Ended(g.Session, now, request.Ended{Took: took, Code: result.OK, Bytes: 500})
+}
+
+func TestNearestZoneFirst(t *testing.T) {
+	b := twoRegions(wideLink, overLink, beside, here)
+	for range 100 {
+		to, code := choose(b, 1)
+		must.Eq(t, result.OK, code)
+		must.Eq(t, here.Session, to)
+	}
+}
+
+// The other region is worth its bytes only if the near one is too slow.
+func TestOtherRegionOnlyForTheDeadline(t *testing.T) {
+	b := twoRegions(wideLink, here, overLink)
+	answer(b, overLink, 1, 41*time.Millisecond)
+	answer(b, here, 1, 70*time.Millisecond)
+	to, _ := choose(b, 1)
+	must.Eq(t, here.Session, to)
+	for range 50 {
+		answer(b, here, 1, 200*time.Millisecond)
+	}
+	to, _ = choose(b, 1)
+	must.Eq(t, overLink.Session, to)
+	must.Eq(t, uint64(500), b.Link().Bytes(balance.Answers))
+	must.Positive(t, b.Link().Bytes(balance.Requests))
+}
+
+func TestTheLinkKeepsItsShare(t *testing.T) {
+	const share = 10_000
+	b := twoRegions(balance.LinkConfig{BytesPerSecond: share, Burst: share}, overLink)
+	const seconds = 20
+	refused := 0
+	for ms := range mono.Time(seconds * 1000) {
+		now := ms * mono.Time(time.Millisecond)
+		to, code := choose(b, now)
+		if code != result.OK {
+			must.Eq(t, result.LinkShareExhausted, code)
+			refused++
+			continue
+		}
+		must.Eq(t, overLink.Session, to)
+		b.Link().Count(now, balance.Control, 100)
+	}
+	used := b.Link().Bytes(balance.Requests) + b.Link().Bytes(balance.Control)
+	must.Positive(t, refused)
+	must.Between(t, share*seconds*9/10, used, share*(seconds+1))
+}
+
+// A gate that refuses fast does not draw the requests.
+func TestFastRefusalsDoNotAttract(t *testing.T) {
+	second := gateAt("second", "north", "n1")
+	b := twoRegions(wideLink, here, second)
+	refusals := 0
+	for i := range 1000 {
+		now := mono.Time(i) * mono.Time(10*time.Millisecond)
+		to, _ := choose(b, now)
+		b.Sent(to, now)
+		e := request.Ended{Took: 10 * time.Millisecond, Code: result.OK}
+		if to == second.Session {
+			refusals++
+			e = request.Ended{Took: time.Millisecond, Code: result.QueueFull}
+		}
+		b.Ended(to, now, e)
+	}
+	must.Less(t, 300, refusals)
+}
+
+func TestAnUnreachableGateIsAvoided(t *testing.T) {
+	second := gateAt("second", "north", "n1")
+	b := twoRegions(wideLink, here, second)
+	b.Ended(second.Session, 1, request.Ended{Code: result.PeerUnreachable})
+	for range 50 {
+		to, _ := choose(b, 2)
+		must.Eq(t, here.Session, to)
+	}
+	b.SetGates(simApp, []balance.Gate{second})
+	to, code := choose(b, 3)
+	must.Eq(t, result.OK, code)
+	must.Eq(t, second.Session, to)
+	b.SetGates(simApp, nil)
+	_, code = choose(b, 4)
+	must.Eq(t, result.TargetUnavailable, code)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	bal := twoRegions(wideLink, here, beside, overLink, gateAt("d", "north", "n1"))
+	b.ReportAllocs()
+	for i := range b.N {
+		now := mono.Time(i) * 1000
+		to, _ := choose(bal, now)
+		bal.Sent(to, now)
+		bal.Ended(to, now, request.Ended{Took: time.Millisecond, Code: result.OK, Bytes: 100})
+	}
+}
--- /dev/null
+++ b/balance/naive_test.go
@@ -0,0 +1,58 @@
+package balance_test
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/balance"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// roundRobin sends to each gate in turn.
+type roundRobin struct {
+	gates []balance.Gate
+	next  int
+}
+
+func (r *roundRobin) Choose(key.App, mono.Time, time.Duration, int, host.Session) (host.Session, result.Code) {
+	r.next++
+	return r.gates[r.next%len(r.gates)].Session, result.OK
+}
+func (*roundRobin) Sent(host.Session, mono.Time)                 {}
+func (*roundRobin) Ended(host.Session, mono.Time, request.Ended) {}
+
+// leastReported believes what the targets report.
+type leastReported struct {
+	roundRobin
+	loads map[host.Session]float64
+}
+
+func (l *leastReported) Choose(app key.App, now mono.Time, d time.Duration, n int, not host.Session) (host.Session, result.Code) {
+	best, _ := l.roundRobin.Choose(app, now, d, n, not)
+	for _, g := range l.gates {
+		if l.loads[g.Session] < l.loads[best] {
+			best = g.Session
+		}
+	}
+	return best, result.OK
+}
+
+// fifo is a target without a gate: first come, first served, no bounds.
+type fifo struct {
+	free []mono.Time // when each slot is free
+}
+
+// serve returns when a request that arrives now is done.
+func (f *fifo) serve(now mono.Time, service time.Duration) mono.Time {
+	first := 0
+	for i, t := range f.free {
+		if t < f.free[first] {
+			first = i
+		}
+	}
+	f.free[first] = max(f.free[first], now).Add(service)
+	return f.free[first]
+}
--- /dev/null
+++ b/balance/sim_test.go
@@ -0,0 +1,274 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/balance"
+	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/timer"
+)
+
+// The simulator: one entry daemon, gates and targets in virtual time, with
+// Poisson arrivals and drawn service times.
+
+const (
+	simApp    key.App = "catalogue"
+	simSlots          = 12
+	simConns          = 130
+	wayDelay          = 100 * time.Microsecond
+	simTick           = time.Millisecond
+	wallMs    int64   = 1_700_000_000_000
+	answerTxt         = "ok"
+)
+
+// call is what a caller of the simulation asked.
+type call struct {
+	at       mono.Time
+	deadline mono.Time
+	urgent   bool
+	answered bool
+	code     result.Code
+	took     time.Duration
+}
+
+type server struct {
+	self    host.Session
+	gate    *gate.Gate
+	service time.Duration
+	lies    bool
+	live    map[uint64]bool
+}
+
+type sim struct {
+	now     mono.Time
+	rnd     *rand.Rand
+	events  timer.Queue[func()]
+	router  *request.Router
+	servers []*server
+	calls   map[request.Caller]*call
+	all     []*call
+	sample  func()
+	report  func(host.Session, float64)
+}
+
+// undivided is the map of an app whose requests any gate may run.
+type undivided struct{}
+
+func (undivided) Divided(key.App) (bool, bool)        { return false, true }
+func (undivided) Route(key.App, string) request.Route { return request.Route{} }
+
+type noOwner struct{}
+
+func (noOwner) Admit(key.App, string, key.SliceID, mono.Time) gate.Admission {
+	return gate.Admission{Code: result.NotOwner}
+}
+
+func newSim(seed uint64, services []time.Duration) *sim {
+	s := &sim{rnd: rand.New(rand.NewPCG(seed, 0)), calls: map[request.Caller]*call{}, now: 1}
+	s.report = func(host.Session, float64) {}
+	for i, d := range services {
+		self := host.Session{Host: host.ID(fmt.Sprint("g", i)), Incarnation: 1}
+		cfg := gate.DefaultConfig()
+		cfg.Self = self
+		cfg.App = simApp
+		cfg.Owner = noOwner{}
+		v := &server{self: self, gate: gate.New(cfg), service: d, live: map[uint64]bool{}}
+		var out gate.Actions
+		v.gate.Announced(s.now.Add(-time.Minute), gate.Announcement{Slots: simSlots, Connections: simConns, State: gate.Warm}, &out)
+		s.servers = append(s.servers, v)
+	}
+	return s
+}
+
+func (s *sim) use(c request.Chooser) {
+	cfg := request.DefaultConfig()
+	cfg.Self = host.Session{Host: "entry", Incarnation: 1}
+	cfg.Map = undivided{}
+	cfg.Chooser = c
+	s.router = request.NewRouter(cfg)
+}
+
+func (s *sim) useBalancer() *balance.Balancer {
+	cfg := balance.DefaultConfig()
+	cfg.Place = simPlace
+	b := balance.New(cfg, s.now)
+	b.SetGates(simApp, s.gates())
+	s.use(b)
+	return b
+}
+
+var simPlace = host.Place{Region: "r", Zone: "z"}
+
+func (s *sim) gates() []balance.Gate {
+	var list []balance.Gate
+	for _, v := range s.servers {
+		list = append(list, balance.Gate{Session: v.self, Place: simPlace})
+	}
+	return list
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.events.Add(s.now.Add(d), do)
+}
+
+// arrivals submits requests at a rate until the end.
+func (s *sim) arrivals(perSecond float64, urgentPart float64, normal, urgent time.Duration, end mono.Time) {
+	var next func()
+	next = func() {
+		if s.now >= end {
+			return
+		}
+		c := &call{at: s.now, urgent: s.rnd.Float64() < urgentPart}
+		r := &request.Request{ID: "x", App: simApp, Idempotent: true, Repeat: request.RepeatFirst}
+		c.deadline = s.now.Add(normal)
+		if c.urgent {
+			c.deadline = s.now.Add(urgent)
+			r.Class = request.Urgent
+		}
+		s.all = append(s.all, c)
+		caller := request.Caller(len(s.all))
+		s.calls[caller] = c
+		var out request.Actions
+		s.router.Submit(s.now, r, c.deadline, caller, &out)
+		s.doRouter(&out)
+		s.after(time.Duration(s.rnd.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+}
+
+func (s *sim) run(end mono.Time) {
+	var tick func()
+	tick = func() {
+		var out request.Actions
+		s.router.Tick(s.now, &out)
+		s.doRouter(&out)
+		for _, v := range s.servers {
+			var out gate.Actions
+			v.gate.Tick(s.now, wallMs, &out)
+			s.doGate(v, &out)
+		}
+		if s.sample != nil {
+			s.sample()
+		}
+		s.after(simTick, tick)
+	}
+	tick()
+	for {
+		e, ok := s.events.PopDue(end)
+		if !ok {
+			return
+		}
+		s.now = e.At
+		e.Item()
+	}
+}
+
+func (s *sim) doRouter(out *request.Actions) {
+	for _, r := range out.Replies {
+		c := s.calls[r.Caller]
+		delete(s.calls, r.Caller)
+		c.answered = true
+		c.code = r.Answer.Code
+		c.took = s.now.Sub(c.at)
+	}
+	for _, send := range out.Sends {
+		v := s.server(send.To)
+		s.after(wayDelay, func() {
+			var out gate.Actions
+			v.gate.Arrive(s.now, wallMs, host.Session{Host: "entry", Incarnation: 1}, send.Request, &out)
+			s.doGate(v, &out)
+		})
+	}
+	for _, c := range out.Cancels {
+		v := s.server(c.To)
+		s.after(wayDelay, func() {
+			var out gate.Actions
+			v.gate.Cancelled(s.now, host.Session{Host: "entry", Incarnation: 1}, c.Cancel, &out)
+			s.doGate(v, &out)
+		})
+	}
+}
+
+func (s *sim) server(self host.Session) *server {
+	for _, v := range s.servers {
+		if v.self == self {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *sim) doGate(v *server, out *gate.Actions) {
+	for _, st := range out.Starts {
+		run := st.Run
+		v.live[run] = true
+		s.after(time.Duration(s.rnd.ExpFloat64()*float64(v.service)), func() {
+			if !v.live[run] {
+				return
+			}
+			delete(v.live, run)
+			var out gate.Actions
+			v.gate.TargetAnswered(s.now, run, 200, "", []byte(answerTxt), &out)
+			s.doGate(v, &out)
+		})
+	}
+	for _, c := range out.Cancels {
+		s.after(wayDelay, func() {
+			stopped := v.live[c.Run]
+			delete(v.live, c.Run)
+			var out gate.Actions
+			v.gate.CancelResult(s.now, c.Run, stopped, &out)
+			s.doGate(v, &out)
+		})
+	}
+	for _, a := range out.Answers {
+		s.after(wayDelay, func() {
+			var out request.Actions
+			s.router.Answered(s.now, v.self, a.Answer, &out)
+			s.doRouter(&out)
+		})
+	}
+}
+
+// good counts the calls that were done within their deadline.
+func (s *sim) good() int {
+	n := 0
+	for _, c := range s.all {
+		if c.answered && c.code == result.OK && c.took <= c.deadline.Sub(c.at) {
+			n++
+		}
+	}
+	return n
+}
+
+// imbalance follows the greatest busy slots over the mean of all.
+type imbalance struct {
+	sum float64
+	n   float64
+}
+
+func (m *imbalance) add(s *sim) {
+	most, total := 0.0, 0.0
+	for _, v := range s.servers {
+		busy := float64(len(v.live))
+		most = math.Max(most, busy)
+		total += busy
+	}
+	if total == 0 {
+		return
+	}
+	m.sum += most / (total / float64(len(s.servers)))
+	m.n++
+}
+
+func (m *imbalance) mean() float64 {
+	return m.sum / m.n
+}
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -209,8 +209,8 @@
 	}
 	return v.w.sites[i].self, result.OK
 }
-func (chooserView) Sent(host.Session, mono.Time)                                   {}
-func (chooserView) Ended(host.Session, mono.Time, time.Duration, result.Code, int) {}
+func (chooserView) Sent(host.Session, mono.Time)                 {}
+func (chooserView) Ended(host.Session, mono.Time, request.Ended) {}
 
 // grant makes a site the owner of a slice.
 func (w *world) grant(s, to int, epoch uint64) {
--- a/request/answer.go
+++ b/request/answer.go
@@ -191,7 +191,7 @@
 // ended tells the chooser that a sending is over.
 func (r *Router) ended(now mono.Time, c *call, code result.Code, size int) {
 	if c.req.Slice == NoSlice {
-		r.cfg.Chooser.Ended(c.to, now, now.Sub(c.sentAt), code, size)
+		r.cfg.Chooser.Ended(c.to, now, Ended{Took: now.Sub(c.sentAt), Code: code, Bytes: size})
 	}
 }
 
--- a/request/router.go
+++ b/request/router.go
@@ -38,9 +38,18 @@
 	Choose(app key.App, now mono.Time, budget time.Duration, size int, not host.Session) (host.Session, result.Code)
 	// Sent counts a sending to a gate.
 	Sent(to host.Session, now mono.Time)
-	// Ended counts its end and how long it took; code is the gate's answer
-	// or the failure.
-	Ended(to host.Session, now mono.Time, took time.Duration, code result.Code, size int)
+	// Ended counts its end.
+	Ended(to host.Session, now mono.Time, e Ended)
+}
+
+// Ended is how a sending ended.
+type Ended struct {
+	// Took is the time since the sending.
+	Took time.Duration
+	// Code is the gate's answer, or the failure.
+	Code result.Code
+	// Bytes is the size of the answer's body.
+	Bytes int
 }
 
 // Config sets a Router up.
