One-page report of a trial, with plots over time

Cause: the verdict's line says how a trial went, not when. Change: rhubarb-trial report draws latency, imbalance, changes of owners and unavailable slices in steps of half a second with the faults' windows shaded, as report.html and report.png; make trial leaves one.

--- a/cmd/rhubarb-trial/main.go
+++ b/cmd/rhubarb-trial/main.go
@@ -19,6 +19,6 @@
 		Use:   "rhubarb-trial",
 		Short: "Prepare and judge a trial",
 	}
-	cmd.AddCommand(settingsCommand(), waitCommand(), postCommand(), uploadCommand(), markCommand(), keptCommand(), judgeCommand())
+	cmd.AddCommand(settingsCommand(), waitCommand(), postCommand(), uploadCommand(), markCommand(), keptCommand(), judgeCommand(), reportCommand())
 	return cmd
 }
--- /dev/null
+++ b/cmd/rhubarb-trial/main_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/internal/cli"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/storestand"
+)
+
+// run executes the command line and returns its exit code and output.
+func run(args ...string) (int, string) {
+	var out bytes.Buffer
+	cmd := command()
+	cmd.SetArgs(args)
+	cmd.SetOut(&out)
+	return cli.Run(cmd, &out), out.String()
+}
+
+func store(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := storestand.New(storestand.Config{Seed: 1, History: 10})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	t.Cleanup(func() {
+		must.NoError(t, server.Close())
+		must.NoError(t, <-done)
+	})
+	return ln.Addr().String()
+}
+
+func TestUploadAndKept(t *testing.T) {
+	address := store(t)
+	example := filepath.Join("..", "..", "examples", "rayuela.json")
+	code, out := run("upload", "--store", "http://"+address, "--file", example)
+	must.Eq(t, cli.ExitOK, code, must.Sprint(out))
+	client := storeclient.New(address, time.Second)
+	object, err := client.Get(document.Kind, "trial")
+	must.NoError(t, err)
+	stored, err := document.DecodeStored(object.Value)
+	must.NoError(t, err)
+	raw, err := os.ReadFile(example)
+	must.NoError(t, err)
+	must.Eq(t, raw, stored.Content)
+	code, out = run("upload", "--store", "http://"+address, "--file", example)
+	must.Eq(t, cli.ExitFailed, code)
+	must.StrContains(t, out, "store_conflict")
+
+	_, err = client.Put(outcomeKind, "a", 0, []byte("id-1"))
+	must.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "outcomes.json")
+	code, _ = run("kept", "--store", "http://"+address, "--file", file)
+	must.Eq(t, cli.ExitOK, code)
+	var kept [][]byte
+	must.NoError(t, readJSON(file, &kept))
+	must.Eq(t, [][]byte{[]byte("id-1")}, kept)
+}
+
+func TestWaitAndPost(t *testing.T) {
+	base := "http://" + store(t)
+	code, _ := run("wait", "--status", "200", base+"/stand/calls")
+	must.Eq(t, cli.ExitOK, code)
+	code, out := run("wait", "--status", "200", "--for", "1ms", base+"/none")
+	must.Eq(t, cli.ExitFailed, code)
+	must.StrContains(t, out, "status 404")
+	code, _ = run("post", base+"/stand/fault", "{}")
+	must.Eq(t, cli.ExitOK, code)
+	code, _ = run("post", base+"/stand/fault", "no JSON")
+	must.Eq(t, cli.ExitFailed, code)
+}
+
+// write fills a trial's directory by hand.
+func write(t *testing.T, dir, name, text string) {
+	must.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(text), fileMode))
+}
+
+func TestJudgeReadsTheFilesOfATrial(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "hosts.json", `[{"name":"h1","app":"payments","slots":2,"caller":"127.0.0.1:1"}]`)
+	write(t, dir, "outcomes.json", `[]`)
+	write(t, dir, "load.jsonl", `{"id":"a","app":"payments","asked_ns":1,"ended_ns":9000000,"words":[{"connected":true,"outcome":"done","own":true,"sent_ns":1,"answered_ns":9000001}]}
+`)
+	write(t, dir, "h1.ran.jsonl", `{"phase":"start","target":"h1","app":"payments","id":"a","attempt":"1","start_ns":2}
+{"phase":"end","target":"h1","app":"payments","id":"a","attempt":"1","start_ns":2,"end_ns":8000000}
+`)
+	write(t, dir, "faults.jsonl", "")
+	for _, args := range [][]string{{"planned_stop", "begin", "h1"}, {"planned_stop", "end", "h1"}} {
+		code, _ := run(append([]string{"mark", "--file", filepath.Join(dir, "faults.jsonl")}, args...)...)
+		must.Eq(t, cli.ExitOK, code)
+	}
+	code, out := run("judge", "--dir", dir)
+	must.Eq(t, cli.ExitOK, code)
+	must.StrContains(t, out, "\ntrial: ok requests=1 lost=0 repeated=0 two_owners=0 false_not_run=0 cut_off=0 p99_ms=9.0 imbalance=1.00")
+	code, out = run("judge", "--dir", dir, "--problem", "h1 ended by itself")
+	must.Eq(t, cli.ExitFailed, code)
+	must.StrContains(t, out, "\ntrial: FAILED requests=1 ")
+	must.StrHasSuffix(t, "unavailable_ms=0\n", out)
+	code, _ = run("report", "--dir", dir)
+	must.Eq(t, cli.ExitOK, code)
+	must.FileExists(t, filepath.Join(dir, "report.html"))
+}
--- a/internal/judge/balance.go
+++ b/internal/judge/balance.go
@@ -137,6 +137,13 @@
 	from, to string
 }
 
+// forced reports whether the change leads away from a session that a fault
+// ended, given when each of those ended.
+func (c ownerChange) forced(victims map[string]int64) bool {
+	ended, ok := victims[c.from]
+	return ok && c.atNs >= ended
+}
+
 func ownerChanges(runs []run) []ownerChange {
 	owners := map[string]string{}
 	var out []ownerChange
@@ -157,7 +164,7 @@
 	var m Moves
 	for _, c := range ownerChanges(runs) {
 		m.Changes++
-		if begin, ok := victims[c.from]; ok && c.atNs >= begin {
+		if c.forced(victims) {
 			m.Forced++
 		}
 	}
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -14,6 +14,7 @@
 	// that refuses everything breaks no promise, but is no success.
 	leastDoneShare = 0.9
 	percentile99   = 0.99
+	median         = 0.5
 )
 
 // Verdict is the outcome of a trial.
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,51 @@
+// Package report draws a trial on one page: latency, imbalance, changes of
+// owners and unavailable slices over time, with the faults' windows shaded.
+package report
+
+import (
+	"bytes"
+	"encoding/base64"
+	"html/template"
+	"io"
+
+	"github.com/rhubarbring/rhubarbring/internal/judge"
+)
+
+// Page is what the report shows.
+type Page struct {
+	Title    string
+	Verdict  judge.Verdict
+	Timeline judge.Timeline
+}
+
+type pageData struct {
+	Page
+	Image template.URL
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font-family:sans-serif;max-width:62em;margin:2em auto}table{border-collapse:collapse}
+td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ccc}img{width:100%}pre{white-space:pre-wrap}</style></head>
+<body><h1>{{.Title}}</h1>
+<pre>{{.Verdict}}</pre>
+{{if .Verdict.Problems}}<ul>{{range .Verdict.Problems}}<li>{{.}}</li>{{end}}</ul>{{end}}
+<table><tr><th>Figure</th><th>Value</th></tr>
+<tr><td>requests done</td><td>{{.Verdict.Done}} of {{.Verdict.Requests}}</td></tr>
+{{range .Verdict.Balances}}<tr><td>imbalance of {{.App}}, outside the faults' windows</td><td>{{printf "%.2f" .Imbalance}}</td></tr>
+{{end}}<tr><td>changes of owners, of them forced by faults</td><td>{{.Verdict.Moves.Changes}}, {{.Verdict.Moves.Forced}}</td></tr>
+<tr><td>longest gap after the first fault</td><td>{{.Verdict.Unavailable.Length}} ({{.Verdict.Unavailable.Slice}})</td></tr></table>
+<img alt="latency, imbalance, changes of owners and unavailable slices over time" src="{{.Image}}">
+<p>From what callers and targets saw; docs/TRIAL.md defines the figures. Shaded: planned stop, kill, store outage.</p>
+</body></html>
+`))
+
+// WriteHTML writes the page as one HTML file with the plots in it.
+func WriteHTML(w io.Writer, p Page) error {
+	var image bytes.Buffer
+	if err := WritePNG(&image, p.Timeline); err != nil {
+		return err
+	}
+	url := "data:image/png;base64," + base64.StdEncoding.EncodeToString(image.Bytes())
+	return pageTemplate.Execute(w, pageData{Page: p, Image: template.URL(url)})
+}
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -51,6 +51,7 @@
 		if ((SECONDS >= end)); then
 			problems+=(--problem "$1 did not end within $stop_bound s")
 			kill -KILL "$pid" 2>/dev/null || true
+			break
 		fi
 		sleep 0.05
 	done
@@ -163,4 +164,5 @@
 note_dead
 stop_all
 echo "callers: $(cat "$TRIAL_DIR/load.out")"
+"$tool" report --dir "$TRIAL_DIR" --title "Trial of $LAYOUT, seed $SEED" || echo "trial: no report" >&2
 "$tool" judge --dir "$TRIAL_DIR" "${problems[@]}"
