Spread versions from the store through each zone

Cause: 12,000 daemons can't each watch the store, and a document must be in force everywhere within 10 s and never go back. Change: package spread. A daemon that starts puts nothing in force before it has caught up; a relay holds a document until another daemon has it. Stored documents hold their bytes as text, so that differences are short.

--- a/document/parse.go
+++ b/document/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"unicode/utf8"
 )
 
 // MaxBytes is the largest document that is accepted.
@@ -19,6 +20,9 @@
 			Remedy: "shorten the document",
 		}}
 	}
+	if !utf8.Valid(raw) {
+		return nil, Problems{{Reason: "the bytes are not valid UTF-8", Remedy: "save the document as UTF-8"}}
+	}
 	tree, problems := readTree(raw)
 	if len(problems) > 0 {
 		return nil, problems
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -106,6 +106,7 @@
 		{"null", `null`, "it is of type null, not object"},
 		{"large", strings.Repeat(" ", document.MaxBytes+1), "exceed the limit"},
 		{"exponent", strings.Replace(string(mustExample("rayuela")), `"queue_bound": 24`, `"queue_bound": 2.4e1`, 1), "without a fraction or exponent"},
+		{"not UTF-8", "{\"environment\": \"\xff\"}", "not valid UTF-8"},
 		{"schema's loose end", `{"environment":"a"} x`, "something follows"},
 	}
 	for _, c := range cases {
--- a/document/plan_test.go
+++ b/document/plan_test.go
@@ -74,7 +74,7 @@
 	raw := example(t, "rayuela")
 	doc := parsed(t, raw)
 	hash := document.HashOf(raw)
-	stored := &document.Stored{Version: 7, Hash: hash, Content: raw, Who: "ana", When: time.Unix(1, 0)}
+	stored := &document.Stored{Version: 7, Hash: hash, Content: string(raw), Who: "ana", When: time.Unix(1, 0)}
 	inForce := document.InForce{Version: 7, Hash: hash, Hosts: 3}
 	older := document.InForce{Version: 6, Hash: "x", Hosts: 3}
 	zones := func(a, b document.InForce) map[host.Zone]document.InForce {
@@ -109,15 +109,15 @@
 // refused.
 func TestStoredKeepsTheBytes(t *testing.T) {
 	raw := example(t, "kalderimi")
-	s := &document.Stored{Version: 1, Hash: document.HashOf(raw), Content: raw, Token: "t"}
+	s := &document.Stored{Version: 1, Hash: document.HashOf(raw), Content: string(raw), Token: "t"}
 	value, err := s.Encode()
 	must.NoError(t, err)
 	back, err := document.DecodeStored(value)
 	must.NoError(t, err)
-	must.Eq(t, string(raw), string(back.Content))
+	must.Eq(t, string(raw), back.Content)
 	_, err = back.Document()
 	must.NoError(t, err)
-	s.Content = raw[1:]
+	s.Content = string(raw[1:])
 	value, err = s.Encode()
 	must.NoError(t, err)
 	_, err = document.DecodeStored(value)
--- a/document/stored.go
+++ b/document/stored.go
@@ -27,8 +27,9 @@
 	Version uint64 `json:"version"`
 	// Hash is the hash of Content.
 	Hash Hash `json:"hash"`
-	// Content is the document's exact bytes.
-	Content []byte `json:"content"`
+	// Content is the document's exact bytes, which are valid UTF-8. They
+	// stand as text, so that versions differ little where documents do.
+	Content string `json:"content"`
 	// Token is unique to the change, so that a writer whose answer was lost
 	// can tell whether its write landed.
 	Token string `json:"token"`
@@ -87,7 +88,7 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return nil, &result.Error{Code: result.BadDocument, Detail: "the stored value does not decode", Cause: err}
 	}
-	if HashOf(s.Content) != s.Hash {
+	if HashOf([]byte(s.Content)) != s.Hash {
 		return nil, &result.Error{Code: result.HashMismatch, Field: "hash", Detail: "the stored content does not have the hash " + s.Hash.Short()}
 	}
 	return &s, nil
@@ -95,6 +96,6 @@
 
 // Document parses the stored content.
 func (s *Stored) Document() (*Document, error) {
-	doc, problems := Parse(s.Content)
+	doc, problems := Parse([]byte(s.Content))
 	return doc, problems.Err()
 }
--- a/document/update.go
+++ b/document/update.go
@@ -56,7 +56,7 @@
 		pause: cfg.Pause,
 		mine: Stored{
 			Hash:    HashOf(cfg.Content),
-			Content: cfg.Content,
+			Content: string(cfg.Content),
 			Token:   cfg.Token,
 			Who:     cfg.Who,
 			When:    cfg.When,
--- a/event/document.go
+++ b/event/document.go
@@ -1,3 +1,22 @@
 package event
 
-var documentEvents = []Def{}
+// Events of documents and of what is spread from the store.
+const (
+	DocumentInForce   ID = 5000
+	DocumentRefused   ID = 5001
+	DocumentElsewhere ID = 5002
+	RelayStarted      ID = 5010
+	RelayEnded        ID = 5011
+	CaughtUp          ID = 5020
+	ZoneInForce       ID = 5030
+)
+
+var documentEvents = []Def{
+	{DocumentInForce, "document_in_force", Info, "environment version hash who", "A document came into force on this daemon."},
+	{DocumentRefused, "document_refused", Warn, "environment version hash cause", "A stored document does not pass the checks; the one in force stays. Apply a document by the command line."},
+	{DocumentElsewhere, "document_elsewhere", Warn, "environment version names", "A stored document names another environment and trial; the one in force stays."},
+	{RelayStarted, "relay_started", Info, "zone", "This daemon watches the store for its availability zone."},
+	{RelayEnded, "relay_ended", Info, "zone", "This daemon no longer watches the store."},
+	{CaughtUp, "caught_up", Info, "after_ms source", "The daemon knows what the store or its peers know, and may act on it."},
+	{ZoneInForce, "zone_in_force", Info, "zone version hosts", "Every living daemon of the availability zone has the document in force."},
+}
--- /dev/null
+++ b/spread/bench_test.go
@@ -0,0 +1,85 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkSpread runs a fleet of each size through the changes of an hour at
+// 7,000 documents a day, 790 restarts and their session records, and reports
+// what each change and each daemon cost.
+func BenchmarkSpread(b *testing.B) {
+	sizes := []struct{ zones, perZone int }{{4, 4}, {4, 75}, {1, 545}, {22, 545}}
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", size.zones, size.perZone), func(b *testing.B) {
+			for range b.N {
+				measure(b, size.zones, size.perZone)
+			}
+		})
+	}
+}
+
+const (
+	measured      = 2 * time.Minute
+	documentEvery = 24 * time.Hour / 7000
+	restartEvery  = 24 * time.Hour / 790
+)
+
+func measure(b *testing.B, zones, perZone int) {
+	f := newFleet(1, zones, perZone)
+	f.store.write(theDoc, false)
+	f.run(20 * time.Second)
+	f.encode = true
+	f.messages, f.bytes, f.storeCalls = 0, 0, 0
+	clear(f.sentBy)
+	var slowest time.Duration
+	documents := 0
+	for at := time.Duration(0); at < measured; at += documentEvery {
+		version := f.store.write(theDoc, false)
+		documents++
+		slowest = max(slowest, f.until(version))
+		f.run(documentEvery - f.now.Sub(f.wrote))
+		if at%restartEvery < documentEvery {
+			f.store.write(Key{sessions, fmt.Sprint("s", documents)}, false)
+		}
+	}
+	seconds := float64(documents) * documentEvery.Seconds()
+	most := 0
+	for _, n := range f.sentBy {
+		most = max(most, n)
+	}
+	b.ReportMetric(slowest.Seconds()*1000, "slowest-ms")
+	b.ReportMetric(float64(f.bytes)/float64(len(f.nodes))/seconds, "B/s/node")
+	b.ReportMetric(float64(most)/seconds, "most-B/s")
+	b.ReportMetric(float64(f.storeCalls)/seconds, "calls/s")
+	b.ReportMetric(float64(len(f.nodes)*len(f.nodes[0].core.cfg.Kinds))/DefaultConfig().WatchWait.Seconds(), "naive-calls/s")
+}
+
+// until runs the fleet until every daemon has a version in force, and returns
+// the time that took.
+func (f *fleet) until(version uint64) time.Duration {
+	f.wrote = f.now
+	for f.behind(theDoc, version, f.wrote) != "" && f.now.Sub(f.wrote) < bound {
+		f.run(time.Millisecond)
+	}
+	return f.now.Sub(f.wrote)
+}
+
+// BenchmarkStep is the cost of a heartbeat at a daemon with eight children.
+func BenchmarkStep(b *testing.B) {
+	f := newFleet(1, 1, 20)
+	f.store.write(theDoc, false)
+	f.run(20 * time.Second)
+	core := f.nodes[0].core
+	have := &Have{Revisions: core.revisions(), Ready: true, Child: true, Answer: true}
+	b.ReportAllocs()
+	now := f.now
+	for b.Loop() {
+		now = now.Add(time.Second)
+		core.Step(now, Tick{})
+		for _, child := range f.nodes[1:9] {
+			core.Step(now, Received{child.session, have})
+		}
+	}
+}
--- /dev/null
+++ b/spread/fleet_test.go
@@ -0,0 +1,271 @@
+package spread
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+const (
+	docs     Kind = "document"
+	sessions Kind = "session"
+)
+
+// fleet is a small model of daemons, network and store in virtual time.
+type fleet struct {
+	now   mono.Time
+	rand  *rand.Rand
+	queue events
+	seq   int
+	nodes []*node
+	store *fakeStore
+	loss  float64
+	// onStart changes each core that starts; storeless can't reach the store.
+	onStart   func(*Core)
+	storeless *node
+	faults    []string
+	wrote     mono.Time
+	// checked counts the documents whose bound was checked.
+	checked int
+
+	messages, bytes, storeCalls int
+	sentBy                      map[host.ID]int
+	encode                      bool
+}
+
+// node is a host and the daemon on it.
+type node struct {
+	session host.Session
+	zone    host.Zone
+	core    *Core
+	alive   bool
+	// cutUntil is when the isolation of the host ends.
+	cutUntil mono.Time
+	readyAt  mono.Time
+	calls    map[Kind]int
+	// adopted holds the version that each object has in force in this life,
+	// and highest that of any life.
+	adopted map[Key]uint64
+	highest map[Key]uint64
+}
+
+type timed struct {
+	at  mono.Time
+	seq int
+	do  func()
+}
+
+type events []timed
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(timed)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newFleet(seed uint64, zones, perZone int) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 7)), sentBy: make(map[host.ID]int)}
+	f.store = &fakeStore{fleet: f, objects: make(map[Key]Object)}
+	for z := range zones {
+		for i := range perZone {
+			n := &node{
+				session: host.Session{Host: host.ID(fmt.Sprintf("h%02d-%03d", z, i))},
+				zone:    host.Zone(fmt.Sprintf("z%02d", z)),
+				highest: make(map[Key]uint64),
+			}
+			f.nodes = append(f.nodes, n)
+		}
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.members()
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, timed{f.now.Add(d), f.seq, do})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(timed)
+		f.now = next.at
+		next.do()
+	}
+	f.now = end
+}
+
+func (f *fleet) start(n *node) {
+	n.session.Incarnation++
+	n.alive = true
+	n.readyAt = mono.Never
+	n.adopted = make(map[Key]uint64)
+	n.calls = make(map[Kind]int)
+	cfg := DefaultConfig()
+	cfg.Self, cfg.Zone, cfg.Seed = n.session, n.zone, f.rand.Uint64()
+	cfg.Kinds = []Kind{docs, sessions}
+	n.core = New(cfg, f.now)
+	if f.onStart != nil {
+		f.onStart(n.core)
+	}
+	f.heartbeat(n, n.session.Incarnation, time.Duration(f.rand.Int64N(int64(cfg.Interval))))
+}
+
+func (f *fleet) heartbeat(n *node, life uint64, in time.Duration) {
+	f.after(in, func() {
+		if !n.alive || n.session.Incarnation != life {
+			return
+		}
+		f.step(n, Tick{})
+		f.heartbeat(n, life, time.Second)
+	})
+}
+
+// members tells every daemon who lives.
+func (f *fleet) members() {
+	var all []Member
+	for _, n := range f.nodes {
+		if n.alive {
+			all = append(all, Member{n.session, n.zone})
+		}
+	}
+	for _, n := range f.nodes {
+		if n.alive {
+			f.step(n, Members{all})
+		}
+	}
+}
+
+// restart ends a daemon and starts it again; the others learn of its new life
+// when it starts.
+func (f *fleet) restart(n *node, down time.Duration) {
+	if !n.alive {
+		return
+	}
+	n.alive = false
+	f.after(down, func() {
+		f.start(n)
+		f.members()
+	})
+}
+
+func (f *fleet) step(n *node, ev Event) {
+	for _, a := range n.core.Step(f.now, ev) {
+		f.act(n, a)
+	}
+}
+
+func (f *fleet) act(n *node, a Action) {
+	switch a := a.(type) {
+	case Send:
+		f.send(n, a)
+	case Watch:
+		f.store.watch(n, a)
+	case Unwatch:
+		n.calls[a.Kind]++
+	case List:
+		f.store.list(n, a)
+	case Adopt:
+		f.adopt(n, a)
+	case Ready:
+		n.readyAt = f.now
+	}
+}
+
+func (f *fleet) adopt(n *node, a Adopt) {
+	if a.Object.Base != 0 || !a.Object.Deleted && string(a.Object.Value) != content(a.Object.Version) {
+		f.faults = append(f.faults, fmt.Sprintf("%v: %s adopts a wrong value of version %d", f.now, n.session, a.Object.Version))
+	}
+	if a.Object.Version < n.highest[a.Key] {
+		f.faults = append(f.faults, fmt.Sprintf("%v: %s goes back from %d to %d", f.now, n.session, n.highest[a.Key], a.Object.Version))
+	}
+	n.adopted[a.Key] = a.Object.Version
+	n.highest[a.Key] = max(n.highest[a.Key], a.Object.Version)
+}
+
+const frameOverhead = 45 // bytes of frame, IP and TCP headers
+
+func (f *fleet) send(n *node, a Send) {
+	f.messages++
+	if f.encode {
+		raw, err := cbor.Marshal(a.Message)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += len(raw) + frameOverhead
+		f.sentBy[n.session.Host] += len(raw) + frameOverhead
+	}
+	to := f.find(a.To)
+	if to == nil || f.cut(n) || f.rand.Float64() < f.loss {
+		return
+	}
+	delay := time.Millisecond
+	if to.zone[:2] != n.zone[:2] {
+		delay = 20 * time.Millisecond
+	}
+	if f.loss > 0 && f.rand.Float64() < f.loss {
+		delay += time.Duration(f.rand.Int64N(int64(3 * time.Second)))
+	}
+	f.after(delay, func() {
+		if to.alive && !f.cut(to) && to.session == a.To {
+			f.step(to, Received{n.session, a.Message})
+		}
+	})
+}
+
+func (f *fleet) find(s host.Session) *node {
+	zone, err1 := strconv.Atoi(string(s.Host[1:3]))
+	i, err2 := strconv.Atoi(string(s.Host[4:]))
+	if err1 != nil || err2 != nil {
+		return nil
+	}
+	perZone := len(f.nodes)
+	for k, n := range f.nodes {
+		if n.zone != f.nodes[0].zone {
+			perZone = k
+			break
+		}
+	}
+	return f.nodes[zone*perZone+i]
+}
+
+func (f *fleet) cut(n *node) bool {
+	return n.cutUntil.After(f.now)
+}
+
+// behind names a ready daemon that doesn't have a version in force although
+// it hasn't been isolated since it was written.
+func (f *fleet) behind(k Key, version uint64, wrote mono.Time) string {
+	for _, n := range f.nodes {
+		if n.alive && !n.cutUntil.After(wrote) && n.readyAt != mono.Never && n.adopted[k] < version {
+			return fmt.Sprintf("%v: %s has version %d, not %d", f.now, n.session, n.adopted[k], version)
+		}
+	}
+	return ""
+}
+
+func (f *fleet) ready() int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.alive && n.readyAt != mono.Never {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,114 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const bound = 10 * time.Second
+
+var theDoc = Key{docs, "rayuela"}
+
+// chaos runs a fleet through restarts, isolated daemons, lost, late and
+// reordered messages and store outages, while documents and sessions change.
+// It notes daemons that lack a document 10 s after it was accepted with the
+// store up since.
+func chaos(f *fleet, d time.Duration) {
+	end := f.now.Add(d)
+	for f.now.Before(end) {
+		switch draw := f.rand.IntN(60); {
+		case draw < 15:
+			f.writeDocument()
+		case draw < 25:
+			f.store.writeSession(f.rand.IntN(30), f.rand.IntN(3) == 0)
+		case draw < 37:
+			f.restart(f.nodes[f.rand.IntN(len(f.nodes))], time.Second+time.Duration(f.rand.Int64N(int64(time.Second))))
+		case draw < 40:
+			f.isolate(f.nodes[f.rand.IntN(len(f.nodes))])
+		case draw < 41:
+			f.outage()
+		}
+		f.run(time.Duration(f.rand.Int64N(int64(2 * time.Second))))
+	}
+}
+
+func (f *fleet) writeDocument() {
+	if f.store.down {
+		return
+	}
+	version := f.store.write(theDoc, false)
+	wrote := f.now
+	f.after(bound, func() {
+		if f.store.down || f.store.upSince.After(wrote) {
+			return
+		}
+		f.checked++
+		if bad := f.behind(theDoc, version, wrote); bad != "" {
+			f.faults = append(f.faults, "late: "+bad)
+		}
+	})
+}
+
+func (s *fakeStore) writeSession(i int, deleted bool) {
+	if !s.down {
+		s.write(Key{sessions, fmt.Sprintf("s%02d", i)}, deleted)
+	}
+}
+
+func (f *fleet) isolate(n *node) {
+	n.cutUntil = f.now.Add(8 * time.Second)
+}
+
+func (f *fleet) outage() {
+	if f.store.down {
+		return
+	}
+	f.store.setDown(true)
+	f.after(15*time.Second, func() { f.store.setDown(false) })
+}
+
+func TestNeverBackAndInForceInTime(t *testing.T) {
+	cases := []struct {
+		zones, perZone int
+		seeds          uint64
+		length         time.Duration
+	}{
+		{4, 4, 12, 5 * time.Minute},
+		{4, 75, 1, time.Minute},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.zones*c.perZone), func(t *testing.T) {
+			for seed := range c.seeds {
+				f := newFleet(seed, c.zones, c.perZone)
+				f.store.write(theDoc, false)
+				f.loss = 0.05
+				chaos(f, c.length)
+				must.SliceEmpty(t, f.faults, must.Sprintf("seed %d", seed))
+				must.Positive(t, f.checked)
+				f.store.setDown(false)
+				f.run(20 * time.Second)
+				must.Eq(t, len(f.nodes), f.ready())
+				f.sameEverywhere(t, seed)
+			}
+		})
+	}
+}
+
+// sameEverywhere demands that every daemon has the store's newest objects in
+// force once the faults are over.
+func (f *fleet) sameEverywhere(t *testing.T, seed uint64) {
+	t.Helper()
+	for k, o := range f.store.objects {
+		for _, n := range f.nodes {
+			if o.Deleted {
+				_, found := n.core.Get(k)
+				must.False(t, found, must.Sprintf("seed %d: %s on %s", seed, k, n.session))
+				continue
+			}
+			must.Eq(t, o.Version, n.adopted[k], must.Sprintf("seed %d: %s on %s", seed, k, n.session))
+		}
+	}
+}
