Name the examples' environments production and trial

Cause: the trial run stores its document as that of the environment trial, which the example didn't name; and a stored document now holds text. Change: examples and the trial's use of Stored.

--- a/cmd/rhubarb-trial/calls.go
+++ b/cmd/rhubarb-trial/calls.go
@@ -114,7 +114,7 @@
 		return problems.Err()
 	}
 	stored := document.Stored{
-		Version: 1, Hash: document.HashOf(raw), Content: raw, Token: rand.Text(), Who: "trial", When: time.Now().UTC(),
+		Version: 1, Hash: document.HashOf(raw), Content: string(raw), Token: rand.Text(), Who: "trial", When: time.Now().UTC(),
 	}
 	value, err := stored.Encode()
 	if err != nil {
--- a/cmd/rhubarb-trial/main_test.go
+++ b/cmd/rhubarb-trial/main_test.go
@@ -50,7 +50,7 @@
 	must.NoError(t, err)
 	raw, err := os.ReadFile(example)
 	must.NoError(t, err)
-	must.Eq(t, raw, stored.Content)
+	must.Eq(t, string(raw), stored.Content)
 	code, out = run("upload", "--store", "http://"+address, "--file", example)
 	must.Eq(t, cli.ExitFailed, code)
 	must.StrContains(t, out, "store_conflict")
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -77,8 +77,8 @@
 	must.True(t, ok)
 	must.Eq(t, 30_000_000, link.BitsPerSecond)
 	must.Eq(t, 10*time.Second, rayuela.LongestDeadline())
-	must.True(t, rayuela.Serves("rayuela-trial"))
-	must.False(t, rayuela.Serves("kalderimi"))
+	must.True(t, rayuela.Serves("trial"))
+	must.False(t, rayuela.Serves("elsewhere"))
 }
 
 // Every kind of fault is named at once, with field, value, reason and remedy.
--- a/document/plan_test.go
+++ b/document/plan_test.go
@@ -85,19 +85,19 @@
 		trial document.TrialState
 		want  result.Code
 	}{
-		{"in force", document.TrialState{Environment: "rayuela-trial", Stored: stored, Zones: zones(inForce, inForce)}, result.OK},
+		{"in force", document.TrialState{Environment: "trial", Stored: stored, Zones: zones(inForce, inForce)}, result.OK},
 		{"another trial", document.TrialState{Environment: "other", Stored: stored, Zones: zones(inForce, inForce)}, result.NotTried},
-		{"never applied", document.TrialState{Environment: "rayuela-trial"}, result.NotTried},
-		{"other bytes", document.TrialState{Environment: "rayuela-trial", Stored: &document.Stored{Hash: "y"}, Zones: zones(inForce, inForce)}, result.HashMismatch},
-		{"one zone behind", document.TrialState{Environment: "rayuela-trial", Stored: stored, Zones: zones(inForce, older)}, result.NotTried},
-		{"no daemon", document.TrialState{Environment: "rayuela-trial", Stored: stored}, result.NotTried},
+		{"never applied", document.TrialState{Environment: "trial"}, result.NotTried},
+		{"other bytes", document.TrialState{Environment: "trial", Stored: &document.Stored{Hash: "y"}, Zones: zones(inForce, inForce)}, result.HashMismatch},
+		{"one zone behind", document.TrialState{Environment: "trial", Stored: stored, Zones: zones(inForce, older)}, result.NotTried},
+		{"no daemon", document.TrialState{Environment: "trial", Stored: stored}, result.NotTried},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			evidence, err := document.Promote(hash, doc, c.trial)
 			if c.want == result.OK {
 				must.NoError(t, err)
-				must.Eq(t, &document.Evidence{Environment: "rayuela-trial", Version: 7, Hash: hash, Hosts: 6}, evidence)
+				must.Eq(t, &document.Evidence{Environment: "trial", Version: 7, Hash: hash, Hosts: 6}, evidence)
 				return
 			}
 			must.ErrorIs(t, err, &result.Error{Code: c.want})
