Bind answers to the connection of the sending

Cause: an answer must be matched by connection, id and attempt; the transport did not tell the sender which connection a frame goes out on. Change: Send returns the connection; both ends say hello; runs are numbered towards the target. Conclusion: the routing duty can match.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,13 +20,12 @@
 
 // Limits of the callers' interface.
 const (
-	MaxBodyBytes    = 1 << 20
-	readTimeout     = 10 * time.Second
-	idleTimeout     = 60 * time.Second
-	maxConnections  = 4096
-	hangUpCheck     = 20 * time.Millisecond
-	maxHeaderBytes  = 16 << 10
-	answerOverBound = 2 * time.Second
+	MaxBodyBytes   = 1 << 20
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxConnections = 4096
+	hangUpCheck    = 20 * time.Millisecond
+	maxHeaderBytes = 16 << 10
 )
 
 // Router decides what becomes of a request.
@@ -37,7 +37,7 @@
 	// channel, which has room for it. It returns false if it took nothing.
 	Submit(Submission) bool
 	// Gone says that the caller of a submission has hung up.
-	Gone(id string)
+	Gone(caller request.Caller)
 }
 
 // Limits are what the entry checks a request against.
@@ -49,15 +49,17 @@
 
 // Submission is a request on its way to the router.
 type Submission struct {
-	Request  request.Request
+	Caller   request.Caller
+	Request  *request.Request
 	Deadline mono.Time
-	Reply    chan request.Answer
+	Reply    chan *request.Answer
 }
 
 // Server is the callers' HTTP interface.
 type Server struct {
 	router Router
 	ids    *idSource
+	calls  atomic.Uint64
 	http   *fasthttp.Server
 	done   chan struct{}
 }
@@ -112,7 +114,7 @@
 
 // await waits for the router's answer and looks out for a caller that hangs
 // up meanwhile.
-func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) request.Answer {
+func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) *request.Answer {
 	check := time.NewTicker(hangUpCheck)
 	defer check.Stop()
 	gone := false
@@ -123,13 +125,13 @@
 		case <-check.C:
 			if !gone && hungUp(ctx.Conn()) {
 				gone = true
-				s.router.Gone(submission.Request.ID)
+				s.router.Gone(submission.Caller)
 			}
 		}
 	}
 }
 
-func (s *Server) respond(ctx *fasthttp.RequestCtx, answer request.Answer) {
+func (s *Server) respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
 	h := &ctx.Response.Header
 	info, ok := result.Lookup(answer.Code)
 	if !ok {
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -28,12 +28,12 @@
 )
 
 func (s *Server) parse(ctx *fasthttp.RequestCtx) (Submission, *result.Error) {
-	var sub Submission
+	sub := Submission{Request: &request.Request{AcceptedMs: time.Now().UnixMilli()}}
 	app, path, err := splitPath(ctx)
 	if err != nil {
 		return sub, err
 	}
-	r := &sub.Request
+	r := sub.Request
 	r.App = key.App(app)
 	r.Path = path
 	r.Method = string(ctx.Method())
@@ -57,8 +57,9 @@
 		return sub, err
 	}
 	r.Budget = budget
+	sub.Caller = request.Caller(s.calls.Add(1))
 	sub.Deadline = now().Add(budget)
-	sub.Reply = make(chan request.Answer, 1)
+	sub.Reply = make(chan *request.Answer, 1)
 	return sub, nil
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,8 +29,8 @@
 	return c.address
 }
 
-// Session returns who opened the connection, as it said itself; nobody if
-// this daemon opened it or nothing was said yet.
+// Session returns the session at the other end, as it said itself; nobody if
+// nothing was said yet.
 func (c *Conn) Session() host.Session {
 	if hello := c.hello.Load(); hello != nil {
 		return hello.Session
@@ -72,6 +72,9 @@
 		return false
 	}
 	c.hello.Store(&hello)
+	if c.address == "" {
+		_ = c.Send(c.transport.hello)
+	}
 	return true
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -58,17 +58,17 @@
 	return &link{transport: t, address: address, state: linkChart.Initial}
 }
 
-func (l *link) send(frame []byte, tag Tag) error {
+func (l *link) send(frame []byte, tag Tag) (*Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.step(eventNeed)
 	switch l.state {
 	case stateOpen:
-		return l.conn.Send(frame)
+		return l.conn, l.conn.Send(frame)
 	case stateOpening:
-		return l.enqueue(queued{frame: frame, tag: tag})
+		return l.conn, l.enqueue(queued{frame: frame, tag: tag})
 	default:
-		return &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "the last connection failed a moment ago"}
+		return nil, &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "the last connection failed a moment ago"}
 	}
 }
 
@@ -98,7 +98,8 @@
 func (l *link) do(action chart.Action) {
 	switch action {
 	case actionDial:
-		go l.dial()
+		l.conn = &Conn{transport: l.transport, address: l.address}
+		go l.dial(l.conn)
 	case actionFailSent:
 		l.failQueue()
 	case actionStartPause:
@@ -116,18 +117,12 @@
 	failed := l.queue
 	l.queue = nil
 	l.conn = nil
-	if len(failed) == 0 {
-		return
+	if len(failed) > 0 {
+		go l.transport.unsent(failed)
 	}
-	go func() {
-		for _, q := range failed {
-			l.transport.handler.Unsent(l.address, q.tag)
-		}
-	}()
 }
 
-func (l *link) dial() {
-	conn := &Conn{transport: l.transport, address: l.address}
+func (l *link) dial(conn *Conn) {
 	raw, err := net.DialTimeout("tcp", l.address, dialTimeout)
 	if err != nil {
 		l.event(eventLost)
@@ -144,20 +139,18 @@
 func (l *link) opened(conn *Conn, c gnet.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	conn.conn = c
 	l.step(eventOpened)
 	if l.gone || l.state != stateOpen {
 		_ = c.Close()
 		return
 	}
-	conn.conn = c
-	l.conn = conn
 	_ = conn.Send(l.transport.hello)
 	waiting := l.queue
 	l.queue = nil
 	for _, q := range waiting {
 		if err := conn.Send(q.frame); err != nil {
-			tag := q.tag
-			go l.transport.handler.Unsent(l.address, tag)
+			go l.transport.unsent([]queued{q})
 		}
 	}
 }
@@ -174,13 +167,23 @@
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != nil {
+	if l.state == stateOpen {
 		_ = l.conn.conn.Close()
 	}
 	l.failQueue()
 	l.gone = true
 }
 
+// unsent reports frames that never left. It runs on a goroutine of its own,
+// since the handler must not be called with a link's lock held.
+func (t *Transport) unsent(frames []queued) {
+	for _, q := range frames {
+		if q.tag != 0 {
+			t.handler.Unsent(q.tag)
+		}
+	}
+}
+
 // clientEvents are the gnet events of connections that this daemon opened.
 type clientEvents struct {
 	gnet.BuiltinEventEngine
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,16 +38,14 @@
 	// Frame is called for each frame. The payload is valid until it returns.
 	Frame(from *Conn, kind wire.Kind, payload []byte)
 	// Unsent is called for a frame that never left the process.
-	Unsent(address string, tag Tag)
+	Unsent(tag Tag)
 	// Lost is called when an open connection to or from a peer closes.
 	Lost(conn *Conn, cause error)
 }
 
-// Tag is the sender's own mark on a frame, given back by Unsent.
-type Tag struct {
-	ID      string
-	Attempt uint32
-}
+// Tag is the sender's own mark on a frame, given back by Unsent. Zero marks a
+// frame whose loss needs no report.
+type Tag uint64
 
 // Transport sends and receives frames. It is safe for concurrent use.
 type Transport struct {
@@ -126,6 +124,7 @@
 		gnet.WithTCPKeepAlive(keepAlive),
 		gnet.WithTCPKeepInterval(keepAliveTry),
 		gnet.WithTCPKeepCount(keepAliveMax),
+		gnet.WithReuseAddr(true),
 		gnet.WithLogger(quietLogger()),
 	}
 }
@@ -142,10 +141,11 @@
 	stopEngine(t.engine)
 }
 
-// Send sends a frame to the peer at address. It returns PeerUnreachable if
-// the frame surely never left: the peer could not be reached a moment ago, or
-// too much waits for it already.
-func (t *Transport) Send(address string, frame []byte, tag Tag) error {
+// Send sends a frame to the peer at address, and returns the connection that
+// it goes out on: answers come back on it. It returns PeerUnreachable if the
+// frame surely never left: the peer could not be reached a moment ago, or too
+// much waits for it already.
+func (t *Transport) Send(address string, frame []byte, tag Tag) (*Conn, error) {
 	return t.linkTo(address).send(frame, tag)
 }
 
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -37,7 +37,9 @@
 
 // Call is one attempt at a target.
 type Call struct {
-	Request  request.Request
+	// Run numbers the sending; the target echoes it as the attempt.
+	Run      uint64
+	Request  *request.Request
 	Slice    key.Slice
 	Grant    Grant
 	Deadline mono.Time
@@ -141,13 +143,13 @@
 }
 
 func (c *Client) fill(req *fasthttp.Request, call Call) {
-	r := &call.Request
+	r := call.Request
 	req.SetRequestURI("http://" + c.address + r.Path)
 	h := &req.Header
 	h.SetMethod(r.Method)
 	h.SetContentType(r.Type)
 	h.Set("Rhubarb-Request-Id", r.ID)
-	h.Set("Rhubarb-Attempt", strconv.FormatUint(uint64(r.Attempt), 10))
+	h.Set("Rhubarb-Attempt", strconv.FormatUint(call.Run, 10))
 	h.Set("Rhubarb-Key", r.Key)
 	h.Set("Rhubarb-Slice", call.Slice.String())
 	h.Set("Rhubarb-Owner", call.Grant.Owner.String())
@@ -179,17 +181,17 @@
 
 type cancelRequest struct {
 	ID      string `json:"id"`
-	Attempt uint32 `json:"attempt"`
+	Attempt uint64 `json:"attempt"`
 }
 
 type cancelAnswer struct {
 	Stopped bool `json:"stopped"`
 }
 
-// Cancel asks the target to stop an attempt. It returns true only if the
+// Cancel asks the target to stop a run. It returns true only if the
 // target says that the attempt did not and will not take effect.
-func (c *Client) Cancel(id string, attempt uint32, wait time.Duration) bool {
-	body, err := json.Marshal(cancelRequest{ID: id, Attempt: attempt})
+func (c *Client) Cancel(id string, run uint64, wait time.Duration) bool {
+	body, err := json.Marshal(cancelRequest{ID: id, Attempt: run})
 	if err != nil {
 		return false
 	}
