Status and explain; balanced gates; callers leave a draining daemon

Change: GET /status and /explain with typed answers; package balance chooses gates and the narrow link is shared out; a draining daemon closes each connection with its answer, and idle ones only after its address is closed.

--- a/balance/link.go
+++ b/balance/link.go
@@ -47,6 +47,13 @@
 	return &Link{cfg: cfg, tokens: cfg.Burst, last: now}
 }
 
+// SetShare changes the share. What was saved up stays, within the new burst.
+func (l *Link) SetShare(now mono.Time, cfg LinkConfig) {
+	l.refill(now)
+	l.cfg = cfg
+	l.tokens = min(l.tokens, cfg.Burst)
+}
+
 // Take counts n bytes of a request if the share has room for them and for as
 // many bytes of the answer as are expected.
 func (l *Link) Take(now mono.Time, n, answer int) bool {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,7 +50,7 @@
 	// Ready returns nil if the daemon can route requests, else what it lacks.
 	Ready() error
 	// Status describes the daemon and what it knows of the fleet.
-	Status() any
+	Status() (any, error)
 	// Explain describes who owns a key of an app and why.
 	Explain(app, key string) (any, error)
 }
@@ -157,7 +157,12 @@
 }
 
 func (s *Server) status(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, s.daemon.Status())
+	answer, err := s.daemon.Status()
+	if err != nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, err)
+		return
+	}
+	writeJSON(ctx, answer)
 }
 
 func (s *Server) explain(ctx *fasthttp.RequestCtx) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,7 +39,7 @@
 	drainPatience = 40 * time.Second
 	// leavePatience bounds the record of the end in the store.
 	leavePatience = 5 * time.Second
-	stopPoll     = 20 * time.Millisecond
+	stopPoll      = 20 * time.Millisecond
 )
 
 // Daemon is one life of a daemon: one session.
@@ -159,6 +159,7 @@
 func (d *Daemon) Stop() {
 	d.log.Event(event.Stopping, "reason", "asked")
 	d.stopping.Store(true)
+	d.entry.Drain()
 	d.lease.wait(drainSession{})
 	d.routing.ring.Wait(stopRequested{}, d.routing.stop)
 	d.await(drainPatience, d.routing.idle.Load)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -64,12 +64,6 @@
 	return newer
 }
 
-// record returns the record of a session, and whether it is known.
-func (f *fleet) record(s host.Session) (session.Record, bool) {
-	v, ok := f.sessions.Load().records[s]
-	return v.Record, ok
-}
-
 // peerAddress returns the address that a session takes frames on, or "".
 func (f *fleet) peerAddress(s host.Session) string {
 	return f.sessions.Load().records[s].Record.Peer
@@ -119,3 +113,14 @@
 	}
 	return defaultSlices
 }
+
+// daemonsIn counts the daemons of a region that live.
+func (f *fleet) daemonsIn(region host.Region) int {
+	n := 0
+	for _, v := range f.sessions.Load().records {
+		if v.Record.Place.Region == region && !v.Record.State.Final() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -1,12 +1,23 @@
 package daemon
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/status"
 )
 
+// askPatience bounds the wait of an operator's question for a duty's answer.
+const askPatience = time.Second
+
 // Announce implements control.Daemon.
 func (d *Daemon) Announce(a control.Announcement) (string, error) {
 	if !d.routing.ring.Push(announced{a}) {
@@ -36,11 +47,180 @@
 }
 
 // Status implements control.Daemon.
-func (d *Daemon) Status() any {
-	return d.self
+func (d *Daemon) Status() (any, error) {
+	s := status.Daemon{
+		Session:        d.self,
+		Place:          d.place(),
+		StoreReachable: d.store.reachable(),
+		Lease:          d.leaseStatus(),
+		Document:       d.documentStatus(),
+		Fleet:          d.fleetStatus(),
+		Relay:          d.spread.relay.Load(),
+		Alarms:         []string{},
+	}
+	if err := d.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	if err := d.ask(func(r *routingDuty, now mono.Time) { r.fillStatus(now, &s) }); err != nil {
+		return nil, err
+	}
+	leader, leads := d.placement.leader.Load(), d.placement.leads.Load()
+	if leader != nil {
+		s.Placement = status.Placement{Leader: leader.Session, Term: leader.Term, Leads: leads}
+	}
+	return s, nil
+}
+
+func (d *Daemon) leaseStatus() status.Lease {
+	recorded := d.lease.recorded.Load()
+	if recorded == nil {
+		return status.Lease{}
+	}
+	return status.Lease{
+		State:      recorded.Record.State,
+		Generation: recorded.Record.Generation,
+		Witnesses:  recorded.Record.Witnesses,
+		LeftMs:     d.lease.lease().Sub(bootclock.Now()).Milliseconds(),
+	}
+}
+
+func (d *Daemon) documentStatus() status.Document {
+	doc := d.fleet.document.Load()
+	if doc == nil {
+		return status.Document{Environment: d.settings.Environment}
+	}
+	return status.Document{
+		Environment: d.settings.Environment,
+		Version:     doc.stored.Version,
+		Hash:        string(doc.stored.Hash),
+		Who:         doc.stored.Who,
+	}
+}
+
+func (d *Daemon) fleetStatus() []status.Session {
+	list := []status.Session{}
+	for id, v := range d.fleet.sessions.Load().records {
+		s := status.Session{Session: id, Place: v.Record.Place, State: v.Record.State, Control: v.Record.Control}
+		if v.Record.Target != nil {
+			s.App = v.Record.Target.App
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b status.Session) int { return compareSessions(a.Session, b.Session) })
+	return list
+}
+
+func compareSessions(a, b host.Session) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 // Explain implements control.Daemon.
 func (d *Daemon) Explain(app, k string) (any, error) {
-	return nil, &result.Error{Code: result.UnknownApp, Field: app + "/" + k}
+	answer := status.Key{App: key.App(app), Key: k, Moves: []status.Move{}}
+	known := false
+	err := d.ask(func(r *routingDuty, now mono.Time) { known = r.explain(now, &answer) })
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		return nil, &result.Error{Code: result.UnknownApp, Field: "app", Detail: "no assignment of " + app + " is known here", Remedy: "check the name against the document in force"}
+	}
+	if v, ok := d.fleet.sessions.Load().records[answer.Owner]; ok {
+		answer.OwnerState = v.Record.State
+		answer.OwnerPlace = v.Record.Place
+	}
+	return answer, nil
+}
+
+// ask runs a question on the routing duty and waits for its end.
+func (d *Daemon) ask(question func(*routingDuty, mono.Time)) error {
+	q := asked{question: question, done: make(chan struct{})}
+	timer := time.NewTimer(askPatience)
+	defer timer.Stop()
+	if d.routing.ring.Push(q) {
+		select {
+		case <-q.done:
+			return nil
+		case <-timer.C:
+		}
+	}
+	return &result.Error{Code: result.RingFull, Detail: "the daemon is too busy to answer", Remedy: "ask again"}
+}
+
+// asked is an operator's question to the routing duty.
+type asked struct {
+	question func(*routingDuty, mono.Time)
+	done     chan struct{}
+}
+
+func (w asked) routingWork(r *routingDuty, now mono.Time) {
+	w.question(r, now)
+	close(w.done)
+}
+
+func (r *routingDuty) fillStatus(now mono.Time, s *status.Daemon) {
+	counts := r.holder.Counts()
+	s.Slices = status.Slices{Owned: counts.Owned, Draining: counts.Draining, Released: counts.Released}
+	c := r.router.Counters()
+	s.Requests = status.Requests{
+		Submitted: c.Submitted, Replied: c.Replied, Sent: c.Sent, Retried: c.Retried, Raised: c.Raised, Dropped: c.Strays,
+	}
+	s.Unowned = r.unowned()
+	if r.gate == nil {
+		return
+	}
+	load := r.gate.Load(now)
+	s.Target = &status.Target{
+		App:       r.target.app,
+		Address:   r.target.client.Address(),
+		Gone:      r.target.gone,
+		Slots:     load.Slots,
+		Busy:      load.Busy,
+		Queued:    load.Queued,
+		ServiceMs: float64(load.Service) / float64(time.Millisecond),
+	}
+}
+
+// unowned counts, for each app of the document, the slices whose owner is
+// nobody or recorded lost or left.
+func (r *routingDuty) unowned() []status.Unowned {
+	list := []status.Unowned{}
+	d := r.fleet.document.Load()
+	if d == nil {
+		return list
+	}
+	records := r.fleet.sessions.Load().records
+	for _, app := range d.document.Apps {
+		u := status.Unowned{App: app.Name, Of: int(slicesOf(app))}
+		for id := range slicesOf(app) {
+			s, ok := r.owners.At(key.Slice{App: app.Name, ID: key.SliceID(id)})
+			v, known := records[s.Owner]
+			if !ok || !known || v.Record.State.Final() {
+				u.Slices++
+			}
+		}
+		list = append(list, u)
+	}
+	return list
+}
+
+func (r *routingDuty) explain(now mono.Time, k *status.Key) bool {
+	slice, assigned, ok := r.owners.Lookup(k.App, k.Key)
+	if !ok {
+		return false
+	}
+	k.Slice = slice.ID
+	k.CarvedOut = slice.IsCarveOut()
+	k.Owner = assigned.Owner
+	k.Epoch = assigned.Epoch
+	k.Next = assigned.Next
+	k.Moves = r.history.of(slice)
+	if assigned.Owner != r.self {
+		return true
+	}
+	v := r.holder.Admits(now, slice)
+	k.Here = true
+	k.Admits = v.Code.String()
+	k.LeaseLeftMs = r.lease().Sub(now).Milliseconds()
+	return true
 }
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,6 +53,9 @@
 	// so that new owners need not wait for the watch.
 	onPack func(name string, version uint64, value []byte)
 	values map[string][]byte // values of writes under way, by token
+	// leader and leads show the other duties who leads.
+	leader atomic.Pointer[placement.Leader]
+	leads  atomic.Bool
 	stop   chan struct{}
 	done   sync.WaitGroup
 }
@@ -112,6 +116,15 @@
 	for _, action := range p.core.Step(now, ev) {
 		p.do(action)
 	}
+	p.publish()
+}
+
+func (p *placementDuty) publish() {
+	p.leads.Store(p.core.Leads())
+	leader, ok := p.core.Leader()
+	if old := p.leader.Load(); ok && (old == nil || *old != leader) {
+		p.leader.Store(&leader)
+	}
 }
 
 func (p *placementDuty) do(action placement.Action) {
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/balance"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/handover"
@@ -64,10 +65,13 @@
 	lease  func() mono.Time
 	ring   *ring.Ring[routingWork]
 	router *request.Router
-	holder *handover.Holder
-	owners *assignment.Map
-	gate   *gate.Gate // nil until a target has announced itself
-	target *localTarget
+	// balancer chooses gates; balanced is what it was last given.
+	balancer *balance.Balancer
+	balanced map[key.App][]balance.Gate
+	holder   *handover.Holder
+	owners   *assignment.Map
+	gate     *gate.Gate // nil until a target has announced itself
+	target   *localTarget
 	// retired are gates of earlier targets that still have runs.
 	retired []*gate.Gate
 	// released is told of each release, which goes to the placement leader.
@@ -82,6 +86,7 @@
 	sent    map[uint64]sending
 	origins map[host.Session]*peer.Conn
 	merged  map[key.Slice]int64 // when a carved-out key last returned, milliseconds since 1970
+	history history
 	out     request.Actions
 	gateOut gate.Actions
 	stats   routingStats
@@ -151,7 +156,11 @@
 	}
 	cfg.Self = d.self
 	cfg.Map = r
-	cfg.Chooser = &chooser{fleet: d.fleet, place: d.place(), self: d.self}
+	near := balance.DefaultConfig()
+	near.Place = d.place()
+	near.Seed = cfg.Seed
+	r.balancer = balance.New(near, bootclock.Now())
+	cfg.Chooser = r.balancer
 	r.router = request.NewRouter(cfg)
 	r.stats.latency = metrics.NewHistogram(metrics.NewUniformSample(latencySample))
 	r.stats.service = metrics.NewHistogram(metrics.NewUniformSample(latencySample))
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -210,6 +210,7 @@
 	if c.Merged {
 		r.merged[key.Slice{App: c.Slice.App, ID: c.Parent}] = wallMs()
 	}
+	r.history.add(wallMs(), c)
 	r.doHolder(now, r.holder.Seen(now, c))
 }
 
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -288,6 +288,7 @@
 	newer := s.d.fleet.put(a.records, a.deleted)
 	s.d.lease.wait(recordsSeen{records: newer, deleted: a.deleted})
 	s.d.placement.wait(sessionsChanged{records: newer})
+	s.d.routing.ring.Wait(gatesChanged{}, s.stop)
 	for _, v := range newer {
 		if v.Record.State.Final() {
 			s.d.routing.ring.Wait(sessionEnded{session: v.Record.Session}, s.stop)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,9 @@
 	idleTimeout    = 60 * time.Second
 	maxConnections = 4096
 	hangUpCheck    = 20 * time.Millisecond
+	// lastArrivals is how long after the address is closed requests on
+	// connections that were just opened are still taken.
+	lastArrivals   = 300 * time.Millisecond
 	maxHeaderBytes = 16 << 10
 )
 
@@ -60,7 +63,9 @@
 	router Router
 	ids    *idSource
 	calls  atomic.Uint64
+	drains atomic.Bool
 	http   *fasthttp.Server
+	listen net.Listener
 	done   chan struct{}
 }
 
@@ -88,13 +93,24 @@
 	if err != nil {
 		return &result.Error{Code: result.AddressInUse, Field: "caller", Cause: err, Remedy: "free the address or name another"}
 	}
+	s.listen = listener
 	go s.serve(listener)
 	return nil
 }
 
-// Stop takes no new connections and returns when every request in flight has
-// been answered.
+// Drain asks callers to leave: from now on each answer closes its connection.
+// Callers that keep connections open then use another daemon before Stop
+// closes the idle ones, so that no request meets a connection being closed.
+func (s *Server) Drain() {
+	s.drains.Store(true)
+}
+
+// Stop closes the address and returns when every request in flight has been
+// answered.
 func (s *Server) Stop() {
+	s.Drain()
+	_ = s.listen.Close()
+	time.Sleep(lastArrivals)
 	_ = s.http.Shutdown()
 	<-s.done
 }
@@ -110,6 +126,9 @@
 		return
 	}
 	s.respond(ctx, s.await(ctx, submission))
+	if s.drains.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 // await waits for the router's answer and looks out for a caller that hangs
