Log the relay and the catching up; refuse documents for elsewhere

Cause: the spread duty was silent about what it does, and a stored document of another environment would have come into force.

--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -45,6 +45,7 @@
 	core    *spread.Core
 	watches map[spread.Kind]uint64 // number of the newest watch of a kind
 	adopted adoption
+	began   mono.Time
 	ready   atomic.Bool
 	relay   atomic.Bool
 	stop    chan struct{}
@@ -69,6 +70,7 @@
 	}
 	return &spreadDuty{
 		d:       d,
+		began:   bootclock.Now(),
 		ring:    ring.New[spreadWork]("spread", spreadRingSize, registry),
 		core:    spread.New(cfg, bootclock.Now()),
 		watches: make(map[spread.Kind]uint64),
@@ -132,10 +134,23 @@
 	for _, action := range s.core.Step(now, ev) {
 		s.do(action)
 	}
-	s.relay.Store(s.core.IsRelay())
+	s.publish()
 	s.handOver(now)
 }
 
+// publish shows and logs whether the daemon is its zone's relay.
+func (s *spreadDuty) publish() {
+	relay := s.core.IsRelay()
+	if s.relay.Swap(relay) == relay {
+		return
+	}
+	id := event.RelayEnded
+	if relay {
+		id = event.RelayStarted
+	}
+	s.d.log.Event(id, "zone", string(s.d.settings.Zone))
+}
+
 func (s *spreadDuty) do(action spread.Action) {
 	switch a := action.(type) {
 	case spread.Send:
@@ -151,6 +166,7 @@
 		s.adopt(a)
 	case spread.Ready:
 		s.ready.Store(true)
+		s.d.log.Event(event.CaughtUp, "after_ms", bootclock.Now().Sub(s.began).Milliseconds(), "source", s.source())
 		s.d.lease.wait(recordsSeen{})
 	}
 }
@@ -192,6 +208,14 @@
 	s.ring.Wait(listDone{list: a, page: page, err: err}, s.stop)
 }
 
+// source says whom the daemon caught up with.
+func (s *spreadDuty) source() string {
+	if s.core.IsRelay() {
+		return "store"
+	}
+	return "peers"
+}
+
 func (s *spreadDuty) adopt(a spread.Adopt) {
 	var err error
 	switch a.Key.Kind {
@@ -219,12 +243,17 @@
 	}
 	doc, err := stored.Document()
 	if err != nil {
-		return err
+		s.d.log.Event(event.DocumentRefused, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "cause", err.Error())
+		return nil
+	}
+	if !doc.Serves(s.d.settings.Environment) {
+		s.d.log.Event(event.DocumentElsewhere, "environment", s.d.settings.Environment, "version", stored.Version, "names", doc.Environment+" "+doc.Trial)
+		return nil
 	}
 	if !s.d.fleet.adopt(stored, doc) {
 		return nil
 	}
-	s.d.log.Event(event.DocumentInForce, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
+	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
 	s.d.placement.wait(appsChanged{apps: placementApps(doc)})
 	return nil
 }
