--- a/event/alarm.go
+++ b/event/alarm.go
@@ -1,3 +1,28 @@
 package event
 
-var alarmEvents = []Def{}
+// Events of the alarm and of outcomes at risk.
+const (
+	AlarmRang         ID = 6000
+	AlarmNotice       ID = 6001
+	AlarmTaken        ID = 6002
+	AlarmNotTaken     ID = 6003
+	AlarmAcknowledged ID = 6004
+	OutcomeMet        ID = 6010
+	OutcomesSaved     ID = 6011
+	OutcomesWaiting   ID = 6012
+	OutcomeUnkept     ID = 6013
+	OutcomesInherited ID = 6014
+)
+
+var alarmEvents = []Def{
+	{AlarmRang, "alarm_rang", Alarm, "id cause counts subjects", "Something is at risk. Look at rhubarb alarms, then at the runbook of the cause."},
+	{AlarmNotice, "alarm_notice", Warn, "id cause subjects", "The alarm has no news of a part of the fleet; its silence about that part means nothing."},
+	{AlarmTaken, "alarm_taken", Info, "id deliveries", "The receiver took the alarm."},
+	{AlarmNotTaken, "alarm_not_taken", Warn, "id deliveries cause", "The receiver did not take the alarm; it is delivered again."},
+	{AlarmAcknowledged, "alarm_acknowledged", Info, "id who why", "A person acknowledged the alarm."},
+	{OutcomeMet, "outcome_met", Warn, "id app key slice owner epoch code cause why", "A request that may not be repeated has an unknown or late outcome. Settle it: rhubarb outcomes settle."},
+	{OutcomesSaved, "outcomes_saved", Info, "batch count after_ms", "Outcomes at risk stand in the store."},
+	{OutcomesWaiting, "outcomes_waiting", Warn, "batch count retry_ms", "Outcomes at risk could not be saved; two daemons hold them until the store answers."},
+	{OutcomeUnkept, "outcome_unkept", Alarm, "id app key slice owner epoch code cause why", "The memory for outcomes at risk is full: this log line is the only record of this one."},
+	{OutcomesInherited, "outcomes_inherited", Warn, "batch count from", "The daemon that met these outcomes was lost; this one saves them."},
+}
