Trial fails if another process answers on its ports

Cause: a store of another trial on the same port took the document, and the trial went on with it. Change: after the wait, each process must still be the one that was started.

--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -44,6 +44,15 @@
 	pids[$name]=$!
 }
 
+# check_started fails the trial if a process ended by itself: another one may
+# have its port and answer in its place.
+check_started() {
+	local name
+	for name in "${!pids[@]}"; do
+		kill -0 "${pids[$name]}" 2>/dev/null || fail "$(tail -n 1 "$TRIAL_DIR/$name.out")"
+	done
+}
+
 # await waits until a process has ended, and kills it at the bound.
 await() {
 	local pid=${pids[$1]} end=$((SECONDS + stop_bound))
@@ -139,6 +148,7 @@
 
 start store
 "$tool" wait --for "${ready_bound}s" "$STORE/stand/calls" || fail "the store is not up; see $TRIAL_DIR/store.out"
+check_started
 "$tool" upload --store "$STORE" --file "examples/$LAYOUT.json" || fail "no document"
 while IFS=$'\t' read -r name _; do
 	[ "$name" = store ] || start "$name"
@@ -147,6 +157,7 @@
 "$tool" wait --for "${ready_bound}s" $TARGETS || fail "a target is not up; see $TRIAL_DIR/*.out"
 # shellcheck disable=SC2086
 "$tool" wait --status 200 --for "${ready_bound}s" $READY || fail "a daemon is not ready; see $TRIAL_DIR/*.out and *.log"
+check_started
 
 echo "trial: $LAYOUT, seed $SEED, $RATE requests/s for $DURATION s"
 load_start=$(date +%s%N)
