Send requests without a slice to the target without a grant

Change: the headers of the grant are left out for such a request, and PROTOCOLS says so. Conclusion: the new test fails without the change.

--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -151,16 +151,24 @@
 	h.Set("Rhubarb-Request-Id", r.ID)
 	h.Set("Rhubarb-Attempt", strconv.FormatUint(call.Run, 10))
 	h.Set("Rhubarb-Key", r.Key)
-	h.Set("Rhubarb-Slice", call.Slice.String())
-	h.Set("Rhubarb-Owner", call.Grant.Owner.String())
-	h.Set("Rhubarb-Epoch", strconv.FormatUint(call.Grant.Epoch, 10))
-	h.Set("Rhubarb-Grant-Expires", strconv.FormatInt(int64(call.Grant.Expires), 10))
+	if call.Slice.ID != request.NoSlice {
+		fillGrant(h, call)
+	}
 	h.Set("Rhubarb-Deadline", strconv.FormatInt(int64(call.Deadline), 10))
 	h.Set("Rhubarb-Idempotent", strconv.FormatBool(r.Idempotent))
 	h.Set("Rhubarb-Class", className(r.Class))
 	req.SetBodyRaw(r.Body)
 }
 
+// fillGrant names the grant. A request that any target of its app may run has
+// none: with an empty one, a target that checks grants would refuse it.
+func fillGrant(h *fasthttp.RequestHeader, call Call) {
+	h.Set("Rhubarb-Slice", call.Slice.String())
+	h.Set("Rhubarb-Owner", call.Grant.Owner.String())
+	h.Set("Rhubarb-Epoch", strconv.FormatUint(call.Grant.Epoch, 10))
+	h.Set("Rhubarb-Grant-Expires", strconv.FormatInt(int64(call.Grant.Expires), 10))
+}
+
 func className(c request.Class) string {
 	if c == request.Urgent {
 		return "urgent"
--- /dev/null
+++ b/internal/targetclient/targetclient_test.go
@@ -0,0 +1,61 @@
+package targetclient_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/targetclient"
+	"github.com/rhubarbring/rhubarbring/internal/targetstand"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+)
+
+// start serves a target that checks grants, and returns its address.
+func start(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	target := targetstand.New(targetstand.Config{
+		Slots: 1, Connections: 8, ChecksGrants: true, Behaviour: targetstand.Behaviour{FalseLoad: -1},
+	})
+	done := make(chan error, 1)
+	go func() { done <- target.Serve(targetstand.NewServer(target), ln) }()
+	t.Cleanup(func() {
+		must.NoError(t, ln.Close())
+		must.NoError(t, <-done)
+	})
+	return ln.Addr().String()
+}
+
+func call(slice key.SliceID, epoch uint64, expires mono.Time) targetclient.Call {
+	return targetclient.Call{
+		Run:      1,
+		Request:  &request.Request{ID: "id", Method: "POST", Path: "/items", Body: []byte("b")},
+		Slice:    key.Slice{App: "payments", ID: slice},
+		Grant:    targetclient.Grant{Owner: host.Session{Host: "h1", Incarnation: 1}, Epoch: epoch, Expires: expires},
+		Deadline: bootclock.Now().Add(time.Minute),
+		Wait:     time.Minute,
+	}
+}
+
+func TestGrantIsCheckedByTheTarget(t *testing.T) {
+	client := targetclient.New(start(t), 8)
+	valid := bootclock.Now().Add(time.Minute)
+	reply := client.Do(call(3, 2, valid))
+	must.Eq(t, targetclient.Answered, reply.Verdict)
+	must.True(t, targetstand.IsWhole(reply.Body, "id", "", []byte("b")))
+	must.Eq(t, targetclient.Refused, client.Do(call(3, 1, valid)).Verdict)
+	must.Eq(t, targetclient.Refused, client.Do(call(3, 2, bootclock.Now())).Verdict)
+}
+
+// A request that any target may run carries no grant, so that a target that
+// checks grants runs it.
+func TestRequestWithoutSliceHasNoGrant(t *testing.T) {
+	client := targetclient.New(start(t), 8)
+	must.Eq(t, targetclient.Answered, client.Do(call(request.NoSlice, 0, 0)).Verdict)
+}
