--- a/session/choice.go
+++ b/session/choice.go
@@ -17,8 +17,8 @@
 	// Keep are the present witnesses: one that fits as well as any other
 	// stays.
 	Keep []host.Session
-	// Avoid reports sessions that must not be chosen; nil avoids none.
-	Avoid func(host.Session) bool
+	// Avoid reports members that must not be chosen; nil avoids none.
+	Avoid func(*Member) bool
 }
 
 // Witnesses returns WitnessCount sessions, or none if the fleet has too few.
@@ -40,6 +40,30 @@
 	return []host.Session{near.Session, second.Session, far.Session}
 }
 
+// Misfit says how far a set, in the order in which Witnesses returns it,
+// stands from the best placing: 0 is none. A set of which a witness is not a
+// member has the worst.
+func (c *Choice) Misfit(set []host.Session) int {
+	if len(set) != WitnessCount {
+		return worstMisfit
+	}
+	var at [WitnessCount]*candidate
+	for i := range c.Members {
+		for j, s := range set {
+			if c.Members[i].Session == s {
+				at[j] = &candidate{Member: &c.Members[i]}
+			}
+		}
+	}
+	if at[0] == nil || at[1] == nil || at[2] == nil {
+		return worstMisfit
+	}
+	zone0, zone1 := at[0].Place.Zone, at[1].Place.Zone
+	return c.nearFit(at[0]) + c.secondFit(at[1], zone0) + c.farFit(at[2], zone0, zone1)
+}
+
+const worstMisfit = 100
+
 type candidate struct {
 	*Member
 	kept  bool
@@ -58,7 +82,7 @@
 		if m.State != Live || m.Session.Host == c.Self.Host || newest[m.Session.Host] != m.Session.Incarnation {
 			continue
 		}
-		if c.Avoid != nil && c.Avoid(m.Session) {
+		if c.Avoid != nil && c.Avoid(m) {
 			continue
 		}
 		pool = append(pool, &candidate{Member: m, kept: contains(c.Keep, m.Session), score: c.score(m.Session.Host)})
--- a/session/core.go
+++ b/session/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"time"
 
 	"github.com/rhubarbring/rhubarbring/chart"
 	"github.com/rhubarbring/rhubarbring/charts"
@@ -11,6 +12,10 @@
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
+// checkEvery is the least time between two reads of the own record that
+// answer a witness's word that the session has ended.
+const checkEvery = time.Second
+
 var sessionChart = charts.MustLoad("session")
 
 // Config describes a daemon's session. The Incarnation must be higher than
@@ -46,6 +51,7 @@
 	lease    lease
 	held     mono.Time
 	renewAt  mono.Time
+	checkAt  mono.Time // When the record may be read again to see if it ended.
 	members  []Member
 	probe    probe
 }
@@ -185,7 +191,8 @@
 		return nil
 	}
 	out := c.maintain(now)
-	if m.Reply == Ended && c.recorded.Version > 0 && c.writer.Idle() {
+	if m.Reply == Ended && c.recorded.Version > 0 && c.writer.Idle() && !now.Before(c.checkAt) {
+		c.checkAt = now.Add(checkEvery)
 		out = append(out, Get{Session: c.cfg.Session})
 	}
 	return out
@@ -229,10 +236,7 @@
 	if len(witnesses) == 0 {
 		r.Renewals++
 	}
-	// Should the write land, a taker counts the lease in the store from no
-	// earlier than now.
-	next := witnessSet{generation: generation, witnesses: witnesses, storeUntil: now.Add(c.cfg.Timing.Lease)}
-	c.sets = append(c.sets, next)
+	c.sets = append(c.sets, witnessSet{generation: generation, witnesses: witnesses})
 	return c.writer.Start(now, Put{IfVersion: c.recorded.Version, Record: r})
 }
 
@@ -340,15 +344,19 @@
 
 // recount works out how long the lease is held.
 func (c *Core) recount() {
+	c.held = mono.Never
 	if c.recorded.Version == 0 || c.over() || c.state == "leaving" {
-		c.held = mono.Never
 		return
 	}
-	held := c.lease.until(&c.sets[0])
-	for i := range c.sets[1:] {
-		held = min(held, c.lease.until(&c.sets[1+i]))
+	c.held = c.lease.until(&c.sets[0])
+	if len(c.sets) == 1 || c.writer.Unsent() {
+		return
 	}
-	c.held = held
+	// Should the write land, a taker counts a lease in the store from no
+	// earlier than the first sending.
+	next := &c.sets[1]
+	next.storeUntil = c.writer.FirstSent().Add(c.cfg.Timing.Lease)
+	c.held = min(c.held, c.lease.until(next))
 }
 
 func appendNew(list, more []host.Session) []host.Session {
--- a/session/probe.go
+++ b/session/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -12,6 +13,10 @@
 // a lease in the store.
 const joinTries = 2
 
+// cutAfter is how many silent witnesses of another region make it count as
+// cut off for a while.
+const cutAfter = 2
+
 // probe is a set of witnesses that is being tried. They are asked to renew
 // the lease like recorded ones; only once they do is the set written.
 type probe struct {
@@ -20,6 +25,7 @@
 	tries     int
 	avoid     map[host.Session]mono.Time // Until when a witness is not chosen.
 	notBefore mono.Time                  // When the next set may be tried.
+	reviewAt  mono.Time                  // When a working set is compared with the best.
 }
 
 func (p *probe) active() bool {
@@ -39,7 +45,7 @@
 	if c.probe.active() {
 		return c.followProbe(now)
 	}
-	next := c.choose(now, nil)
+	next := c.choice(now, nil).Witnesses()
 	if next == nil || c.probe.tries >= joinTries {
 		return c.install(now, nil)
 	}
@@ -47,16 +53,21 @@
 }
 
 // changeWitnesses replaces witnesses that are gone, silent, or have sealed
-// the session. It reports whether that is under way.
+// the session, and now and then ones that others are better placed than. It
+// reports whether that is under way.
 func (c *Core) changeWitnesses(now mono.Time) ([]Action, bool) {
 	if c.probe.active() {
 		return c.followProbe(now), true
 	}
-	if now.Before(c.probe.notBefore) || !c.setIsPoor(now) {
+	if now.Before(c.probe.notBefore) {
 		return nil, false
 	}
+	if !c.setIsPoor(now) {
+		return c.review(now)
+	}
 	c.probe.notBefore = now.Add(c.cfg.Timing.ProbeFor)
-	next := c.choose(now, c.recorded.Record.Witnesses)
+	choice := c.choice(now, c.recorded.Record.Witnesses)
+	next := choice.Witnesses()
 	if next == nil {
 		return c.withoutWitnesses(now)
 	}
@@ -66,6 +77,21 @@
 	return c.startProbe(now, next), true
 }
 
+// review looks for a better placed set, as after a cut between regions.
+func (c *Core) review(now mono.Time) ([]Action, bool) {
+	if now.Before(c.probe.reviewAt) {
+		return nil, false
+	}
+	every := c.cfg.Timing.AvoidFor
+	c.probe.reviewAt = now.Add(every + time.Duration(c.rng.Int64N(int64(every))))
+	choice := c.choice(now, c.recorded.Record.Witnesses)
+	next := choice.Witnesses()
+	if next == nil || choice.Misfit(next) >= choice.Misfit(c.recorded.Record.Witnesses) {
+		return nil, false
+	}
+	return c.startProbe(now, next), true
+}
+
 // withoutWitnesses goes over to a lease in the store if the recorded set has
 // no working majority and no other can be had.
 func (c *Core) withoutWitnesses(now mono.Time) ([]Action, bool) {
@@ -110,15 +136,32 @@
 	return false
 }
 
-func (c *Core) choose(now mono.Time, keep []host.Session) []host.Session {
-	choice := Choice{
+func (c *Core) choice(now mono.Time, keep []host.Session) *Choice {
+	cut := c.cutRegions(now)
+	return &Choice{
 		Self:    c.cfg.Session,
 		Place:   c.cfg.Place,
 		Members: c.members,
 		Keep:    keep,
-		Avoid:   func(s host.Session) bool { return c.avoided(now, s) },
+		Avoid: func(m *Member) bool {
+			return cut[m.Place.Region] >= cutAfter || c.avoided(now, m.Session)
+		},
+	}
+}
+
+// cutRegions counts the witnesses avoided in each other region.
+func (c *Core) cutRegions(now mono.Time) map[host.Region]int {
+	if len(c.probe.avoid) < cutAfter {
+		return nil
+	}
+	cut := make(map[host.Region]int)
+	for i := range c.members {
+		m := &c.members[i]
+		if m.Place.Region != c.cfg.Place.Region && c.avoided(now, m.Session) {
+			cut[m.Place.Region]++
+		}
 	}
-	return choice.Witnesses()
+	return cut
 }
 
 func (c *Core) avoided(now mono.Time, s host.Session) bool {
--- a/session/writer.go
+++ b/session/writer.go
@@ -39,6 +39,7 @@
 	first  mono.Time // When the write was first sent.
 	due    mono.Time // When the pause is over.
 	pause  time.Duration
+	unsent bool // No copy of the write has reached the store, nor can.
 
 	// Version is the version of a write that landed.
 	Version uint64
@@ -61,15 +62,23 @@
 	return w.put
 }
 
-// FirstSent returns when the write under way, or the last one, was first sent.
+// FirstSent returns when the write under way, or the last one, was first sent
+// to a store that may have taken it.
 func (w *Writer) FirstSent() mono.Time {
 	return w.first
 }
 
+// Unsent reports whether a write is under way of which no copy can land: the
+// store was unavailable each time, and the pause before the next is not over.
+func (w *Writer) Unsent() bool {
+	return w.unsent && w.state == "paused"
+}
+
 // Start begins a write. The writer must be idle, and the token unique.
 func (w *Writer) Start(now mono.Time, put Put) []Action {
 	w.put = put
 	w.first = now
+	w.unsent = true
 	w.pause = 0
 	return w.take(now, "want")
 }
@@ -87,6 +96,7 @@
 	case result.StoreUnavailable:
 		return Undecided, w.take(now, "unavailable")
 	}
+	w.unsent = false
 	return Undecided, w.take(now, "doubt")
 }
 
@@ -124,6 +134,9 @@
 	if now.Before(w.due) {
 		return nil
 	}
+	if w.Unsent() {
+		w.first = now
+	}
 	return w.take(now, "due")
 }
 
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -106,11 +106,13 @@
 	}
 }
 
-// supersede counts earlier sessions of the host as silent at once: a daemon
-// that renews under a new session has restarted.
+// supersede counts earlier sessions of the host as silent before their leases
+// run out: a daemon that renews under a new session has most likely
+// restarted. One that was heard in the last half of a lease still runs.
 func (c *Core) supersede(now mono.Time, s host.Session) {
 	for _, e := range c.entries {
-		if e.session.Host == s.Host && e.session.Incarnation < s.Incarnation {
+		earlier := e.session.Host == s.Host && e.session.Incarnation < s.Incarnation
+		if earlier && !now.Before(e.until.Add(-c.lease/2)) {
 			e.deadline = min(e.deadline, now)
 		}
 	}
