--- a/event/request.go
+++ b/event/request.go
@@ -7,7 +7,6 @@
 	RequestAnswered ID = 4003
 	AnswerDropped   ID = 4004
 	SendFailed      ID = 4005
-	OutcomeRaised   ID = 4010
 	OutcomeSettled  ID = 4011
 )
 
@@ -17,6 +16,5 @@
 	{RequestAnswered, "request_answered", Info, "id code result owner epoch attempt", "The caller was answered with this result."},
 	{AnswerDropped, "answer_dropped", Info, "id attempt code", "An answer matched no sending on its connection: late, doubled or foreign. It was dropped."},
 	{SendFailed, "send_failed", Info, "id to cause", "A request never left this process; it is a true not run."},
-	{OutcomeRaised, "outcome_raised", Warn, "id app key owner epoch code outcome", "A request that must not repeat has an unknown or late outcome; it is kept until settled."},
 	{OutcomeSettled, "outcome_settled", Info, "id app outcome", "An outcome at risk became known."},
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,7 +11,9 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/rhubarbring/rhubarbring/internal/controlrpc"
 	"github.com/rhubarbring/rhubarbring/internal/listen"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -64,12 +66,18 @@
 	registry metrics.Registry
 	http     *fasthttp.Server
 	routes   map[string]fasthttp.RequestHandler
-	done     chan struct{}
+	// twirp serves the paths that begin with twirpPath.
+	twirp     fasthttp.RequestHandler
+	twirpPath []byte
+	done      chan struct{}
 }
 
-// New returns a server for the daemon.
-func New(daemon Daemon, registry metrics.Registry) *Server {
+// New returns a server for the daemon. The peers handler serves the twirp
+// calls of other daemons.
+func New(daemon Daemon, peers controlrpc.TwirpServer, registry metrics.Registry) *Server {
 	s := &Server{daemon: daemon, registry: registry, done: make(chan struct{})}
+	s.twirpPath = []byte(peers.PathPrefix())
+	s.twirp = fasthttpadaptor.NewFastHTTPHandler(peers)
 	s.routes = map[string]fasthttp.RequestHandler{
 		"POST /target/announce": s.announce,
 		"GET /ready":            s.ready,
@@ -108,6 +116,10 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if bytes.HasPrefix(ctx.Path(), s.twirpPath) {
+		s.twirp(ctx)
+		return
+	}
 	route, ok := s.routes[string(ctx.Method())+" "+string(ctx.Path())]
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/internal/controlrpc/control.twirp.go
+++ b/internal/controlrpc/control.twirp.go
@@ -31,17 +31,16 @@
 // Control Interface
 // =================
 
-// Control carries the calls between daemons that are rare or large: the
-// frames of package wire carry the rest.
+// Control carries the calls between daemons that are rare: the frames of
+// package wire carry the rest.
 type Control interface {
-	// Fetch returns the objects that the callee has at a higher version than
-	// the caller. A daemon that starts while the store is down, or that missed
-	// a change, fetches from its peers.
-	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
-
-	// KeepOutcomes asks a daemon in another availability zone to keep outcomes
-	// at risk until they are saved in the store.
-	KeepOutcomes(context.Context, *KeepOutcomesRequest) (*KeepOutcomesReply, error)
+	// Sessions returns the session records that the callee knows. A daemon that
+	// starts while the store can't be reached learns of its peers by it.
+	Sessions(context.Context, *SessionsRequest) (*SessionsReply, error)
+
+	// Outcomes takes a message about outcomes at risk. Answers come as messages
+	// of their own.
+	Outcomes(context.Context, *OutcomesMessage) (*OutcomesReceived, error)
 }
 
 // =======================
@@ -79,8 +78,8 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rhubarbring.control", "Control")
 	urls := [2]string{
-		serviceURL + "Fetch",
-		serviceURL + "KeepOutcomes",
+		serviceURL + "Sessions",
+		serviceURL + "Outcomes",
 	}
 
 	return &controlProtobufClient{
@@ -91,26 +90,26 @@
 	}
 }
 
-func (c *controlProtobufClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
+func (c *controlProtobufClient) Sessions(ctx context.Context, in *SessionsRequest) (*SessionsReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rhubarbring.control")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
-	caller := c.callFetch
+	ctx = ctxsetters.WithMethodName(ctx, "Sessions")
+	caller := c.callSessions
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		caller = func(ctx context.Context, req *SessionsRequest) (*SessionsReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*SessionsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SessionsRequest) when calling interceptor")
 					}
-					return c.callFetch(ctx, typedReq)
+					return c.callSessions(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*SessionsReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SessionsReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -120,8 +119,8 @@
 	return caller(ctx, in)
 }
 
-func (c *controlProtobufClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
-	out := new(FetchReply)
+func (c *controlProtobufClient) callSessions(ctx context.Context, in *SessionsRequest) (*SessionsReply, error) {
+	out := new(SessionsReply)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -137,26 +136,26 @@
 	return out, nil
 }
 
-func (c *controlProtobufClient) KeepOutcomes(ctx context.Context, in *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+func (c *controlProtobufClient) Outcomes(ctx context.Context, in *OutcomesMessage) (*OutcomesReceived, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rhubarbring.control")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "KeepOutcomes")
-	caller := c.callKeepOutcomes
+	ctx = ctxsetters.WithMethodName(ctx, "Outcomes")
+	caller := c.callOutcomes
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+		caller = func(ctx context.Context, req *OutcomesMessage) (*OutcomesReceived, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*KeepOutcomesRequest)
+					typedReq, ok := req.(*OutcomesMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*KeepOutcomesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*OutcomesMessage) when calling interceptor")
 					}
-					return c.callKeepOutcomes(ctx, typedReq)
+					return c.callOutcomes(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*KeepOutcomesReply)
+				typedResp, ok := resp.(*OutcomesReceived)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*KeepOutcomesReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*OutcomesReceived) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -166,8 +165,8 @@
 	return caller(ctx, in)
 }
 
-func (c *controlProtobufClient) callKeepOutcomes(ctx context.Context, in *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
-	out := new(KeepOutcomesReply)
+func (c *controlProtobufClient) callOutcomes(ctx context.Context, in *OutcomesMessage) (*OutcomesReceived, error) {
+	out := new(OutcomesReceived)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -218,8 +217,8 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rhubarbring.control", "Control")
 	urls := [2]string{
-		serviceURL + "Fetch",
-		serviceURL + "KeepOutcomes",
+		serviceURL + "Sessions",
+		serviceURL + "Outcomes",
 	}
 
 	return &controlJSONClient{
@@ -230,26 +229,26 @@
 	}
 }
 
-func (c *controlJSONClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
+func (c *controlJSONClient) Sessions(ctx context.Context, in *SessionsRequest) (*SessionsReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rhubarbring.control")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
-	caller := c.callFetch
+	ctx = ctxsetters.WithMethodName(ctx, "Sessions")
+	caller := c.callSessions
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		caller = func(ctx context.Context, req *SessionsRequest) (*SessionsReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*SessionsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SessionsRequest) when calling interceptor")
 					}
-					return c.callFetch(ctx, typedReq)
+					return c.callSessions(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*SessionsReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SessionsReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -259,8 +258,8 @@
 	return caller(ctx, in)
 }
 
-func (c *controlJSONClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
-	out := new(FetchReply)
+func (c *controlJSONClient) callSessions(ctx context.Context, in *SessionsRequest) (*SessionsReply, error) {
+	out := new(SessionsReply)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -276,26 +275,26 @@
 	return out, nil
 }
 
-func (c *controlJSONClient) KeepOutcomes(ctx context.Context, in *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+func (c *controlJSONClient) Outcomes(ctx context.Context, in *OutcomesMessage) (*OutcomesReceived, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rhubarbring.control")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "KeepOutcomes")
-	caller := c.callKeepOutcomes
+	ctx = ctxsetters.WithMethodName(ctx, "Outcomes")
+	caller := c.callOutcomes
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+		caller = func(ctx context.Context, req *OutcomesMessage) (*OutcomesReceived, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*KeepOutcomesRequest)
+					typedReq, ok := req.(*OutcomesMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*KeepOutcomesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*OutcomesMessage) when calling interceptor")
 					}
-					return c.callKeepOutcomes(ctx, typedReq)
+					return c.callOutcomes(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*KeepOutcomesReply)
+				typedResp, ok := resp.(*OutcomesReceived)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*KeepOutcomesReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*OutcomesReceived) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -305,8 +304,8 @@
 	return caller(ctx, in)
 }
 
-func (c *controlJSONClient) callKeepOutcomes(ctx context.Context, in *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
-	out := new(KeepOutcomesReply)
+func (c *controlJSONClient) callOutcomes(ctx context.Context, in *OutcomesMessage) (*OutcomesReceived, error) {
+	out := new(OutcomesReceived)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -419,11 +418,11 @@
 	}
 
 	switch method {
-	case "Fetch":
-		s.serveFetch(ctx, resp, req)
+	case "Sessions":
+		s.serveSessions(ctx, resp, req)
 		return
-	case "KeepOutcomes":
-		s.serveKeepOutcomes(ctx, resp, req)
+	case "Outcomes":
+		s.serveOutcomes(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -432,7 +431,7 @@
 	}
 }
 
-func (s *controlServer) serveFetch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSessions(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -440,9 +439,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFetchJSON(ctx, resp, req)
+		s.serveSessionsJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFetchProtobuf(ctx, resp, req)
+		s.serveSessionsProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -450,9 +449,9 @@
 	}
 }
 
-func (s *controlServer) serveFetchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSessionsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx = ctxsetters.WithMethodName(ctx, "Sessions")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -465,29 +464,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FetchRequest)
+	reqContent := new(SessionsRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Fetch
+	handler := s.Control.Sessions
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		handler = func(ctx context.Context, req *SessionsRequest) (*SessionsReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*SessionsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SessionsRequest) when calling interceptor")
 					}
-					return s.Control.Fetch(ctx, typedReq)
+					return s.Control.Sessions(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*SessionsReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SessionsReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -496,7 +495,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchReply
+	var respContent *SessionsReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -507,7 +506,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SessionsReply and nil error while calling Sessions. nil responses are not supported"))
 		return
 	}
 
@@ -533,9 +532,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveFetchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSessionsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx = ctxsetters.WithMethodName(ctx, "Sessions")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -547,28 +546,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FetchRequest)
+	reqContent := new(SessionsRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Fetch
+	handler := s.Control.Sessions
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		handler = func(ctx context.Context, req *SessionsRequest) (*SessionsReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*SessionsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SessionsRequest) when calling interceptor")
 					}
-					return s.Control.Fetch(ctx, typedReq)
+					return s.Control.Sessions(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*SessionsReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SessionsReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -577,7 +576,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchReply
+	var respContent *SessionsReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -588,7 +587,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SessionsReply and nil error while calling Sessions. nil responses are not supported"))
 		return
 	}
 
@@ -612,7 +611,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveKeepOutcomes(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveOutcomes(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -620,9 +619,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveKeepOutcomesJSON(ctx, resp, req)
+		s.serveOutcomesJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveKeepOutcomesProtobuf(ctx, resp, req)
+		s.serveOutcomesProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -630,9 +629,9 @@
 	}
 }
 
-func (s *controlServer) serveKeepOutcomesJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveOutcomesJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "KeepOutcomes")
+	ctx = ctxsetters.WithMethodName(ctx, "Outcomes")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -645,29 +644,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(KeepOutcomesRequest)
+	reqContent := new(OutcomesMessage)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.KeepOutcomes
+	handler := s.Control.Outcomes
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+		handler = func(ctx context.Context, req *OutcomesMessage) (*OutcomesReceived, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*KeepOutcomesRequest)
+					typedReq, ok := req.(*OutcomesMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*KeepOutcomesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*OutcomesMessage) when calling interceptor")
 					}
-					return s.Control.KeepOutcomes(ctx, typedReq)
+					return s.Control.Outcomes(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*KeepOutcomesReply)
+				typedResp, ok := resp.(*OutcomesReceived)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*KeepOutcomesReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*OutcomesReceived) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -676,7 +675,7 @@
 	}
 
 	// Call service method
-	var respContent *KeepOutcomesReply
+	var respContent *OutcomesReceived
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -687,7 +686,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeepOutcomesReply and nil error while calling KeepOutcomes. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OutcomesReceived and nil error while calling Outcomes. nil responses are not supported"))
 		return
 	}
 
@@ -713,9 +712,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveKeepOutcomesProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveOutcomesProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "KeepOutcomes")
+	ctx = ctxsetters.WithMethodName(ctx, "Outcomes")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -727,28 +726,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(KeepOutcomesRequest)
+	reqContent := new(OutcomesMessage)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.KeepOutcomes
+	handler := s.Control.Outcomes
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *KeepOutcomesRequest) (*KeepOutcomesReply, error) {
+		handler = func(ctx context.Context, req *OutcomesMessage) (*OutcomesReceived, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*KeepOutcomesRequest)
+					typedReq, ok := req.(*OutcomesMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*KeepOutcomesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*OutcomesMessage) when calling interceptor")
 					}
-					return s.Control.KeepOutcomes(ctx, typedReq)
+					return s.Control.Outcomes(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*KeepOutcomesReply)
+				typedResp, ok := resp.(*OutcomesReceived)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*KeepOutcomesReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*OutcomesReceived) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -757,7 +756,7 @@
 	}
 
 	// Call service method
-	var respContent *KeepOutcomesReply
+	var respContent *OutcomesReceived
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -768,7 +767,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeepOutcomesReply and nil error while calling KeepOutcomes. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OutcomesReceived and nil error while calling Outcomes. nil responses are not supported"))
 		return
 	}
 
@@ -1373,29 +1372,29 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 383 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x93, 0x4f, 0x6f, 0x9b, 0x40,
-	0x10, 0xc5, 0x85, 0xc1, 0x76, 0x3d, 0xc5, 0x87, 0xae, 0x7b, 0x58, 0xb9, 0x87, 0x62, 0x0e, 0x2d,
-	0x27, 0x2c, 0xb9, 0xaa, 0xd5, 0x73, 0x2d, 0xf5, 0xe2, 0x83, 0xd5, 0x3d, 0x54, 0x6a, 0x94, 0x43,
-	0xf8, 0x33, 0x31, 0x24, 0xc0, 0x92, 0x65, 0x41, 0x72, 0x3e, 0x59, 0x3e, 0x5e, 0xb4, 0x0b, 0x48,
-	0xb6, 0x84, 0xac, 0x48, 0xb9, 0xbd, 0xb7, 0xcc, 0xbc, 0xfd, 0xcd, 0xa0, 0x85, 0x55, 0x5a, 0x48,
-	0x14, 0x45, 0x90, 0xad, 0x23, 0x5e, 0x48, 0xc1, 0x33, 0x51, 0x46, 0xbd, 0xf4, 0x4b, 0xc1, 0x25,
-	0x27, 0x0b, 0x91, 0xd4, 0x61, 0x20, 0x42, 0x91, 0x16, 0x47, 0xbf, 0xfb, 0xe4, 0xfe, 0x85, 0xf9,
-	0x21, 0x7c, 0xc0, 0x48, 0xfe, 0x43, 0x51, 0xa5, 0xbc, 0x20, 0x04, 0xac, 0xc7, 0xb4, 0x88, 0xa9,
-	0xe1, 0x18, 0xde, 0x8c, 0x69, 0xad, 0xce, 0x8a, 0x20, 0x47, 0x3a, 0x6a, 0xcf, 0x94, 0x26, 0x14,
-	0xa6, 0x4d, 0xdb, 0x42, 0x4d, 0xc7, 0xf0, 0x2c, 0xd6, 0x5b, 0xf7, 0x19, 0x26, 0x6d, 0xe4, 0xfb,
-	0xb3, 0xc8, 0x67, 0x18, 0x37, 0x41, 0x56, 0x23, 0xb5, 0x1c, 0xc3, 0xb3, 0x59, 0x6b, 0x54, 0x7d,
-	0x8c, 0x19, 0x4a, 0x8c, 0xe9, 0xd8, 0x31, 0xbc, 0x0f, 0xac, 0xb7, 0xee, 0x2d, 0xd8, 0x7f, 0x50,
-	0x46, 0x09, 0xc3, 0xa7, 0x1a, 0x2b, 0x49, 0xb6, 0x60, 0x25, 0x41, 0x83, 0xd4, 0x70, 0x4c, 0xef,
-	0xe3, 0xc6, 0xf5, 0x07, 0x56, 0xe0, 0x5f, 0xcc, 0xcf, 0x74, 0xbd, 0xba, 0x57, 0xd1, 0x56, 0x74,
-	0xe4, 0x98, 0xde, 0x8c, 0xb5, 0xc6, 0xdd, 0x01, 0x74, 0xe9, 0x65, 0x76, 0x22, 0x3f, 0x61, 0xca,
-	0x75, 0x6b, 0xd5, 0xc5, 0x7f, 0xb9, 0x12, 0xcf, 0xfa, 0x5a, 0xf7, 0x3f, 0x2c, 0xf6, 0x88, 0xe5,
-	0xa1, 0x96, 0x11, 0xcf, 0xb1, 0xea, 0x49, 0x09, 0x58, 0xf7, 0x82, 0xe7, 0xfd, 0xae, 0x94, 0x56,
-	0x73, 0x0a, 0x8c, 0xb8, 0xe8, 0x38, 0x6c, 0xd6, 0x5b, 0xc5, 0x57, 0x05, 0x0d, 0xc6, 0xd4, 0x6c,
-	0xf9, 0xb4, 0x71, 0xbf, 0xc3, 0xa7, 0xcb, 0x68, 0x85, 0xa9, 0x7e, 0x02, 0x96, 0x52, 0x07, 0xcf,
-	0x99, 0xd6, 0x9b, 0x17, 0x03, 0xa6, 0xbb, 0x96, 0x8f, 0xec, 0x61, 0xac, 0x87, 0x22, 0xab, 0x41,
-	0xfc, 0xf3, 0x75, 0x2e, 0xbf, 0x5e, 0x2b, 0x51, 0x97, 0xdd, 0x81, 0x7d, 0x4e, 0x40, 0xbc, 0xc1,
-	0x86, 0x81, 0xf9, 0x97, 0xdf, 0xde, 0x50, 0x59, 0x66, 0xa7, 0xdf, 0xbf, 0x6e, 0xb6, 0xc7, 0x54,
-	0x26, 0x75, 0xe8, 0x47, 0x3c, 0x5f, 0x9f, 0xf5, 0x5c, 0xe8, 0x81, 0xd7, 0x10, 0x4e, 0xf4, 0x33,
-	0xf8, 0xf1, 0x1a, 0x00, 0x00, 0xff, 0xff, 0x6b, 0x8b, 0x1f, 0xe4, 0x2b, 0x03, 0x00, 0x00,
+	// 376 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0x51, 0xab, 0xd3, 0x30,
+	0x14, 0xc7, 0x6f, 0xef, 0xed, 0xec, 0x76, 0xa6, 0x4c, 0xe3, 0x1e, 0xca, 0x5e, 0xac, 0x41, 0xa1,
+	0x4f, 0x1d, 0x4c, 0x10, 0x41, 0x41, 0x98, 0x2f, 0x7b, 0x99, 0x42, 0x14, 0x04, 0xdf, 0xd2, 0xf4,
+	0xb0, 0x16, 0xdb, 0xa4, 0x26, 0xe9, 0x60, 0xdf, 0x4c, 0xf0, 0xcb, 0x49, 0xda, 0xc5, 0x4d, 0x99,
+	0xbb, 0x6f, 0xe7, 0xff, 0xcf, 0x39, 0xbf, 0xe4, 0x9c, 0x13, 0x78, 0x5e, 0x49, 0x8b, 0x5a, 0xf2,
+	0x7a, 0x29, 0x94, 0xb4, 0x5a, 0xd5, 0xba, 0x15, 0x3e, 0xcc, 0x5a, 0xad, 0xac, 0x22, 0x4f, 0x75,
+	0xd9, 0xe5, 0x5c, 0xe7, 0xba, 0x92, 0xbb, 0xec, 0x78, 0x44, 0x9f, 0xc0, 0xec, 0x33, 0x1a, 0x53,
+	0x29, 0x69, 0x18, 0xfe, 0xe8, 0xd0, 0x58, 0xba, 0x85, 0x47, 0x27, 0xab, 0xad, 0x0f, 0xe4, 0x1d,
+	0x44, 0x1a, 0x85, 0xd2, 0x85, 0x89, 0x83, 0xe4, 0x2e, 0x9d, 0xae, 0x68, 0x76, 0x01, 0x95, 0x1d,
+	0x8b, 0x58, 0x9f, 0xca, 0x7c, 0x09, 0x7d, 0xff, 0x07, 0x37, 0x9c, 0x90, 0x18, 0xa2, 0x3d, 0x6a,
+	0x67, 0xc4, 0x41, 0x12, 0xa4, 0x21, 0xf3, 0x92, 0xcc, 0x61, 0xb4, 0xe7, 0x75, 0x87, 0xf1, 0x6d,
+	0x12, 0xa4, 0x0f, 0xd9, 0x20, 0xe8, 0xaf, 0x00, 0x66, 0x9f, 0x3a, 0x2b, 0x54, 0x83, 0x66, 0x8b,
+	0xc6, 0xf0, 0x1d, 0x12, 0x02, 0x61, 0xa9, 0x8c, 0xed, 0x01, 0x13, 0xd6, 0xc7, 0x24, 0x81, 0x69,
+	0x25, 0x05, 0xd7, 0x92, 0x5b, 0xc7, 0xbe, 0xed, 0xd9, 0xe7, 0x16, 0x99, 0x43, 0x28, 0x54, 0x7b,
+	0x88, 0xef, 0x1c, 0x7e, 0x73, 0xc3, 0x7a, 0xe5, 0xdc, 0xef, 0xd8, 0xda, 0x38, 0x74, 0x2c, 0xe7,
+	0x3a, 0x45, 0xde, 0x42, 0x54, 0x68, 0xd5, 0xb6, 0x58, 0xc4, 0xa3, 0x24, 0x48, 0xa7, 0xab, 0x67,
+	0x17, 0x9b, 0x5e, 0x73, 0x2b, 0xca, 0x8f, 0xbc, 0x41, 0xb3, 0xb9, 0x61, 0xbe, 0x62, 0x3d, 0x81,
+	0xa8, 0x19, 0x5e, 0x4a, 0x29, 0xc0, 0x29, 0xc7, 0x75, 0x28, 0x5d, 0xd0, 0x0f, 0x72, 0xc2, 0x06,
+	0x41, 0x09, 0x3c, 0xf6, 0x0d, 0x32, 0x14, 0x58, 0xed, 0xb1, 0x58, 0xfd, 0x0c, 0x20, 0xfa, 0x30,
+	0x5c, 0x42, 0xbe, 0xc0, 0xd8, 0x6f, 0x84, 0xbc, 0xb8, 0x36, 0x7b, 0xbf, 0xc3, 0x05, 0xbd, 0x27,
+	0xcb, 0xad, 0xf5, 0x2b, 0x8c, 0xfd, 0xad, 0xff, 0xa1, 0xfe, 0x33, 0xf5, 0xc5, 0xcb, 0xab, 0x59,
+	0xfe, 0xe9, 0xeb, 0x37, 0xdf, 0x5e, 0xef, 0x2a, 0x5b, 0x76, 0x79, 0x26, 0x54, 0xb3, 0x3c, 0x2b,
+	0xf9, 0x2b, 0xbe, 0xf0, 0x61, 0xf3, 0x07, 0xfd, 0x4f, 0x7d, 0xf5, 0x3b, 0x00, 0x00, 0xff, 0xff,
+	0x76, 0xaf, 0x46, 0x51, 0xce, 0x02, 0x00, 0x00,
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,9 @@
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/internal/controlrpc"
 	"github.com/rhubarbring/rhubarbring/internal/entry"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
@@ -20,6 +22,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -57,6 +60,8 @@
 	routing   *routingDuty
 	placement *placementDuty
 	spread    *spreadDuty
+	risk      *riskDuty
+	heard     *heardZones
 	entry     *entry.Server
 	control   *control.Server
 
@@ -73,6 +78,7 @@
 		registry: registry,
 		client:   storeclient.New(s.Store, storeTimeout).Scoped(s.Environment),
 		fleet:    newFleet(),
+		heard:    &heardZones{at: make(map[string]mono.Time), clock: bootclock.Now},
 	}
 }
 
@@ -93,7 +99,7 @@
 	d.lease.peers = peers
 	d.routing.peers = peers
 	d.placement.peers = peers
-	d.control = control.New(d, d.registry)
+	d.control = control.New(d, controlrpc.NewControlServer(d), d.registry)
 	if err := d.control.Start(d.settings.Control); err != nil {
 		d.peers.Close()
 		return err
@@ -109,6 +115,7 @@
 	d.routing.start()
 	d.placement.start()
 	d.spread.start()
+	d.risk.start()
 	d.log.Event(event.Started, "zone", string(d.settings.Zone), "incarnation", d.self.Incarnation)
 	return nil
 }
@@ -138,6 +145,7 @@
 	d.spread = newSpreadDuty(d, seed, d.registry)
 	d.routing.released = func(r handover.Release) { d.placement.push(ownRelease{r}) }
 	d.routing.reportLoad = func(r placement.LoadReport) { d.placement.push(ownLoad{r}) }
+	d.risk = newRiskDuty(d, seed, d.registry)
 	d.routing.raise = d.raise
 	d.routing.settle = d.settle
 	d.placement.onPack = d.packWritten
@@ -164,6 +172,7 @@
 	d.routing.ring.Wait(stopRequested{}, d.routing.stop)
 	d.await(drainPatience, d.routing.idle.Load)
 	d.entry.Stop()
+	time.Sleep(2 * request.DefaultConfig().AckEvery) // The last answers are acknowledged to their gates.
 	d.lease.wait(leaveSession{})
 	d.await(leavePatience, func() bool { return len(d.lease.ended) > 0 })
 	d.closeDuties()
@@ -180,6 +189,7 @@
 }
 
 func (d *Daemon) closeDuties() {
+	d.risk.close()
 	d.spread.close()
 	d.placement.close()
 	d.routing.close()
@@ -225,9 +235,10 @@
 	d.routing.ring.Push(callerGone{caller})
 }
 
+// raise hands an outcome at risk to the risk duty. It waits for room: an
+// outcome must not vanish.
 func (d *Daemon) raise(r request.Risk) {
-	d.log.Event(event.OutcomeRaised, "id", r.ID, "app", string(r.App), "key", r.Key, "owner", r.Owner.String(),
-		"epoch", r.Epoch, "code", uint16(r.Code), "outcome", r.Outcome.String())
+	d.risk.ring.Wait(riskRaised{risk: r}, d.risk.stop)
 }
 
 func (d *Daemon) settle(s request.Settlement) {
--- a/internal/daemon/frames.go
+++ b/internal/daemon/frames.go
@@ -19,6 +19,7 @@
 
 // Frame implements peer.Handler.
 func (f *frames) Frame(from *peer.Conn, kind wire.Kind, payload []byte) {
+	f.d.heard.note(from)
 	if err := f.take(from, kind, payload); err != nil {
 		f.d.log.Event(event.BadFrame, "peer", from.Session().String(), "cause", err.Error())
 	}
@@ -32,6 +33,8 @@
 		return decoded(payload, func(m request.Answer) { f.d.routing.ring.Push(answerReceived{from, &m}) })
 	case wire.KindCancel:
 		return decoded(payload, func(m request.Cancel) { f.d.routing.ring.Push(cancelReceived{from, m}) })
+	case wire.KindAck:
+		return decoded(payload, func(m request.Ack) { f.d.routing.ring.Push(ackReceived{from, m}) })
 	case wire.KindRenew:
 		return decoded(payload, func(m session.Renew) { f.d.lease.push(renewReceived{from, m}) })
 	case wire.KindRenewed:
--- a/internal/daemon/lease_duty.go
+++ b/internal/daemon/lease_duty.go
@@ -46,6 +46,7 @@
 
 	heldUntil atomic.Int64
 	recorded  atomic.Pointer[session.Versioned]
+	pending   atomic.Pointer[[]takeover.Pending]
 	ended     chan session.State
 	stop      chan struct{}
 	done      sync.WaitGroup
@@ -108,6 +109,7 @@
 			now := bootclock.Now()
 			l.step(now, session.Tick{})
 			l.doTakeover(l.takeover.Tick(now))
+			l.publishPending()
 		case <-l.stop:
 			return
 		}
@@ -125,6 +127,17 @@
 	}
 }
 
+// publishPending shows the sessions that fell silent and are not yet recorded
+// as lost.
+func (l *leaseDuty) publishPending() {
+	if l.takeover.Len() == 0 {
+		l.pending.Store(nil)
+		return
+	}
+	pending := l.takeover.Pending()
+	l.pending.Store(&pending)
+}
+
 func (l *leaseDuty) step(now mono.Time, ev session.Event) {
 	l.doSession(l.session.Step(now, ev))
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -56,8 +56,12 @@
 		Document:       d.documentStatus(),
 		Fleet:          d.fleetStatus(),
 		Relay:          d.spread.relay.Load(),
+		OpenOutcomes:   int(d.risk.open.Load()),
 		Alarms:         []string{},
 	}
+	if lines := d.risk.ringing.Load(); lines != nil {
+		s.Alarms = *lines
+	}
 	if err := d.Ready(); err != nil {
 		s.Ready = err.Error()
 	}
--- /dev/null
+++ b/internal/daemon/risk_calls.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/alarm"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/controlrpc"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/outcome"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	callTimeout    = 2 * time.Second
+	deliverTimeout = 3 * time.Second
+	mergeTries     = 5
+	mergePause     = 200 * time.Millisecond
+)
+
+// heardZones remembers when a frame of each availability zone last arrived.
+type heardZones struct {
+	mu    sync.Mutex
+	at    map[string]mono.Time
+	clock func() mono.Time
+}
+
+// outcomeCaller sends the messages of package outcome over twirp.
+type outcomeCaller struct {
+	d      *Daemon
+	client *http.Client
+}
+
+func newOutcomeCaller(d *Daemon) *outcomeCaller {
+	return &outcomeCaller{d: d, client: &http.Client{Timeout: callTimeout}}
+}
+
+// send sends a message on a goroutine of its own; a lost one is sent again by
+// the keeper.
+func (c *outcomeCaller) send(to host.Session, m outcome.Message) {
+	v, ok := c.d.fleet.sessions.Load().records[to]
+	if !ok {
+		return
+	}
+	message, err := c.encode(m)
+	if err != nil {
+		return
+	}
+	remote := controlrpc.NewControlProtobufClient("http://"+v.Record.Control, c.client)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		_, _ = remote.Outcomes(ctx, message)
+	}()
+}
+
+func (c *outcomeCaller) encode(m outcome.Message) (*controlrpc.OutcomesMessage, error) {
+	out := &controlrpc.OutcomesMessage{Host: string(c.d.self.Host), Incarnation: c.d.self.Incarnation}
+	switch m := m.(type) {
+	case *outcome.Copy:
+		raw, err := m.Batch.Encode()
+		if err != nil {
+			return nil, err
+		}
+		out.Message = &controlrpc.OutcomesMessage_Copy{Copy: raw}
+	case *outcome.Kept:
+		out.Message = &controlrpc.OutcomesMessage_Kept{Kept: m.Name}
+	case *outcome.Dropped:
+		out.Message = &controlrpc.OutcomesMessage_Dropped{Dropped: &controlrpc.BatchNames{Names: m.Names}}
+	}
+	return out, nil
+}
+
+// Outcomes implements controlrpc.Control.
+func (d *Daemon) Outcomes(_ context.Context, m *controlrpc.OutcomesMessage) (*controlrpc.OutcomesReceived, error) {
+	message, err := decodeOutcomes(m)
+	if err != nil {
+		return nil, err
+	}
+	from := host.Session{Host: host.ID(m.Host), Incarnation: m.Incarnation}
+	if !d.risk.ring.Push(outcomesReceived{from: from, message: message}) {
+		return nil, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}
+	}
+	return &controlrpc.OutcomesReceived{}, nil
+}
+
+func decodeOutcomes(m *controlrpc.OutcomesMessage) (outcome.Message, error) {
+	switch body := m.Message.(type) {
+	case *controlrpc.OutcomesMessage_Copy:
+		batch, err := outcome.Decode(body.Copy)
+		if err != nil {
+			return nil, err
+		}
+		return &outcome.Copy{Batch: *batch}, nil
+	case *controlrpc.OutcomesMessage_Kept:
+		return &outcome.Kept{Name: body.Kept}, nil
+	case *controlrpc.OutcomesMessage_Dropped:
+		return &outcome.Dropped{Names: body.Dropped.GetNames()}, nil
+	default:
+		return nil, &result.Error{Code: result.BadFrame, Detail: "a message about outcomes without a body"}
+	}
+}
+
+// Sessions implements controlrpc.Control.
+func (d *Daemon) Sessions(context.Context, *controlrpc.SessionsRequest) (*controlrpc.SessionsReply, error) {
+	reply := &controlrpc.SessionsReply{}
+	for _, v := range d.fleet.sessions.Load().records {
+		raw, err := v.Record.Encode()
+		if err != nil {
+			return nil, err
+		}
+		reply.Records = append(reply.Records, &controlrpc.SessionRecord{Version: v.Version, Value: raw})
+	}
+	return reply, nil
+}
+
+// deliver posts an alarm to the document's receiver, on a goroutine of its own.
+func (r *riskDuty) deliver(a alarm.Alarm) {
+	err := r.post(a)
+	if err != nil {
+		r.d.log.Event(event.AlarmNotTaken, "id", a.ID, "deliveries", a.Deliveries, "cause", err.Error())
+	} else {
+		r.d.log.Event(event.AlarmTaken, "id", a.ID, "deliveries", a.Deliveries)
+	}
+	r.ring.Wait(alarmDelivered{id: a.ID, taken: err == nil}, r.stop)
+}
+
+func (r *riskDuty) post(a alarm.Alarm) error {
+	doc := r.d.fleet.document.Load()
+	if doc == nil {
+		return &result.Error{Code: result.NotConfigured, Detail: "no document is in force"}
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(doc.document.Alarm.Receiver)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	if err := fasthttp.DoTimeout(req, resp, deliverTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode()/100 != 2 {
+		return &result.Error{Code: result.TargetUnavailable, Field: "alarm.receiver", Detail: "status " + http.StatusText(resp.StatusCode())}
+	}
+	return nil
+}
+
+// keepAlarm merges an alarm into its record in the store, on a goroutine of
+// its own. A failed one is tried again with the alarm's next change.
+func (r *riskDuty) keepAlarm(a alarm.Alarm) {
+	for range mergeTries {
+		if r.mergeAlarm(a) {
+			return
+		}
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(mergePause):
+		}
+	}
+}
+
+func (r *riskDuty) mergeAlarm(a alarm.Alarm) bool {
+	object, err := r.d.client.Get(alarm.StoreKind, a.ID)
+	var stored *alarm.Record
+	if err == nil {
+		stored = &alarm.Record{}
+		if json.Unmarshal(object.Value, stored) != nil {
+			stored = nil
+		}
+	}
+	record, _ := alarm.Merge(stored, a)
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return true
+	}
+	_, err = r.d.client.Put(alarm.StoreKind, a.ID, object.Version, raw)
+	return err == nil
+}
+
+// pollAcknowledged looks from time to time whether a person has acknowledged
+// an alarm that rings here.
+func (r *riskDuty) pollAcknowledged(now mono.Time) {
+	if now.Sub(r.polled) < acknowledgedPoll {
+		return
+	}
+	r.polled = now
+	for _, a := range r.alarm.Ringing() {
+		go r.readAcknowledged(a.ID)
+	}
+}
+
+func (r *riskDuty) readAcknowledged(id string) {
+	object, err := r.d.client.Get(alarm.StoreKind, id)
+	if err != nil {
+		return
+	}
+	var record alarm.Record
+	if json.Unmarshal(object.Value, &record) != nil || record.Alarm.Acknowledged == nil {
+		return
+	}
+	ack := record.Alarm.Acknowledged
+	r.ring.Wait(alarmAcknowledged{id: id, who: ack.Who, why: ack.Why}, r.stop)
+}
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -309,7 +309,7 @@
 
 func (r *routingDuty) pending() bool {
 	o, g := &r.out, &r.gateOut
-	return len(o.Sends)+len(o.Cancels)+len(o.Replies)+len(o.Raises)+len(o.Settles) > 0 ||
+	return len(o.Sends)+len(o.Cancels)+len(o.Acks)+len(o.Replies)+len(o.Raises)+len(o.Settles) > 0 ||
 		len(g.Starts)+len(g.Cancels)+len(g.Answers)+len(g.Raises)+len(g.Settles) > 0
 }
 
@@ -323,6 +323,9 @@
 	for _, c := range out.Cancels {
 		r.cancel(now, c)
 	}
+	for _, a := range out.Acks {
+		r.ack(a)
+	}
 	for _, reply := range out.Replies {
 		r.reply(reply)
 	}
@@ -372,6 +375,24 @@
 	}
 }
 
+// ack tells a gate which of its answers reached their callers. A lost one
+// makes the gate raise an outcome that is known, should this daemon be lost.
+func (r *routingDuty) ack(a request.SendAck) {
+	if a.To == r.self {
+		if r.gate != nil {
+			r.gate.Acked(r.self, a.Ack)
+		}
+		return
+	}
+	frame, err := wire.Encode(wire.KindAck, a.Ack)
+	if err != nil {
+		return
+	}
+	if address := r.fleet.peerAddress(a.To); address != "" {
+		_, _ = r.peers.Send(address, frame, 0)
+	}
+}
+
 func (r *routingDuty) reply(reply request.Reply) {
 	a := reply.Answer
 	r.log.Event(event.RequestAnswered, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -31,6 +31,10 @@
 		from   *peer.Conn
 		cancel request.Cancel
 	}
+	ackReceived struct {
+		from *peer.Conn
+		ack  request.Ack
+	}
 	// answerReceived is an answer on the connection that it came on.
 	answerReceived struct {
 		conn   *peer.Conn
@@ -90,6 +94,12 @@
 	}
 }
 
+func (w ackReceived) routingWork(r *routingDuty, _ mono.Time) {
+	if r.gate != nil {
+		r.gate.Acked(w.from.Session(), w.ack)
+	}
+}
+
 // An answer counts only on the connection that its request went out on.
 func (w answerReceived) routingWork(r *routingDuty, now mono.Time) {
 	s, ok := r.sent[w.answer.Seq]
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -46,6 +46,7 @@
 	watches map[spread.Kind]uint64 // number of the newest watch of a kind
 	adopted adoption
 	began   mono.Time
+	zone    zoneForce
 	ready   atomic.Bool
 	relay   atomic.Bool
 	stop    chan struct{}
@@ -135,6 +136,7 @@
 		s.do(action)
 	}
 	s.publish()
+	s.followForce(now)
 	s.handOver(now)
 }
 
@@ -318,6 +320,7 @@
 	s.d.lease.wait(recordsSeen{records: newer, deleted: a.deleted})
 	s.d.placement.wait(sessionsChanged{records: newer})
 	s.d.routing.ring.Wait(gatesChanged{}, s.stop)
+	s.d.risk.ring.Push(fleetChanged{})
 	for _, v := range newer {
 		if v.Record.State.Final() {
 			s.d.routing.ring.Wait(sessionEnded{session: v.Record.Session}, s.stop)
--- /dev/null
+++ b/internal/daemon/zone_force.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/spread"
+)
+
+// zoneForce follows, at an availability zone's relay, whether the newest
+// document is in force on every living daemon of the zone, and records it in
+// the store: a promotion asks for it.
+type zoneForce struct {
+	// behind is since when some daemon of the zone lacks the newest document,
+	// or 0. Other duties read it.
+	behind atomic.Int64
+	// recorded is the document's version in the last record that landed, and
+	// hosts the count in it.
+	recorded uint64
+	hosts    int
+	writing  bool
+	notUntil mono.Time
+}
+
+// forcePause is the pause after a write of the zone's record that failed.
+const forcePause = 2 * time.Second
+
+// documentLag returns for how long the zone has lacked the newest document; 0
+// if it does not.
+func (s *spreadDuty) documentLag(now mono.Time) time.Duration {
+	behind := mono.Time(s.zone.behind.Load())
+	if behind == 0 {
+		return 0
+	}
+	return max(now.Sub(behind), 1)
+}
+
+func (s *spreadDuty) followForce(now mono.Time) {
+	newest, ok := s.core.Get(spread.Key{Kind: document.Kind, Name: s.d.settings.Environment})
+	if !ok || !s.core.IsRelay() {
+		s.zone.behind.Store(0)
+		return
+	}
+	view := s.core.View(now)
+	if view.InForce < newest.Version {
+		s.zone.behind.CompareAndSwap(0, int64(now))
+		return
+	}
+	s.zone.behind.Store(0)
+	inForce := s.d.fleet.document.Load()
+	if inForce == nil || s.zone.writing || now.Before(s.zone.notUntil) {
+		return
+	}
+	if s.zone.recorded == inForce.stored.Version && s.zone.hosts == view.Hosts {
+		return
+	}
+	s.recordForce(inForce.stored, view.Hosts)
+}
+
+func (s *spreadDuty) recordForce(stored *document.Stored, hosts int) {
+	record := document.InForce{Version: stored.Version, Hash: stored.Hash, Hosts: hosts, When: time.Now().UTC()}
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return
+	}
+	s.zone.writing = true
+	name := document.InForceName(s.d.settings.Environment, s.d.settings.Zone)
+	go s.writeForce(name, raw, record)
+}
+
+// writeForce replaces the zone's record, on a goroutine of its own. Relays
+// that race write the same or a later truth; the loser tries again.
+func (s *spreadDuty) writeForce(name string, raw []byte, record document.InForce) {
+	old, err := s.d.client.Get(document.InForceKind, name)
+	if err == nil || storeclient.IsNotFound(err) {
+		_, err = s.d.client.Put(document.InForceKind, name, old.Version, raw)
+	}
+	s.ring.Wait(forceRecorded{record: record, landed: err == nil}, s.stop)
+}
+
+// forceRecorded is the end of a write of the zone's record.
+type forceRecorded struct {
+	record document.InForce
+	landed bool
+}
+
+func (w forceRecorded) spreadWork(s *spreadDuty, now mono.Time) {
+	s.zone.writing = false
+	if !w.landed {
+		s.zone.notUntil = now.Add(forcePause)
+		return
+	}
+	if s.zone.recorded != w.record.Version {
+		s.d.log.Event(event.ZoneInForce, "zone", string(s.d.settings.Zone), "version", w.record.Version, "hosts", w.record.Hosts)
+	}
+	s.zone.recorded = w.record.Version
+	s.zone.hosts = w.record.Hosts
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -38,6 +38,15 @@
 	return host.Nobody
 }
 
+// Zone returns the availability zone at the other end, or "" if nothing was
+// said yet.
+func (c *Conn) Zone() host.Zone {
+	if hello := c.hello.Load(); hello != nil {
+		return hello.Zone
+	}
+	return ""
+}
+
 // Send sends a frame on this connection. It returns PeerUnreachable if the
 // frame surely never left.
 func (c *Conn) Send(frame []byte) error {
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -265,6 +265,11 @@
 	return result.StoreDoubt
 }
 
+// IsNotFound reports whether an error says that there is no such object.
+func IsNotFound(err error) bool {
+	return CodeOf(err) == result.StoreNotFound
+}
+
 // IsTooOld reports whether an error of Watch says that the revision is too
 // old: list again.
 func IsTooOld(err error) bool {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,6 +23,7 @@
 	KindRequest
 	KindAnswer
 	KindCancel
+	KindAck
 	KindRenew
 	KindRenewed
 	KindAsks
@@ -32,9 +33,6 @@
 	KindHave
 	KindObjects
 	KindAsk
-	KindOutcomes
-	KindOutcomesKept
-	KindSaved
 )
 
 // Sizes of a frame in bytes.
--- a/takeover/core.go
+++ b/takeover/core.go
@@ -95,6 +95,21 @@
 	return len(c.attempts)
 }
 
+// Pending is a takeover under way.
+type Pending struct {
+	Session host.Session
+	Since   mono.Time
+}
+
+// Pending returns the takeovers under way, in a fixed order.
+func (c *Core) Pending() []Pending {
+	var out []Pending
+	for _, s := range c.order() {
+		out = append(out, Pending{Session: s, Since: c.attempts[s].began})
+	}
+	return out
+}
+
 // Tick says that time has passed. It is due at least every 50 ms.
 func (c *Core) Tick(now mono.Time) []Action {
 	for _, s := range c.witness.Silent(now) {
