Trial tells the gap after each fault and the outcomes kept

Cause: the longest gap of a trial did not say which fault it followed, and a kept outcome was found by its id's text, so that x-8 matched x-89. Change: the judge names the longest gap after each fault and counts the outcomes at risk that callers were told of and those the store keeps; ids are taken from the decoded batches.

--- a/cmd/rhubarb-trial/calls.go
+++ b/cmd/rhubarb-trial/calls.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/judge"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/trial"
+	"github.com/rhubarbring/rhubarbring/outcome"
 )
 
 const (
@@ -162,14 +163,11 @@
 	return file.Close()
 }
 
-// outcomeKind is the kind of the store's objects that keep outcomes at risk.
-const outcomeKind = "outcome"
-
 func keptCommand() *cobra.Command {
 	var store, file string
 	cmd := &cobra.Command{
 		Use:   "kept",
-		Short: "Save the outcome objects of the store to a file",
+		Short: "Save the ids of the outcomes kept in the store to a file",
 		Args:  cobra.NoArgs,
 		RunE:  func(*cobra.Command, []string) error { return saveKept(store, file) },
 	}
@@ -180,20 +178,26 @@
 
 func saveKept(store, file string) error {
 	client := storeAt(store)
-	values := [][]byte{}
+	ids := []string{}
 	for after := ""; ; {
-		page, err := client.List(outcomeKind, after, listLimit)
+		page, err := client.List(outcome.Kind, after, listLimit)
 		if err != nil {
 			return err
 		}
 		for _, item := range page.Items {
-			values = append(values, item.Value)
+			batch, err := outcome.Decode(item.Value)
+			if err != nil {
+				return err
+			}
+			for _, o := range batch.Outcomes {
+				ids = append(ids, o.ID)
+			}
 		}
 		if after = page.Next; after == "" {
 			break
 		}
 	}
-	raw, err := json.Marshal(values)
+	raw, err := json.Marshal(ids)
 	if err != nil {
 		return err
 	}
--- a/cmd/rhubarb-trial/main_test.go
+++ b/cmd/rhubarb-trial/main_test.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/cli"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/storestand"
+	"github.com/rhubarbring/rhubarbring/outcome"
 )
 
 // run executes the command line and returns its exit code and output.
@@ -55,14 +56,17 @@
 	must.Eq(t, cli.ExitFailed, code)
 	must.StrContains(t, out, "store_conflict")
 
-	_, err = client.Put(outcomeKind, "a", 0, []byte("id-1"))
+	batch := outcome.Batch{Name: "a", Outcomes: []outcome.Outcome{{ID: "id-1"}, {ID: "id-2"}}}
+	value, err := batch.Encode()
+	must.NoError(t, err)
+	_, err = client.Put(outcome.Kind, batch.Name, 0, value)
 	must.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "outcomes.json")
 	code, _ = run("kept", "--store", "http://"+address, "--file", file)
 	must.Eq(t, cli.ExitOK, code)
-	var kept [][]byte
+	var kept []string
 	must.NoError(t, readJSON(file, &kept))
-	must.Eq(t, [][]byte{[]byte("id-1")}, kept)
+	must.Eq(t, []string{"id-1", "id-2"}, kept)
 }
 
 func TestWaitAndPost(t *testing.T) {
--- a/internal/judge/gaps.go
+++ b/internal/judge/gaps.go
@@ -52,24 +52,40 @@
 	return ask{span{r.AskedNs, r.EndedNs}, w.Outcome == result.Done.String()}
 }
 
-// worstGap returns the longest gap of any slice that ends after the first
-// fault began.
-func worstGap(in Input, runs []run) Gap {
-	if len(in.Faults) == 0 {
-		return Gap{}
-	}
-	first := in.Faults[0].BeginNs
+// FaultGap is the longest gap that ends after a fault began and before the
+// next one did.
+type FaultGap struct {
+	Fault Fault
+	Gap   Gap
+}
+
+// gapsByFault returns the longest gap of any slice for each fault, by the
+// faults' beginnings. Gaps that end before the first fault belong to none.
+func gapsByFault(in Input, runs []run) []FaultGap {
+	out := make([]FaultGap, 0, len(in.Faults))
 	for _, f := range in.Faults {
-		first = min(first, f.BeginNs)
+		out = append(out, FaultGap{Fault: f})
 	}
-	var worst Gap
+	slices.SortFunc(out, func(a, b FaultGap) int { return cmp.Compare(a.Fault.BeginNs, b.Fault.BeginNs) })
 	for name, asks := range asksBySlice(in, runs) {
 		for _, g := range gaps(name, asks) {
-			if g.EndNs > first && longer(g, worst) {
-				worst = g
+			i, _ := slices.BinarySearchFunc(out, g.EndNs, func(f FaultGap, ns int64) int { return cmp.Compare(f.Fault.BeginNs, ns) })
+			if i > 0 && longer(g, out[i-1].Gap) {
+				out[i-1].Gap = g
 			}
 		}
 	}
+	return out
+}
+
+// worstGap returns the longest gap after any fault.
+func worstGap(byFault []FaultGap) Gap {
+	var worst Gap
+	for _, f := range byFault {
+		if longer(f.Gap, worst) {
+			worst = f.Gap
+		}
+	}
 	return worst
 }
 
--- a/internal/judge/input.go
+++ b/internal/judge/input.go
@@ -63,8 +63,8 @@
 	Records []load.Record
 	Journal []targetstand.Record
 	Faults  []Fault
-	// Kept are the values of the outcome objects in the store.
-	Kept [][]byte
+	// Kept are the ids of the outcomes at risk that the store keeps.
+	Kept []string
 }
 
 // readLines decodes a line of JSON after the other. A last line that is cut
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -104,11 +104,15 @@
 		}, "lost=1"},
 		{"no answer, but kept", func(x *trial) {
 			x.record("x7", word("h3:1", "", 5000, 5100))
-			x.Kept = [][]byte{[]byte("{\"ids\":[\"x7\"]}")}
+			x.Kept = []string{"x7"}
 		}, "ok"},
 		{"no answer, idempotent, kept", func(x *trial) {
 			x.record("x7", word("h3:1", "", 5000, 5100)).Idempotent = true
-			x.Kept = [][]byte{[]byte("x7")}
+			x.Kept = []string{"x7"}
+		}, "lost=1"},
+		{"no answer, another one is kept", func(x *trial) {
+			x.record("x7", word("h3:1", "", 5000, 5100))
+			x.Kept = []string{"x78"}
 		}, "lost=1"},
 		{"foreign answer", func(x *trial) {
 			x.Records[3].Words[0].Own = false
@@ -211,6 +215,16 @@
 	must.False(t, judge.Judge(judge.Input{}).OK())
 }
 
+func TestOutcomesAtRisk(t *testing.T) {
+	x := sound()
+	x.record("x", word("h3:1", "unknown", 5000, 5100))
+	x.record("y", word("h3:1", "late", 5000, 5100))
+	x.record("z", word("h3:1", "unknown", 5000, 5100)).Idempotent = true
+	x.record("n", word("h3:1", "not_run", 5000, 5100))
+	x.Kept = []string{"y", "n"}
+	must.Eq(t, judge.AtRisk{Told: 2, Kept: 1}, judge.Judge(x.Input).AtRisk)
+}
+
 func TestChurnCountsMovesThatNothingForced(t *testing.T) {
 	x := sound()
 	x.done("x", "h1", "h1/2", 4, 6200, 6210)
@@ -257,6 +271,19 @@
 	}
 }
 
+func TestLongestGapAfterEachFault(t *testing.T) {
+	x := sound()
+	x.record("x", word("h3:1", "not_run", 330, 395))
+	x.record("y", word("h3:1", "not_run", 500, 800))
+	got := map[judge.FaultKind]time.Duration{}
+	for _, g := range judge.Judge(x.Input).Gaps {
+		got[g.Fault.Kind] = g.Gap.Length()
+	}
+	must.Eq(t, map[judge.FaultKind]time.Duration{
+		judge.PlannedStop: 10 * time.Millisecond, judge.Kill: 470 * time.Millisecond, judge.StoreOutage: 10 * time.Millisecond,
+	}, got)
+}
+
 func TestImbalancePerSlotOutsideFaults(t *testing.T) {
 	x := newTrial()
 	x.Hosts[2].Slots = 4
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -26,9 +26,13 @@
 	TwoOwners   int
 	FalseNotRun []string
 	CutOff      []string
+	AtRisk      AtRisk
 	P99         time.Duration
 	Balances    []AppBalance
 	Moves       Moves
+	// Gaps are the longest gaps after each fault, and Unavailable the longest
+	// of them.
+	Gaps        []FaultGap
 	Unavailable Gap
 	// Problems are what failed the trial, one sentence each.
 	Problems []string
@@ -45,10 +49,12 @@
 		TwoOwners:   len(twoOwners(runs)),
 		FalseNotRun: falseNotRun(in, byID),
 		CutOff:      cutOff(in, byID),
+		AtRisk:      atRisk(in),
 		Balances:    balances(in, runs),
 		Moves:       moves(in, runs),
-		Unavailable: worstGap(in, runs),
+		Gaps:        gapsByFault(in, runs),
 	}
+	v.Unavailable = worstGap(v.Gaps)
 	v.addLatency(in)
 	v.addProblems(in, byID)
 	return v
--- a/internal/judge/words.go
+++ b/internal/judge/words.go
@@ -1,8 +1,8 @@
 package judge
 
 import (
-	"bytes"
 	"math"
+	"slices"
 
 	"github.com/rhubarbring/rhubarbring/internal/load"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -17,7 +17,7 @@
 		if answered && (w.Outcome != result.Done.String() || w.Own) {
 			continue
 		}
-		if !answered && !r.Idempotent && isKept(in.Kept, r.ID) {
+		if !answered && !r.Idempotent && slices.Contains(in.Kept, r.ID) {
 			continue
 		}
 		out = append(out, r.ID)
@@ -25,13 +25,27 @@
 	return out
 }
 
-func isKept(kept [][]byte, id string) bool {
-	for _, value := range kept {
-		if bytes.Contains(value, []byte(id)) {
-			return true
+// AtRisk counts the outcomes at risk that callers were told of.
+type AtRisk struct {
+	// Told counts requests, not idempotent, whose last word was "unknown" or
+	// "late"; Kept counts those of them that the store keeps.
+	Told int
+	Kept int
+}
+
+func atRisk(in Input) AtRisk {
+	var out AtRisk
+	for _, r := range in.Records {
+		w, _ := r.Last()
+		if r.Idempotent || (w.Outcome != result.Unknown.String() && w.Outcome != result.Late.String()) {
+			continue
+		}
+		out.Told++
+		if slices.Contains(in.Kept, r.ID) {
+			out.Kept++
 		}
 	}
-	return false
+	return out
 }
 
 // runsByID groups the runs that took effect, or may have.
