--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -76,7 +76,7 @@
 		if !c.repeats(r, got.word) {
 			break
 		}
-		if got.word.Connected {
+		if mayHaveRun(got.word) {
 			attempt++
 		}
 		c.sleep(min(c.wait(got), end.Sub(c.now())))
@@ -96,6 +96,13 @@
 	return r.Idempotent || c.config.RepeatUnknown
 }
 
+// mayHaveRun reports whether a sending is in doubt. A later one of the same id
+// then says that it is a repeat; after a true "not run" it is as good as the
+// first.
+func mayHaveRun(w Word) bool {
+	return w.Connected && w.Outcome != result.NotRun.String()
+}
+
 // HTTP statuses that blame the request: sending it again does not help.
 const (
 	badRequestFirst = 400
--- a/request/request.go
+++ b/request/request.go
@@ -25,9 +25,10 @@
 const (
 	// RepeatUnsaid: the caller said nothing; an earlier sending is possible.
 	RepeatUnsaid Repeat = iota
-	// RepeatFirst: this is the first sending of the id.
+	// RepeatFirst: no earlier sending of the id can have run: this is the
+	// first, or each one before was refused as not run.
 	RepeatFirst
-	// RepeatAgain: the id was sent before.
+	// RepeatAgain: an earlier sending of the id may have run.
 	RepeatAgain
 )
 
