--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -116,6 +116,16 @@
 	drop    dropped
 	raised  map[string]bool
 	bad     []string
+	traced  bool
+	trace   []string
+}
+
+// note adds a line to the transcript of a golden session.
+func (w *world) note(format string, args ...any) {
+	if w.traced {
+		ms := time.Duration(w.now).Round(time.Millisecond).Milliseconds()
+		w.trace = append(w.trace, fmt.Sprintf("%4d ms  ", ms)+fmt.Sprintf(format, args...))
+	}
 }
 
 func newWorld(src source, drop dropped, g guards) *world {
@@ -258,6 +268,7 @@
 	if o.idempotent && !w.divided {
 		r.Slice = request.NoSlice
 	}
+	w.note("caller asks %s: %s as %s, repeat=%d", e.self, o.body, o.id, rep)
 	deadline := w.now.Add(time.Duration(20+w.src.IntN(int(longestCall/time.Millisecond)-20)) * time.Millisecond)
 	var out request.Actions
 	e.router.Submit(w.now, r, deadline, w.caller, &out)
@@ -312,6 +323,7 @@
 		return
 	}
 	delete(e.calls, r.Caller)
+	w.note("%s tells the caller: %s (%s), retry after %v", e.self, r.Answer.Code, r.Answer.Code.Outcome(), r.Answer.RetryAfter)
 	o.waiting = false
 	code := r.Answer.Code
 	if w.drop.plainNotRun && code == result.RepeatRefused {
@@ -331,6 +343,7 @@
 
 func (w *world) raise(risks []request.Risk) {
 	for _, r := range risks {
+		w.note("raised: %s %s, outcome %s", r.ID, r.Code, r.Outcome)
 		w.raised[r.ID] = true
 	}
 }
--- a/gate/modelshell_test.go
+++ b/gate/modelshell_test.go
@@ -11,6 +11,7 @@
 	if !w.drop.noRaises {
 		w.raise(out.Raises)
 	}
+	w.noteSettled(out.Settles)
 	for _, r := range out.Replies {
 		w.reply(e, r)
 		if r.Answer.Code.Outcome() == result.Unknown || r.Answer.Code.Outcome() == result.Late {
@@ -39,8 +40,11 @@
 	}
 }
 
+// sendAccidents: one of so many sendings never leaves the process.
+const sendAccidents = 12
+
 func (w *world) transmit(i int, s request.Send) {
-	if w.src.IntN(12) == 0 {
+	if w.src.IntN(sendAccidents) == 0 {
 		var out request.Actions
 		w.entries[i].router.SendFailed(w.now, s.Request.Seq, result.PeerUnreachable, &out)
 		w.doRouter(i, &out)
@@ -56,6 +60,7 @@
 func (w *world) doGate(i int, out *Actions) {
 	s := w.sites[i]
 	w.raise(out.Raises)
+	w.noteSettled(out.Settles)
 	for _, st := range out.Starts {
 		w.begin(s, st)
 	}
@@ -81,6 +86,7 @@
 }
 
 func (w *world) begin(s *site, st Start) {
+	w.note("%s starts run %d: %s at epoch %d", s.self, st.Run, st.Request.ID, st.Epoch)
 	s.held[st.Run] = st.Request.Slice
 	for _, r := range s.runs {
 		if r.connected && r.start.Connection == st.Connection {
@@ -106,3 +112,9 @@
 		}
 	}
 }
+
+func (w *world) noteSettled(settled []request.Settlement) {
+	for _, s := range settled {
+		w.note("settled: %s %s", s.ID, s.Outcome)
+	}
+}
--- a/gate/modelsteps_test.go
+++ b/gate/modelsteps_test.go
@@ -88,6 +88,7 @@
 	g := w.sites[m.gate].gate
 	switch {
 	case m.req != nil:
+		w.note("%s -> %s: %s attempt %d, epoch %d", m.session, w.sites[m.gate].self, m.req.ID, m.req.Attempt, m.req.Epoch)
 		g.Arrive(w.now, w.wallMs(), m.session, m.req, &out)
 	case m.cancel != nil:
 		g.Cancelled(w.now, m.session, *m.cancel, &out)
@@ -104,6 +105,7 @@
 	}
 	a := *m.answer
 	from := w.sites[m.gate].self
+	w.note("%s -> %s: %s attempt %d, %s", from, m.session, a.ID, a.Attempt, a.Code)
 	if latest, ok := e.latest[a.ID]; ok && w.drop.byIDOnly {
 		a.Attempt, a.Seq = latest.req.Attempt, latest.req.Seq
 		from = w.sites[latest.gate].self
@@ -240,6 +242,7 @@
 // nothing of what they asked.
 func (w *world) loseEntry(i int) {
 	old := w.entries[i]
+	w.note("%s is lost", old.self)
 	for _, o := range w.ops {
 		if o.waiting && o.entry == i {
 			o.waiting = false
@@ -283,21 +286,34 @@
 		}
 	}
 	for range 60 {
-		for n := len(w.net); n > 0 && len(w.net) > 0; n-- {
-			m := w.net[0]
-			w.net = w.net[1:]
-			w.deliver(m)
-		}
-		for i, s := range w.sites {
-			for _, r := range append([]*targetRun(nil), s.runs...) {
-				w.answerCancel(i, r)
-				w.execute(i, r)
-				w.answerRun(i, r)
-			}
-		}
+		w.flush()
 		w.updateMap(0)
 		w.updateMap(1)
 		w.advance(50 * time.Millisecond)
 	}
 	w.advance(drainedAfter)
 }
+
+// flush delivers what is on the way and lets the targets finish what they have.
+func (w *world) flush() {
+	for range len(w.net) {
+		w.deliverFirst()
+	}
+	for i, s := range w.sites {
+		for _, r := range append([]*targetRun(nil), s.runs...) {
+			w.answerCancel(i, r)
+			w.execute(i, r)
+			w.answerRun(i, r)
+		}
+	}
+}
+
+// deliverFirst delivers the oldest message.
+func (w *world) deliverFirst() {
+	if len(w.net) == 0 {
+		return
+	}
+	m := w.net[0]
+	w.net = w.net[1:]
+	w.deliver(m)
+}
--- a/gate/modeltarget_test.go
+++ b/gate/modeltarget_test.go
@@ -15,6 +15,7 @@
 		return
 	}
 	r.executed = true
+	w.note("target of %s runs %s", s.self, r.start.Request.ID)
 	req := r.start.Request
 	for _, o := range w.ops {
 		if o.body == string(req.Body) {
@@ -113,6 +114,7 @@
 	}
 	r.cancelled = false
 	stopped := !r.executed
+	w.note("target of %s answers the cancellation of %s: stopped=%v", w.sites[i].self, r.start.Request.ID, stopped)
 	if stopped {
 		w.remove(i, r)
 	}
--- a/gate/run.go
+++ b/gate/run.go
@@ -190,11 +190,13 @@
 	if j == nil {
 		return
 	}
-	if stopped {
-		g.step(now, j, eventStopped, g.outcome(j, result.Cancelled), out)
-	} else {
+	if !stopped {
 		g.step(now, j, eventNotStopped, g.outcome(j, result.OutcomeUnknown), out)
+		return
 	}
+	a := g.outcome(j, result.DeadlineTooShort)
+	a.RetryAfter = g.cfg.RetryAfter
+	g.step(now, j, eventStopped, a, out)
 	g.pump(now, out)
 }
 
--- a/request/answer.go
+++ b/request/answer.go
@@ -119,9 +119,17 @@
 	return a
 }
 
-// retryAfter says when to come back after a refusal that time can mend.
+// retryAfter says when to come back: after a refusal that time can mend, and
+// after an unknown outcome, which a repeat with the same id may learn.
 func (r *Router) retryAfter(c *call, code result.Code) time.Duration {
-	if code.Outcome() != result.NotRun || code < result.NoOwner {
+	switch code {
+	case result.Cancelled, result.IDTooOld, result.IDReused, result.AlreadyRan, result.AnswerTruncated:
+		return 0
+	}
+	if outcome := code.Outcome(); outcome != result.NotRun && outcome != result.Unknown {
+		return 0
+	}
+	if code < result.NoOwner {
 		return 0
 	}
 	return max(r.cfg.RetryAfter, c.lastAfter)
@@ -129,12 +137,8 @@
 
 // reply answers the caller, or records the outcome if the caller hung up.
 func (r *Router) reply(c *call, a *Answer, out *Actions) {
-	if code := FinalCode(c.req, a.Code); code != a.Code {
-		final := *a
-		final.Code = code
-		final.RetryAfter = max(final.RetryAfter, r.cfg.RetryAfter)
-		a = &final
-	}
+	a.Code = FinalCode(c.req, a.Code)
+	a.RetryAfter = max(a.RetryAfter, r.retryAfter(c, a.Code))
 	if c.gone {
 		r.recordOrphan(c, a, out)
 		return
