Space out the watches of a relay; speak for a zone only once settled

Cause: at a start of everything each daemon is its own relay at first, and each new session woke every watch: 3725 reads for 150 daemons in 3.4 s; each also recorded its zone's document in force.

--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -44,6 +44,7 @@
 	ring    *ring.Ring[spreadWork]
 	core    *spread.Core
 	watches map[spread.Kind]uint64 // number of the newest watch of a kind
+	pacers  map[spread.Kind]*pacer
 	adopted adoption
 	began   mono.Time
 	zone    zoneForce
@@ -75,6 +76,7 @@
 		ring:    ring.New[spreadWork]("spread", spreadRingSize, registry),
 		core:    spread.New(cfg, bootclock.Now()),
 		watches: make(map[spread.Kind]uint64),
+		pacers:  make(map[spread.Kind]*pacer),
 		stop:    make(chan struct{}),
 	}
 }
@@ -159,7 +161,7 @@
 		s.send(a)
 	case spread.Watch:
 		s.watches[a.Kind]++
-		go s.watch(a, s.watches[a.Kind])
+		go s.watch(a, s.watches[a.Kind], s.pace(a.Kind))
 	case spread.Unwatch:
 		s.watches[a.Kind]++
 	case spread.List:
@@ -197,8 +199,23 @@
 	}
 }
 
+// pace returns how long the next watch of a kind has to wait.
+func (s *spreadDuty) pace(kind spread.Kind) time.Duration {
+	p, ok := s.pacers[kind]
+	if !ok {
+		p = &pacer{}
+		s.pacers[kind] = p
+	}
+	return p.delay(bootclock.Now())
+}
+
 // watch waits in the store, on a goroutine of its own.
-func (s *spreadDuty) watch(a spread.Watch, number uint64) {
+func (s *spreadDuty) watch(a spread.Watch, number uint64, delay time.Duration) {
+	select {
+	case <-s.stop:
+		return
+	case <-time.After(delay):
+	}
 	changes, err := s.d.client.Watch(string(a.Kind), a.Revision, a.Wait)
 	s.d.store.note("watch", string(a.Kind), err)
 	s.ring.Wait(watchDone{watch: a, number: number, changes: changes, err: err}, s.stop)
--- a/internal/daemon/zone_force.go
+++ b/internal/daemon/zone_force.go
@@ -25,10 +25,17 @@
 	hosts    int
 	writing  bool
 	notUntil mono.Time
+	// since is since when the daemon is the relay, or 0.
+	since mono.Time
 }
 
-// forcePause is the pause after a write of the zone's record that failed.
-const forcePause = 2 * time.Second
+const (
+	// forcePause is the pause after a write of the zone's record that failed.
+	forcePause = 2 * time.Second
+	// relaySettles is how long a daemon is the relay before it speaks for its
+	// zone: when many start at once, each is alone at first.
+	relaySettles = 3 * time.Second
+)
 
 // documentLag returns for how long the zone has lacked the newest document; 0
 // if it does not.
@@ -41,8 +48,13 @@
 }
 
 func (s *spreadDuty) followForce(now mono.Time) {
+	if !s.core.IsRelay() {
+		s.zone.since = 0
+	} else if s.zone.since == 0 {
+		s.zone.since = now
+	}
 	newest, ok := s.core.Get(spread.Key{Kind: document.Kind, Name: s.d.settings.Environment})
-	if !ok || !s.core.IsRelay() {
+	if !ok || s.zone.since == 0 {
 		s.zone.behind.Store(0)
 		return
 	}
@@ -53,7 +65,8 @@
 	}
 	s.zone.behind.Store(0)
 	inForce := s.d.fleet.document.Load()
-	if inForce == nil || s.zone.writing || now.Before(s.zone.notUntil) {
+	settled := now.Sub(s.zone.since) >= relaySettles
+	if inForce == nil || !settled || s.zone.writing || now.Before(s.zone.notUntil) {
 		return
 	}
 	if s.zone.recorded == inForce.stored.Version && s.zone.hosts == view.Hosts {
