--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,35 @@
+package timer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/timer"
+)
+
+func TestEntriesComeInOrderAndWhenDue(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var q timer.Queue[int]
+	for i := range 500 {
+		q.Add(mono.Time(rnd.IntN(100)), i)
+	}
+	var last timer.Entry[int]
+	for now := range mono.Time(100) {
+		for {
+			e, due := q.PopDue(now)
+			if !due {
+				break
+			}
+			must.Eq(t, now, e.At)
+			must.True(t, e.At > last.At || e.ID > last.ID)
+			last = e
+		}
+		if next, ok := q.Next(); ok {
+			must.Greater(t, now, next)
+		}
+	}
+	must.Zero(t, q.Len())
+}
