Tell a lost connection from a lost entry daemon

Cause: the daemon told the gate OriginLost when a connection closed. That is final: from then on the gate drops every sending of the session that must not repeat, silently, so that after a connection had closed and opened again each such request ended as unknown at its deadline. Found by reading the daemon against the gate; ruled out that the router renumbers its sendings on a new connection. Change: Gate.OriginDisconnected drops what waits and lets what runs go on; the daemon calls it when a connection closes, and OriginLost only when the session is over. The model breaks connections; a golden session repeats over the new one. Conclusion: a connection that comes back serves as before.

--- a/gate/golden_test.go
+++ b/gate/golden_test.go
@@ -82,6 +82,18 @@
 		s.deliver()
 		s.deliver()
 	},
+	"connection_lost_and_opened_again": func(s *session) {
+		s.ask(0, request.RepeatFirst)
+		s.deliver()
+		s.w.disconnect(0, s.owner)
+		s.w.deliverFirst()
+		s.ask(0, request.RepeatAgain)
+		s.deliver()
+		s.execute()
+		s.answer()
+		s.deliver()
+		s.deliver()
+	},
 	"entry_lost_repeat_joins": func(s *session) {
 		s.ask(0, request.RepeatFirst)
 		s.deliver()
--- a/gate/modelsteps_test.go
+++ b/gate/modelsteps_test.go
@@ -33,9 +33,10 @@
 	{1, func(w *world) { w.updateMap(w.src.IntN(2)) }},
 	{1, func(w *world) { w.loseEntry(w.src.IntN(2)) }},
 	{1, (*world).hangUp},
+	{1, func(w *world) { w.disconnect(w.src.IntN(2), w.src.IntN(2)) }},
 }
 
-const happeningWeights = 30
+const happeningWeights = 31
 
 // step lets one thing happen.
 func (w *world) step() {
@@ -238,6 +239,25 @@
 	w.doRouter(i, &out)
 }
 
+// disconnect breaks the connection between an entry daemon and a gate. What is
+// on the way is lost, but for what an old connection may still hold.
+func (w *world) disconnect(i, n int) {
+	w.note("connection between %s and %s is lost", w.entries[i].self, w.sites[n].self)
+	var kept []message
+	for _, m := range w.net {
+		if m.entry != i || m.gate != n || m.req != nil && w.src.IntN(4) == 0 {
+			kept = append(kept, m)
+		}
+	}
+	w.net = kept
+	var atEntry request.Actions
+	w.entries[i].router.PeerLost(w.now, w.sites[n].self, &atEntry)
+	w.doRouter(i, &atEntry)
+	var atGate Actions
+	w.sites[n].gate.OriginDisconnected(w.now, w.entries[i].self, &atGate)
+	w.doGate(n, &atGate)
+}
+
 // loseEntry replaces an entry daemon by a new life of it. Its callers know
 // nothing of what they asked.
 func (w *world) loseEntry(i int) {
--- a/gate/run.go
+++ b/gate/run.go
@@ -235,6 +235,19 @@
 	g.pump(now, out)
 }
 
+// OriginDisconnected says that the connection to an entry daemon was lost,
+// while its session may go on. The entry daemon counts what it sent as lost, so
+// that what waits here is dropped; what runs goes on if it is not idempotent,
+// and its answer is sent, should there be a connection again.
+func (g *Gate) OriginDisconnected(now mono.Time, from host.Session, out *Actions) {
+	for _, j := range g.jobs() {
+		if j.first.from == from && len(j.joined) == 0 {
+			g.withdraw(now, j, out)
+		}
+	}
+	g.pump(now, out)
+}
+
 func (g *Gate) withdraw(now mono.Time, j *job, out *Actions) {
 	if j.state != stateQueued && !j.req.Idempotent {
 		return
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -129,7 +129,7 @@
 	}
 	delete(r.origins, from)
 	if r.gate != nil {
-		r.gate.OriginLost(now, from, &r.gateOut)
+		r.gate.OriginDisconnected(now, from, &r.gateOut)
 	}
 }
 
