Measure placement: imbalance, churn, rounds, memory

Cause: nothing was measured. Change: a fleet without faults for the tests, differential tests against round robin, benchmarks. The leader keeps the hosts of a pack's sessions between rounds, drops what only changes need, and looks only at hosts that can give.

--- a/assignment/pack.go
+++ b/assignment/pack.go
@@ -286,3 +286,25 @@
 	e := p.entries[i]
 	return int(e.owner), int(e.next), uint64(e.epoch)
 }
+
+// Trim drops what only changes of the pack need.
+func (p *Pack) Trim() {
+	p.index = nil
+}
+
+// Handovers returns the number of slices and carve-outs that have a next
+// owner.
+func (p *Pack) Handovers() int {
+	n := 0
+	for _, e := range p.entries {
+		if e.next != 0 {
+			n++
+		}
+	}
+	for _, c := range p.carved {
+		if c.next != 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/handover/bench_test.go
@@ -0,0 +1,20 @@
+package handover_test
+
+import (
+	"testing"
+
+	"github.com/rhubarbring/rhubarbring/host"
+)
+
+func BenchmarkBeginEnd(b *testing.B) {
+	h := newHolder()
+	h.Seen(1, seen(alpha, 4, host.Nobody))
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, v := h.Begin(2, slice)
+		if !v.Admitted() {
+			b.Fatal(v)
+		}
+		h.End(3, ticket)
+	}
+}
--- a/placement/app.go
+++ b/placement/app.go
@@ -44,11 +44,34 @@
 
 // adopt makes a stored version the base of what follows.
 func (a *app) adopt(p *packInfo, pack *assignment.Pack, version uint64) {
+	pack.Trim()
 	p.pack, p.version, p.dirty = pack, version, true
-	p.seen = nil
+	p.seen, p.at = nil, nil
+	p.handovers = pack.Handovers()
 	a.stale = true
 }
 
+// hostsOf returns the host of each session in a pack's table.
+func (a *app) hostsOf(p *packInfo) []int32 {
+	if p.at != nil {
+		return p.at
+	}
+	table := p.pack.Table()
+	p.at = make([]int32, len(table))
+	for i, s := range table {
+		p.at[i] = a.place(s)
+	}
+	return p.at
+}
+
+// place returns the index of a session's host, or -1.
+func (a *app) place(s host.Session) int32 {
+	if i, ok := a.index[s]; ok {
+		return int32(i)
+	}
+	return -1
+}
+
 func (a *app) packOf(id key.SliceID) *packInfo {
 	i := int(assignment.FirstOf(id) / assignment.PackSlices)
 	if i >= len(a.packs) {
--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -12,6 +12,9 @@
 	basePrice = 0.05
 	// minPrice keeps noise from moving slices even if only imbalance counts.
 	minPrice = 0.05
+	// maxTries bounds the givers that are tried for one transfer. If none of
+	// the most used hosts has a slice that fits, the greatest use can't fall.
+	maxTries = 64
 	// maxPrice moves slices away from a host at twice the mean in any case.
 	maxPrice = 1.0
 )
@@ -60,10 +63,11 @@
 		return nil
 	}
 	p := newPlan(hosts)
-	if giver, taker := p.extremes(); p.gap(giver, taker) <= b.price*p.mean {
+	giver, taker := p.extremes()
+	if p.gap(giver, taker) <= b.price*p.mean {
 		return nil
 	}
-	p.fill(above(p.mean))
+	p.fill(above(hosts[taker].Use() + b.price*p.mean))
 	var out []Transfer
 	for len(out) < limit {
 		t, ok := p.next(b.price)
@@ -106,7 +110,7 @@
 
 // next returns the most useful transfer and takes it into the loads.
 func (p *plan) next(price float64) (Transfer, bool) {
-	for p.mean > 0 {
+	for tries := 0; p.mean > 0 && tries < maxTries; tries++ {
 		giver, taker := p.extremes()
 		if giver < 0 || taker < 0 || giver == taker {
 			return Transfer{}, false
--- /dev/null
+++ b/placement/fleet_test.go
@@ -0,0 +1,229 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// trialFleet is a fleet without faults: writes land at once, and owners
+// release at once what they are asked for. It measures policies.
+type trialFleet struct {
+	core    *Core
+	now     mono.Time
+	app     App
+	rev     uint64
+	packs   map[string]*assignment.Pack
+	slots   int
+	writes  int
+	moves   []Move
+	keys    []string
+	busy    map[string]float64 // True load of each key, in slots.
+	targets map[host.Session]float32
+}
+
+func newTrialFleet(hosts, slots int, app App, policy Policy) *trialFleet {
+	self := host.Session{Host: "h00000", Incarnation: 1}
+	f := &trialFleet{
+		core: New(Config{Self: self, Seed: 1, Policy: policy}), now: 1, app: app, slots: slots,
+		packs: map[string]*assignment.Pack{}, busy: map[string]float64{}, targets: map[host.Session]float32{},
+	}
+	f.step(AppsChanged{Apps: []App{app}})
+	for i := range hosts {
+		f.state(trialHost(i), session.Live)
+	}
+	f.step(Listed{})
+	f.step(LeaderSeen{Leader: Leader{Session: self, Term: 1}, Version: 1})
+	f.settle()
+	return f
+}
+
+func trialHost(i int) host.Session {
+	return host.Session{Host: host.ID(fmt.Sprintf("h%05d", i)), Incarnation: 1}
+}
+
+// state records a session's state.
+func (f *trialFleet) state(s host.Session, state session.State) {
+	f.rev++
+	r := session.Record{Session: s, State: state, Target: &session.Target{App: f.app.Name, Slots: f.slots, ChecksGrants: true}}
+	f.step(SessionSeen{Record: r, Version: f.rev})
+}
+
+// step feeds one event and answers what the core asks for.
+func (f *trialFleet) step(ev Event) {
+	for _, a := range f.core.Step(f.now, ev) {
+		switch a := a.(type) {
+		case Sync:
+			for _, p := range f.packs {
+				f.step(PackSeen{Pack: p, Version: f.rev})
+			}
+			f.step(Listed{})
+		case Write:
+			f.write(a)
+		}
+	}
+}
+
+func (f *trialFleet) write(a Write) {
+	p, err := assignment.Decode(a.Value)
+	if err != nil {
+		panic(err)
+	}
+	f.rev++
+	f.writes++
+	f.packs[a.Name] = p
+	f.moves = append(f.moves, a.Moves...)
+	f.step(Written{Kind: a.Kind, Name: a.Name, Token: a.Token, Version: f.rev})
+	for _, m := range a.Moves {
+		if m.Next != host.Nobody && m.Next != m.To {
+			f.step(Released{Release: handover.Release{From: m.To, App: f.app.Name, ID: m.Slice.ID, Epoch: m.Epoch}})
+		}
+	}
+}
+
+// settle ticks until nothing more is written, without time passing.
+func (f *trialFleet) settle() {
+	for {
+		before := f.writes
+		f.step(Tick{})
+		if f.writes == before {
+			return
+		}
+	}
+}
+
+// rounds lets the time of n balance rounds pass, with a report of each host
+// before each.
+func (f *trialFleet) rounds(n int) {
+	for range n {
+		f.report()
+		f.now = f.now.Add(DefaultBalanceInterval)
+		f.settle()
+	}
+}
+
+// zipf gives n keys loads that fall with the power s of their rank and sum
+// to total.
+func (f *trialFleet) zipf(n int, s, total float64) {
+	var sum float64
+	for i := range n {
+		sum += math.Pow(float64(i+1), -s)
+	}
+	for i := range n {
+		k := fmt.Sprintf("key%d", i)
+		f.keys = append(f.keys, k)
+		f.busy[k] = total * math.Pow(float64(i+1), -s) / sum
+	}
+}
+
+// locate returns the slice of a key and its owner.
+func (f *trialFleet) locate(m *assignment.Map, k string) (key.Slice, host.Session) {
+	s, assigned, _ := m.Lookup(f.app.Name, k)
+	return s, assigned.Owner
+}
+
+func (f *trialFleet) view() *assignment.Map {
+	m := assignment.NewMap()
+	for _, p := range f.packs {
+		m.Put(p, 1)
+	}
+	return m
+}
+
+// report sends what each gate sees.
+func (f *trialFleet) report() {
+	m := f.view()
+	reports := map[host.Session]*LoadReport{}
+	loads := map[host.Session]map[key.SliceID]float64{}
+	for _, k := range f.keys {
+		s, owner := f.locate(m, k)
+		if reports[owner] == nil {
+			reports[owner] = &LoadReport{From: owner, App: f.app.Name, Sequence: uint64(f.now), Target: -1}
+			loads[owner] = map[key.SliceID]float64{}
+		}
+		loads[owner][s.ID] += f.busy[k]
+		if f.busy[k] > 0.05*float64(f.slots) {
+			reports[owner].Keys = append(reports[owner].Keys, KeyLoad{Key: k, Busy: float32(f.busy[k])})
+		}
+	}
+	for owner, r := range reports {
+		for id, busy := range loads[owner] {
+			r.Slices = append(r.Slices, SliceLoad{ID: id, Busy: float32(busy)})
+		}
+		slices.SortFunc(r.Slices, func(a, b SliceLoad) int { return int(int64(a.ID) - int64(b.ID)) })
+		if says, ok := f.targets[owner]; ok {
+			r.Target = says
+		}
+		f.step(LoadSeen{Report: *r})
+	}
+}
+
+// imbalance returns the greatest true load of a live host over the mean.
+func (f *trialFleet) imbalance() float64 {
+	m := f.view()
+	loads := map[host.Session]float64{}
+	for _, h := range f.core.fleet.serving(f.app.Name) {
+		loads[h.session] = 0
+	}
+	for _, k := range f.keys {
+		_, owner := f.locate(m, k)
+		loads[owner] += f.busy[k]
+	}
+	var sum, top float64
+	for _, l := range loads {
+		sum += l
+		top = max(top, l)
+	}
+	return top / (sum / float64(len(loads)))
+}
+
+// ownerChanges counts the moves that gave a slice to another owner, and
+// forgets them.
+func (f *trialFleet) ownerChanges() int {
+	n := 0
+	for _, m := range f.moves {
+		if m.ChangesOwner() {
+			n++
+		}
+	}
+	f.moves = nil
+	return n
+}
+
+// owned counts the slices of a session.
+func (f *trialFleet) owned(s host.Session) int {
+	n := 0
+	for _, p := range f.packs {
+		for i := range p.Len() {
+			if owner, _, _ := p.Places(i); p.Table()[owner] == s {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// The workloads that the tests and benchmarks measure.
+func rayuelaApp() App {
+	return App{
+		Name: "catalogue", Slices: 240, DividedByKey: true, MaxDeadline: 10 * time.Second, MaxMoves: 24,
+		Weights: Weights{Imbalance: 0.6, Churn: 0.1, Unavailable: 0.3},
+		HotKeys: HotKeys{Share: 0.2, Expiry: 2 * time.Minute, Maximum: 32},
+	}
+}
+
+func kalderimiApp() App {
+	return App{
+		Name: "availability", Slices: 200, DividedByKey: true, MaxDeadline: 10 * time.Second, MaxMoves: 20,
+		Weights: Weights{Imbalance: 0.2, Churn: 0.2, Unavailable: 0.6},
+		HotKeys: HotKeys{Share: 0.2, Expiry: 2 * time.Minute, Maximum: 32},
+	}
+}
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -34,7 +34,7 @@
 		a.index[h.session] = i
 	}
 	for _, p := range a.packs {
-		p.dirty = true
+		p.dirty, p.at = true, nil
 	}
 	a.stale = true
 }
@@ -81,11 +81,7 @@
 }
 
 func (a *app) sumPack(p *packInfo) {
-	table := p.pack.Table()
-	at := make([]int32, len(table))
-	for i, s := range table {
-		at[i] = a.place(s)
-	}
+	at := a.hostsOf(p)
 	for i := range p.pack.Len() {
 		owner, next, _ := p.pack.Places(i)
 		to := at[owner]
@@ -107,14 +103,6 @@
 	}
 }
 
-// place returns the index of a session's host, or -1.
-func (a *app) place(s host.Session) int32 {
-	if i, ok := a.index[s]; ok {
-		return int32(i)
-	}
-	return -1
-}
-
 // loadOf returns the load that a slice counts for: what the gates saw, and its
 // share of the idle load. An app that is not divided by key, or of which
 // nothing is reported yet, counts slices.
@@ -136,20 +124,14 @@
 }
 
 func (r *round) movableOf(p *packInfo, use float64, out []Candidate) []Candidate {
-	table := p.pack.Table()
-	at := make([]int32, len(table))
-	for i, s := range table {
-		at[i] = r.a.place(s)
-		if at[i] >= 0 && r.a.hosts[at[i]].Use() <= use {
-			at[i] = -1
-		}
-	}
+	at := r.a.hostsOf(p)
 	for i := range p.pack.Len() {
 		owner, next, _ := p.pack.Places(i)
-		if at[owner] < 0 || next != 0 {
+		on := at[owner]
+		if on < 0 || next != 0 || r.a.hosts[on].Use() <= use {
 			continue
 		}
-		out = r.candidate(p, p.first+key.SliceID(i), int(at[owner]), out)
+		out = r.candidate(p, p.first+key.SliceID(i), int(on), out)
 	}
 	for _, c := range p.pack.CarveOuts() {
 		on := r.a.place(c.Assigned.Owner)
@@ -201,14 +183,7 @@
 func (a *app) underWay() int {
 	n := 0
 	for _, p := range a.packs {
-		if p.pack == nil {
-			continue
-		}
-		for i := range p.pack.Len() {
-			if _, next, _ := p.pack.Places(i); next != 0 {
-				n++
-			}
-		}
+		n += p.handovers
 	}
 	return n
 }
--- /dev/null
+++ b/placement/measure_test.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+const (
+	zipfKeys  = 20_000
+	zipfPower = 1.1
+)
+
+// Under Zipf keys the balanced policy is better than the naive one, with and
+// without carve-outs, and a target that lies about its load changes little.
+func TestImbalanceUnderZipfKeys(t *testing.T) {
+	cases := []struct {
+		name         string
+		hosts, slots int
+		app          App
+		limit        float64
+	}{
+		{"rayuela", 6, 12, rayuelaApp(), 1.15},
+		{"kalderimi", 5, 6, kalderimiApp(), 1.3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			total := 0.6 * float64(c.hosts*c.slots)
+			run := func(app App, p Policy, lie float32) (float64, int) {
+				f := newTrialFleet(c.hosts, c.slots, app, p)
+				f.zipf(zipfKeys, zipfPower, total)
+				f.ownerChanges()
+				if lie >= 0 {
+					f.targets[trialHost(2)] = lie
+				}
+				f.rounds(20)
+				return f.imbalance(), f.ownerChanges()
+			}
+			cold := c.app
+			cold.HotKeys = HotKeys{}
+			naive, _ := run(c.app, &RoundRobin{}, -1)
+			plain, plainMoves := run(cold, &Balanced{}, -1)
+			carved, moves := run(c.app, &Balanced{}, -1)
+			idleLie, _ := run(c.app, &Balanced{}, 0)
+			fullLie, _ := run(c.app, &Balanced{}, 1)
+			naiveLie, _ := run(c.app, &RoundRobin{}, 0)
+			t.Logf("max/mean: round robin %.3f, with a lie %.3f; balanced without carve-outs %.3f (%d moves), with %.3f (%d moves), target says idle %.3f, says full %.3f",
+				naive, naiveLie, plain, plainMoves, carved, moves, idleLie, fullLie)
+			must.Less(t, c.limit, carved)
+			must.LessEq(t, plain+0.01, carved)
+			must.Less(t, naive, plain)
+			must.Less(t, carved*maxTargetSway+0.05, idleLie)
+			must.Less(t, carved*maxTargetSway+0.05, fullLie)
+		})
+	}
+}
+
+// A loss moves the lost host's slices and no other; a join moves at most the
+// new host's share, and never more at a time than the app allows.
+func TestChurnIsTheLeastPossible(t *testing.T) {
+	for name, policy := range policies() {
+		t.Run(name, func(t *testing.T) {
+			f := newTrialFleet(15, 12, rayuelaApp(), policy())
+			f.rounds(20)
+			f.ownerChanges()
+			had := f.owned(trialHost(7))
+			f.state(trialHost(7), session.Lost)
+			f.settle()
+			must.Eq(t, had, f.ownerChanges())
+			f.rounds(20)
+			must.Eq(t, 0, f.ownerChanges())
+
+			f.state(trialHost(15), session.Live)
+			f.rounds(20)
+			moved, share := f.ownerChanges(), int(rayuelaApp().Slices)/15+1
+			t.Logf("loss of a host with %d slices: %d moves; join: %d moves, share %d", had, had, moved, share)
+			must.LessEq(t, share, moved)
+			if name == "balanced" {
+				must.GreaterEq(t, share/2, f.owned(trialHost(15)))
+			}
+			f.rounds(20)
+			must.Eq(t, 0, f.ownerChanges())
+		})
+	}
+}
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -43,6 +43,9 @@
 	draft   *assignment.Pack // The next write while a round plans it.
 	drafted []Move
 	askedAt mono.Time
+
+	at        []int32 // Host of each session of the pack's table, by index of app.hosts; -1 for none.
+	handovers int     // Slices and carve-outs with a next owner.
 }
 
 // packSeen takes a stored pack in. A version older than the one known is
--- a/placement/round.go
+++ b/placement/round.go
@@ -71,17 +71,14 @@
 // it has to wait.
 func (r *round) scan(p *packInfo) {
 	p.dirty = false
-	table := p.pack.Table()
-	calm := make([]bool, len(table))
-	for i, s := range table {
-		calm[i] = r.c.fleet.fit(s, r.a.params.Name) || r.c.fleet.status(s) == statusUnknown
-	}
+	at := r.a.hostsOf(p)
+	calm := len(r.a.releases) == 0
 	for i := range p.pack.Len() {
 		owner, next, _ := p.pack.Places(i)
-		id := p.first + key.SliceID(i)
-		if calm[owner] && next == 0 && len(r.a.releases) == 0 {
+		if calm && at[owner] >= 0 && next == 0 {
 			continue
 		}
+		id := p.first + key.SliceID(i)
 		s, _ := p.pack.At(id)
 		r.decide(p, id, s)
 	}
