--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -84,12 +84,12 @@
 	for _, hosts := range benchHosts {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			f := benchFleet(hosts)
-			lost, back := trialHost(3), trialHost(3)
+			back := trialHost(3)
 			b.ReportAllocs()
 			packs, bytes := 0, 0
 			for b.Loop() {
 				b.StopTimer()
-				lost = back
+				lost := back
 				f.state(lost, session.Lost)
 				b.StartTimer()
 				writes := f.core.Step(f.now, Tick{})
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -100,10 +100,13 @@
 	}
 }
 
-// rounds lets the time of n balance rounds pass, with a report of each host
+// measuredRounds is the number of balance rounds between two measurements.
+const measuredRounds = 20
+
+// rounds lets the time of balance rounds pass, with a report of each host
 // before each.
-func (f *trialFleet) rounds(n int) {
-	for range n {
+func (f *trialFleet) rounds() {
+	for range measuredRounds {
 		f.report()
 		f.now = f.now.Add(DefaultBalanceInterval)
 		f.settle()
--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -35,7 +35,7 @@
 				if lie >= 0 {
 					f.targets[trialHost(2)] = lie
 				}
-				f.rounds(20)
+				f.rounds()
 				return f.imbalance(), f.ownerChanges()
 			}
 			cold := c.app
@@ -63,24 +63,24 @@
 	for name, policy := range policies() {
 		t.Run(name, func(t *testing.T) {
 			f := newTrialFleet(15, 12, rayuelaApp(), policy())
-			f.rounds(20)
+			f.rounds()
 			f.ownerChanges()
 			had := f.owned(trialHost(7))
 			f.state(trialHost(7), session.Lost)
 			f.settle()
 			must.Eq(t, had, f.ownerChanges())
-			f.rounds(20)
+			f.rounds()
 			must.Eq(t, 0, f.ownerChanges())
 
 			f.state(trialHost(15), session.Live)
-			f.rounds(20)
+			f.rounds()
 			moved, share := f.ownerChanges(), int(rayuelaApp().Slices)/15+1
 			t.Logf("loss of a host with %d slices: %d moves; join: %d moves, share %d", had, had, moved, share)
 			must.LessEq(t, share, moved)
 			if name == "balanced" {
 				must.GreaterEq(t, share/2, f.owned(trialHost(15)))
 			}
-			f.rounds(20)
+			f.rounds()
 			must.Eq(t, 0, f.ownerChanges())
 		})
 	}
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -29,16 +30,17 @@
 	late    []Write // Writes whose answer was lost and that have not landed.
 	running []run
 	told    map[handover.Release]bool
-	applied map[string]bool // Tokens that a leader reported as landed.
-	landed  map[string]uint64
 	keys    []string
 	err     error
+
+	leader  Leader // The leader object, version 0 if there is none.
+	version uint64
+	trace   func(format string, args ...any)
 }
 
 type stored struct {
 	version uint64
 	pack    *assignment.Pack
-	raw     []byte
 }
 
 type recorded struct {
@@ -79,7 +81,7 @@
 func newWorld(pick func(int) int, g guards, policy func() Policy) *world {
 	w := &world{
 		pick: pick, now: 1, packs: map[string][]stored{}, records: map[host.ID][]recorded{},
-		told: map[handover.Release]bool{}, applied: map[string]bool{}, landed: map[string]uint64{},
+		told: map[handover.Release]bool{}, trace: func(string, ...any) {},
 		app: App{
 			Name: "catalogue", Slices: modelSlices, DividedByKey: true, MaxDeadline: modelDeadline, MaxMoves: 2,
 			Weights: Weights{Imbalance: 1}, HotKeys: HotKeys{Share: 0.3, Expiry: 3 * time.Second, Maximum: 3},
@@ -91,19 +93,26 @@
 	for i := range 4 {
 		w.start(host.ID(fmt.Sprintf("h%d", i)), i%2 == 0)
 	}
-	for i := range 2 {
-		self := host.Session{Host: host.ID(fmt.Sprintf("leader%d", i)), Incarnation: 1}
-		w.record(session.Record{Session: self, State: session.Live})
-		l := &modelLeader{core: New(Config{Self: self, Seed: uint64(i), Policy: policy(), BalanceInterval: time.Second, Settle: time.Second, WarmUp: time.Second})}
-		l.core.guards = g
-		w.leaders = append(w.leaders, l)
-		w.feed(l, AppsChanged{Apps: []App{w.app}})
+	for range 2 {
+		l := w.addLeader(g, policy())
 		w.tellRecords(l)
-		w.feed(l, LeaderSeen{Leader: Leader{Session: self, Term: 1}, Version: 1})
+		w.feed(l, LeaderSeen{Leader: Leader{Session: l.core.cfg.Self, Term: 1}, Version: 1})
 	}
 	return w
 }
 
+// addLeader starts a daemon that may lead, on a host without a target.
+func (w *world) addLeader(g guards, policy Policy) *modelLeader {
+	i := len(w.leaders)
+	self := host.Session{Host: host.ID(fmt.Sprintf("leader%d", i)), Incarnation: 1}
+	w.record(session.Record{Session: self, State: session.Live})
+	l := &modelLeader{core: New(Config{Self: self, Seed: uint64(i), Policy: policy, BalanceInterval: time.Second, Settle: time.Second, WarmUp: time.Second})}
+	l.core.guards = g
+	w.leaders = append(w.leaders, l)
+	w.feed(l, AppsChanged{Apps: []App{w.app}})
+	return l
+}
+
 func (w *world) fail(format string, args ...any) {
 	if w.err == nil {
 		w.err = fmt.Errorf(format, args...)
@@ -130,6 +139,7 @@
 
 func (w *world) feed(l *modelLeader, ev Event) {
 	for _, a := range l.core.Step(w.now, ev) {
+		w.trace("  %s: %s", l.core.cfg.Self, describe(a))
 		if done, ok := a.(Applied); ok {
 			w.checkApplied(done)
 			continue
@@ -157,6 +167,7 @@
 		w.carryWrite(l, a, faults)
 	case Read:
 		w.carryRead(l, a, faults)
+	case LeadershipChanged:
 	case Sync:
 		w.tellRecords(l)
 		for _, versions := range w.packs {
@@ -171,6 +182,10 @@
 }
 
 func (w *world) carryWrite(l *modelLeader, a Write, faults bool) {
+	if a.Kind == LeaderKind {
+		w.landLeader(l, a)
+		return
+	}
 	outcome := 0
 	if faults {
 		outcome = w.pick(5)
@@ -191,7 +206,25 @@
 	}
 }
 
+// landLeader applies a claim to the leader object.
+func (w *world) landLeader(l *modelLeader, a Write) {
+	if a.IfVersion != w.version {
+		w.feed(l, Refused{Kind: a.Kind, Name: a.Name, Token: a.Token})
+		return
+	}
+	if err := json.Unmarshal(a.Value, &w.leader); err != nil {
+		w.fail("the leader object does not decode: %v", err)
+	}
+	w.rev++
+	w.version = w.rev
+	w.feed(l, Written{Kind: a.Kind, Name: a.Name, Token: a.Token, Version: w.version})
+}
+
 func (w *world) carryRead(l *modelLeader, a Read, faults bool) {
+	if a.Kind == LeaderKind {
+		w.feed(l, LeaderSeen{Leader: w.leader, Version: w.version})
+		return
+	}
 	if faults && w.pick(4) == 0 {
 		return
 	}
@@ -224,8 +257,7 @@
 	}
 	w.checkPack(old, pack)
 	w.rev++
-	w.packs[a.Name] = append(versions, stored{version: w.rev, pack: pack, raw: a.Value})
-	w.landed[a.Token] = w.rev
+	w.packs[a.Name] = append(versions, stored{version: w.rev, pack: pack})
 	return w.rev, true
 }
 
@@ -245,8 +277,9 @@
 	}
 }
 
-func (w *world) hostActions(_ *modelHost, actions []handover.Action) {
+func (w *world) hostActions(h *modelHost, actions []handover.Action) {
 	for _, a := range actions {
+		w.trace("  %s: %T%+v", h.self, a, a)
 		t, ok := a.(handover.TellReleased)
 		if !ok {
 			continue
