Refuse a repeat as unknown before the router, too

Cause: what the entry refused by itself (a full ring, an unknown app, a bad header) was told as not_run also to a repeat of an id that may have run: its caller would make a new id and run it twice. And a full ring came without the time to come back. Found by reading the entry against request.FinalCode. Change: such a refusal of a repeat that is not idempotent is repeat_refused; id and flags are read before the app is looked up; a full ring carries Retry-After. Conclusion: not_run is true at the entry as well.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,9 @@
 	// stopPatience is longer than any deadline.
 	stopPatience   = 40 * time.Second
 	maxHeaderBytes = 16 << 10
+	// overloadPause is when a caller should come back whose request the
+	// daemon had no room for.
+	overloadPause = 500 * time.Millisecond
 )
 
 // Router decides what becomes of a request.
@@ -124,11 +127,12 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	submission, err := s.parse(ctx)
 	if err != nil {
-		refuse(ctx, submission.Request.ID, err)
+		refuseRequest(ctx, submission.Request, err)
 		return
 	}
 	if !s.router.Submit(submission) {
-		refuse(ctx, submission.Request.ID, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"})
+		setRetryAfter(ctx, overloadPause)
+		refuseRequest(ctx, submission.Request, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"})
 		return
 	}
 	s.respond(ctx, s.await(ctx, submission))
@@ -216,6 +220,16 @@
 	ctx.SetBody(body)
 }
 
+// refuseRequest refuses a request that never reached the router. Of a repeat
+// that says nothing about earlier sendings, so that it is no "not run".
+func refuseRequest(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error) {
+	if r.ID == "" {
+		refuse(ctx, "", err)
+		return
+	}
+	refuse(ctx, r.ID, &result.Error{Code: request.FinalCode(r, err.Code), Field: err.Field, Detail: err.Detail})
+}
+
 func refuse(ctx *fasthttp.RequestCtx, id string, err *result.Error) {
 	info, _ := result.Lookup(err.Code)
 	setResult(ctx, id, info)
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// fullRouter knows the app "pay" and has room for nothing.
+type fullRouter struct{}
+
+func (fullRouter) Limits(app string) (Limits, error) {
+	if app != "pay" {
+		return Limits{}, &result.Error{Code: result.UnknownApp}
+	}
+	return Limits{DefaultDeadline: time.Second, MaxDeadline: time.Second}, nil
+}
+
+func (fullRouter) Submit(Submission) bool { return false }
+
+func (fullRouter) Gone(request.Caller) {}
+
+func refused(t *testing.T, path string, headers map[string]string) *fasthttp.Response {
+	t.Helper()
+	var req fasthttp.Request
+	req.Header.SetMethod("POST")
+	req.SetRequestURI(path)
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&req, nil, nil)
+	New(fullRouter{}, 1).handle(&ctx)
+	return &ctx.Response
+}
+
+// Before the router, too, a refusal of a repeat is no "not run": an earlier
+// sending may have run.
+func TestRefusalsBeforeTheRouter(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		headers map[string]string
+		outcome string
+	}{
+		"no id":               {path: "/app/pay/", outcome: "not_run"},
+		"first sending":       {path: "/app/pay/", headers: map[string]string{"Rhubarb-Request-Id": "a", "Rhubarb-Attempt": "1"}, outcome: "not_run"},
+		"repeat":              {path: "/app/pay/", headers: map[string]string{"Rhubarb-Request-Id": "a", "Rhubarb-Attempt": "2"}, outcome: "unknown"},
+		"not said":            {path: "/app/pay/", headers: map[string]string{"Rhubarb-Request-Id": "a"}, outcome: "unknown"},
+		"idempotent repeat":   {path: "/app/pay/", headers: map[string]string{"Rhubarb-Request-Id": "a", "Rhubarb-Attempt": "2", "Rhubarb-Idempotent": "true"}, outcome: "not_run"},
+		"repeat, unknown app": {path: "/app/other/", headers: map[string]string{"Rhubarb-Request-Id": "a", "Rhubarb-Attempt": "2"}, outcome: "unknown"},
+		"malformed id":        {path: "/app/pay/", headers: map[string]string{"Rhubarb-Request-Id": "a\x01"}, outcome: "not_run"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.outcome, string(refused(t, c.path, c.headers).Header.Peek("Rhubarb-Outcome")))
+		})
+	}
+	must.Eq(t, "500", string(refused(t, "/app/pay/", nil).Header.Peek("Rhubarb-Retry-After")))
+}
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -39,16 +39,16 @@
 	r.Method = string(ctx.Method())
 	r.Type = string(ctx.Request.Header.ContentType())
 	r.Body = bytes.Clone(ctx.PostBody())
-	limits, lookup := s.router.Limits(app)
-	if lookup != nil {
-		return sub, asError(lookup)
-	}
 	if err := s.parseID(ctx, r); err != nil {
 		return sub, err
 	}
 	if err := parseFlags(ctx, r); err != nil {
 		return sub, err
 	}
+	limits, lookup := s.router.Limits(app)
+	if lookup != nil {
+		return sub, asError(lookup)
+	}
 	if err := parseKey(ctx, r, limits); err != nil {
 		return sub, err
 	}
