Start from peers while the store is down; bind a target's answer to its run

Cause: a daemon that started in a store outage knew no peer and routed nothing; its peers could not answer it, since they had no record of its address. The target's echo of the run was not compared.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -19,7 +19,10 @@
 type fleet struct {
 	mu       sync.Mutex
 	sessions atomic.Pointer[sessionDirectory]
-	document atomic.Pointer[documentInForce]
+	// introduced are sessions that a peer told before the daemon had caught
+	// up. They say only where to send frames to.
+	introduced atomic.Pointer[[]session.Record]
+	document   atomic.Pointer[documentInForce]
 }
 
 // sessionDirectory is one state of the directory; it is never changed.
@@ -66,7 +69,19 @@
 
 // peerAddress returns the address that a session takes frames on, or "".
 func (f *fleet) peerAddress(s host.Session) string {
-	return f.sessions.Load().records[s].Record.Peer
+	if v, ok := f.sessions.Load().records[s]; ok {
+		return v.Record.Peer
+	}
+	introduced := f.introduced.Load()
+	if introduced == nil {
+		return ""
+	}
+	for _, r := range *introduced {
+		if r.Session == s {
+			return r.Peer
+		}
+	}
+	return ""
 }
 
 // members returns the fleet as package session wants it.
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -45,13 +45,15 @@
 	core    *spread.Core
 	watches map[spread.Kind]uint64 // number of the newest watch of a kind
 	pacers  map[spread.Kind]*pacer
-	adopted adoption
-	began   mono.Time
-	zone    zoneForce
-	ready   atomic.Bool
-	relay   atomic.Bool
-	stop    chan struct{}
-	done    sync.WaitGroup
+	// strangers are connections of daemons whose records are not known here.
+	strangers map[host.Session]*peer.Conn
+	adopted   adoption
+	began     mono.Time
+	zone      zoneForce
+	ready     atomic.Bool
+	relay     atomic.Bool
+	stop      chan struct{}
+	done      sync.WaitGroup
 }
 
 // adoption is what one step put in force.
@@ -71,19 +73,21 @@
 		return k.Kind != document.Kind || k.Name == d.settings.Environment
 	}
 	return &spreadDuty{
-		d:       d,
-		began:   bootclock.Now(),
-		ring:    ring.New[spreadWork]("spread", spreadRingSize, registry),
-		core:    spread.New(cfg, bootclock.Now()),
-		watches: make(map[spread.Kind]uint64),
-		pacers:  make(map[spread.Kind]*pacer),
-		stop:    make(chan struct{}),
+		d:         d,
+		began:     bootclock.Now(),
+		ring:      ring.New[spreadWork]("spread", spreadRingSize, registry),
+		core:      spread.New(cfg, bootclock.Now()),
+		watches:   make(map[spread.Kind]uint64),
+		pacers:    make(map[spread.Kind]*pacer),
+		strangers: make(map[host.Session]*peer.Conn),
+		stop:      make(chan struct{}),
 	}
 }
 
 func (s *spreadDuty) start() {
-	s.done.Add(1)
+	s.done.Add(2)
 	go s.run()
+	go s.introduce()
 }
 
 func (s *spreadDuty) close() {
@@ -112,7 +116,7 @@
 
 // frame takes a message of another daemon.
 func (s *spreadDuty) frame(from *peer.Conn, kind wire.Kind, payload []byte) error {
-	received := func(m spread.Message) { s.ring.Push(spreadReceived{from: from.Session(), message: m}) }
+	received := func(m spread.Message) { s.ring.Push(spreadReceived{conn: from, message: m}) }
 	switch kind {
 	case wire.KindHave:
 		return decoded(payload, func(m spread.Have) { received(&m) })
@@ -170,22 +174,28 @@
 		s.adopt(a)
 	case spread.Ready:
 		s.ready.Store(true)
+		s.d.fleet.introduced.Store(nil)
 		s.d.log.Event(event.CaughtUp, "after_ms", bootclock.Now().Sub(s.began).Milliseconds(), "source", s.source())
 		s.d.lease.wait(recordsSeen{})
 	}
 }
 
 func (s *spreadDuty) send(a spread.Send) {
-	address := s.d.fleet.peerAddress(a.To)
-	if address == "" {
-		return
-	}
 	frame, err := wire.Encode(messageKind(a.Message), a.Message)
 	if err != nil {
 		s.d.log.Event(event.BadFrame, "peer", a.To.String(), "cause", err.Error())
 		return
 	}
-	_, _ = s.d.peers.Send(address, frame, 0)
+	if address := s.d.fleet.peerAddress(a.To); address != "" {
+		_, _ = s.d.peers.Send(address, frame, 0)
+		return
+	}
+	// A daemon that starts while the store is down has no record yet: it is
+	// answered on the connection that it asked on.
+	conn, ok := s.strangers[a.To]
+	if ok && conn.Send(frame) != nil {
+		delete(s.strangers, a.To)
+	}
 }
 
 func messageKind(m spread.Message) wire.Kind {
@@ -369,7 +379,7 @@
 // What the spread duty is handed.
 type (
 	spreadReceived struct {
-		from    host.Session
+		conn    *peer.Conn
 		message spread.Message
 	}
 	watchDone struct {
@@ -388,7 +398,16 @@
 )
 
 func (w spreadReceived) spreadWork(s *spreadDuty, now mono.Time) {
-	s.step(now, spread.Received{From: w.from, Message: w.message})
+	from := w.conn.Session()
+	if from.IsNobody() {
+		return
+	}
+	if s.d.fleet.peerAddress(from) == "" {
+		s.strangers[from] = w.conn
+	} else {
+		delete(s.strangers, from)
+	}
+	s.step(now, spread.Received{From: from, Message: w.message})
 }
 
 func (w watchDone) spreadWork(s *spreadDuty, now mono.Time) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,10 @@
 	Caller string `json:"caller"`
 	// Store is the address of the platform's store, "IP:port".
 	Store string `json:"store"`
+	// Peers are control addresses of some other daemons, "IP:port". A daemon
+	// that starts while the store can't be reached learns of the fleet from
+	// them. Default: none; such a daemon then waits for the store.
+	Peers []string `json:"peers"`
 	// Log says where log lines go.
 	Log Log `json:"log"`
 	// Seed starts the daemon's random numbers. Default: drawn at start.
@@ -108,6 +112,11 @@
 			return err
 		}
 	}
+	for i, peer := range d.Peers {
+		if err := checkAddress("peers["+strconv.Itoa(i)+"]", peer); err != nil {
+			return err
+		}
+	}
 	if d.DebugAddress == "" {
 		return nil
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,7 @@
 		{"name instead of IP", `127.0.0.1:4`, `store.example:4`, "store"},
 		{"port 0", `127.0.0.1:3`, `127.0.0.1:0`, "caller"},
 		{"empty host", `"h1"`, `""`, "host"},
+		{"peer without a port", `"seed":1`, `"peers":["127.0.0.1:5","127.0.0.1"]`, "peers[1]"},
 		{"trailing text", `"seed":1}`, `"seed":1} {}`, "one document"},
 	}
 	for _, c := range cases {
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -131,7 +131,7 @@
 	if reason := resp.Header.Peek(refusedHeader); len(reason) > 0 {
 		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode()}
 	}
-	if string(resp.Header.Peek("Rhubarb-Request-Id")) != call.Request.ID {
+	if !answers(resp, call) {
 		return Reply{Verdict: LostAfterSend, Reason: "the answer is to another request"}
 	}
 	return Reply{
@@ -142,6 +142,13 @@
 	}
 }
 
+// answers reports whether a response names the id and run of the call.
+func answers(resp *fasthttp.Response, call Call) bool {
+	id := string(resp.Header.Peek("Rhubarb-Request-Id"))
+	run := string(resp.Header.Peek("Rhubarb-Attempt"))
+	return id == call.Request.ID && run == strconv.FormatUint(call.Run, 10)
+}
+
 func (c *Client) fill(req *fasthttp.Request, call Call) {
 	r := call.Request
 	req.SetRequestURI("http://" + c.address + r.Path)
