--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -23,8 +23,10 @@
 	dialTimeout = time.Second
 	// idleTimeout is below a target's own, so that a connection is not used
 	// at the moment when the target closes it.
-	idleTimeout    = 5 * time.Second
-	maxAnswerBytes = 4 << 20
+	idleTimeout = 5 * time.Second
+	// maxAnswerBytes leaves room in a message between daemons for what
+	// stands beside the body.
+	maxAnswerBytes = 3 << 20
 	refusedHeader  = "Rhubarb-Refused"
 )
 
