Trust no date at a gate whose clock is behind

Cause: a gate dates the grant of a slice by its own clock. If that is behind by more than the skew, an id made before the grant looks younger than it, and a repeat of it would run although the owner before had run it. Found by thinking the horizon through. Tests of the gate's policy: warm-up, reports of load, shed requests, drain, classes, early refusal, restart, clock.

--- /dev/null
+++ b/gate/policy_test.go
@@ -0,0 +1,188 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// bench is a gate that owns all, with one entry daemon.
+type bench struct {
+	g   *Gate
+	out Actions
+	seq uint64
+}
+
+const (
+	benchStart = mono.Time(time.Hour)
+	ms         = mono.Time(time.Millisecond)
+)
+
+func newBench(a Announcement, at mono.Time) *bench {
+	cfg := DefaultConfig()
+	cfg.App = modelApp
+	cfg.Owner = ownsAll{}
+	b := &bench{g: New(cfg)}
+	b.g.Announced(at, a, &b.out)
+	return b
+}
+
+// warmBench has a target that has all its slots.
+func warmBench(slots int) *bench {
+	return newBench(Announcement{Slots: slots, Connections: 130, State: Warm}, benchStart-mono.Time(time.Minute))
+}
+
+func (b *bench) arrive(now mono.Time, class request.Class, change func(*request.Request)) {
+	b.seq++
+	r := &request.Request{ID: fmt.Sprint("id", b.seq), App: modelApp, Epoch: 1, Attempt: 1, Seq: b.seq, Class: class, Repeat: request.RepeatFirst, Budget: time.Second}
+	if change != nil {
+		change(r)
+	}
+	b.out.Reset()
+	b.g.Arrive(now, wallStartMs, host.Session{Host: "e", Incarnation: 1}, r, &b.out)
+}
+
+func (b *bench) fill(now mono.Time, n int) {
+	for range n {
+		b.arrive(now, request.Normal, nil)
+	}
+}
+
+func (b *bench) code(t *testing.T) result.Code {
+	t.Helper()
+	must.SliceLen(t, 1, b.out.Answers)
+	return b.out.Answers[0].Answer.Code
+}
+
+func TestANewTargetWarmsUp(t *testing.T) {
+	b := newBench(Announcement{Slots: 12, Connections: 130, State: Warm}, benchStart)
+	must.Eq(t, 3, b.g.Load(benchStart).Slots)
+	must.Eq(t, 12, b.g.Load(benchStart.Add(5*time.Second)).Slots)
+	cold := newBench(Announcement{Slots: 12, Connections: 130, State: Cold}, benchStart)
+	must.Less(t, 12, cold.g.Load(benchStart.Add(5*time.Second)).Slots)
+	must.Eq(t, 12, cold.g.Load(benchStart.Add(10*time.Second)).Slots)
+}
+
+// A false report of load takes a quarter of the slots, not more, and gives
+// none.
+func TestAReportOfLoadIsTrustedWithinBounds(t *testing.T) {
+	b := newBench(Announcement{Slots: 12, Connections: 130, State: Warm, Load: 1}, benchStart)
+	must.Eq(t, 9, b.g.Load(benchStart.Add(time.Minute)).Slots)
+	b = newBench(Announcement{Slots: 12, Connections: 130, State: Warm, Load: -5}, benchStart)
+	must.Eq(t, 12, b.g.Load(benchStart.Add(time.Minute)).Slots)
+}
+
+func TestAShedRequestPausesTheStarts(t *testing.T) {
+	b := warmBench(1)
+	b.fill(benchStart, 3)
+	b.out.Reset()
+	b.g.TargetRefused(benchStart, 1, result.TargetShed, &b.out)
+	must.Eq(t, result.TargetShed, b.code(t))
+	must.SliceEmpty(t, b.out.Starts)
+	b.g.Tick(benchStart+19*ms, wallStartMs, &b.out)
+	must.SliceEmpty(t, b.out.Starts)
+	b.g.Tick(benchStart+20*ms, wallStartMs, &b.out)
+	must.SliceLen(t, 1, b.out.Starts)
+	b.out.Reset()
+	b.g.TargetRefused(benchStart+20*ms, 2, result.TargetShed, &b.out)
+	b.g.Tick(benchStart+59*ms, wallStartMs, &b.out)
+	must.SliceEmpty(t, b.out.Starts)
+	b.g.Tick(benchStart+60*ms, wallStartMs, &b.out)
+	must.SliceLen(t, 1, b.out.Starts)
+}
+
+// Two seconds after a drain began nothing is begun, and what runs finishes.
+func TestADrainBeginsNothingAfterItsGrace(t *testing.T) {
+	b := warmBench(1)
+	patient := func(r *request.Request) { r.Budget = time.Minute }
+	b.arrive(benchStart, request.Normal, patient)
+	b.arrive(benchStart, request.Normal, patient)
+	b.out.Reset()
+	b.g.Drain(benchStart, &b.out)
+	must.SliceEmpty(t, b.out.Answers)
+	b.arrive(benchStart, request.Normal, func(r *request.Request) { r.Idempotent = true; r.Slice = request.NoSlice })
+	must.Eq(t, result.Draining, b.code(t))
+	b.out.Reset()
+	b.g.Tick(benchStart+2000*ms, wallStartMs, &b.out)
+	must.Eq(t, result.Draining, b.code(t))
+	b.arrive(benchStart+2001*ms, request.Normal, patient)
+	must.Eq(t, result.Draining, b.code(t))
+	b.out.Reset()
+	b.g.TargetAnswered(benchStart+3000*ms, 1, 200, "", nil, &b.out)
+	must.Eq(t, result.OK, b.code(t))
+	must.SliceEmpty(t, b.out.Starts)
+	must.True(t, b.g.Idle())
+}
+
+// Urgent requests go first, and a normal one after each eight of them.
+func TestUrgentFirstWithoutStarvingNormal(t *testing.T) {
+	b := warmBench(1)
+	b.fill(benchStart, 3)
+	for range 20 {
+		b.arrive(benchStart, request.Urgent, nil)
+	}
+	var order []request.Class
+	for run := uint64(1); run <= 23; run++ {
+		b.out.Reset()
+		b.g.TargetAnswered(benchStart, run, 200, "", nil, &b.out)
+		for _, s := range b.out.Starts {
+			order = append(order, s.Request.Class)
+		}
+	}
+	must.SliceLen(t, 22, order)
+	for i, class := range order {
+		must.Eq(t, i == 8 || i == 17, class == request.Normal)
+	}
+}
+
+// What can't be done in time is refused at arrival; an idle target gets work
+// whatever it took before.
+func TestRefusesEarlyWhatCanNotBeDoneInTime(t *testing.T) {
+	b := warmBench(1)
+	b.arrive(benchStart, request.Normal, nil)
+	b.g.TargetAnswered(benchStart+600*ms, 1, 200, "", nil, &b.out)
+	hurried := func(r *request.Request) { r.Budget = 300 * time.Millisecond }
+	b.arrive(benchStart+600*ms, request.Normal, hurried)
+	must.SliceLen(t, 1, b.out.Starts)
+	b.arrive(benchStart+600*ms, request.Normal, hurried)
+	must.Eq(t, result.DeadlineTooShort, b.code(t))
+	must.Positive(t, b.out.Answers[0].Answer.RetryAfter)
+}
+
+// A new instance of the target runs nothing of the old one's: its slots are
+// free, and what was lost with it is told and raised.
+func TestARestartedTargetHasItsSlots(t *testing.T) {
+	b := warmBench(2)
+	b.fill(benchStart, 2)
+	b.out.Reset()
+	b.g.Announced(benchStart+ms, Announcement{Slots: 2, Connections: 130, State: Warm, Instance: 2}, &b.out)
+	must.SliceLen(t, 2, b.out.Answers)
+	must.SliceLen(t, 2, b.out.Raises)
+	must.Zero(t, b.g.Load(benchStart+ms).Busy)
+	must.True(t, b.g.Idle())
+}
+
+// A gate whose clock is behind that of an entry daemon can't tell by dates
+// what it knows.
+func TestAClockBehindKnowsNothing(t *testing.T) {
+	b := warmBench(1)
+	b.arrive(benchStart, request.Normal, func(r *request.Request) {
+		r.Repeat = request.RepeatAgain
+		r.IDTimeMs = wallStartMs
+		r.AcceptedMs = wallStartMs
+	})
+	must.SliceLen(t, 1, b.out.Starts)
+	b.arrive(benchStart, request.Normal, func(r *request.Request) {
+		r.Repeat = request.RepeatAgain
+		r.IDTimeMs = wallStartMs
+		r.AcceptedMs = wallStartMs + 10_000
+	})
+	must.Eq(t, result.IDTooOld, b.code(t))
+}
