--- a/session/choice.go
+++ b/session/choice.go
@@ -76,7 +76,8 @@
 		s := c.Members[i].Session
 		newest[s.Host] = max(newest[s.Host], s.Incarnation)
 	}
-	var pool []*candidate
+	all := make([]candidate, 0, len(c.Members))
+	pool := make([]*candidate, 0, len(c.Members))
 	for i := range c.Members {
 		m := &c.Members[i]
 		if m.State != Live || m.Session.Host == c.Self.Host || newest[m.Session.Host] != m.Session.Incarnation {
@@ -85,7 +86,8 @@
 		if c.Avoid != nil && c.Avoid(m) {
 			continue
 		}
-		pool = append(pool, &candidate{Member: m, kept: contains(c.Keep, m.Session), score: c.score(m.Session.Host)})
+		all = append(all, candidate{Member: m, kept: contains(c.Keep, m.Session), score: c.score(m.Session.Host)})
+		pool = append(pool, &all[len(all)-1])
 	}
 	return pool
 }
--- /dev/null
+++ b/session/choice_test.go
@@ -0,0 +1,97 @@
+package session_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+func at(id, zone, region string) session.Member {
+	return session.Member{Session: host.Session{Host: host.ID(id), Incarnation: 1}, Place: host.Place{Region: host.Region(region), Zone: host.Zone(zone)}, State: session.Live}
+}
+
+func chosen(self session.Member, members []session.Member) []host.Zone {
+	c := session.Choice{Self: self.Session, Place: self.Place, Members: members}
+	var zones []host.Zone
+	for _, w := range c.Witnesses() {
+		for _, m := range members {
+			if m.Session == w {
+				zones = append(zones, m.Place.Zone)
+			}
+		}
+	}
+	return zones
+}
+
+func TestChoiceByPlaces(t *testing.T) {
+	self := at("self", "a", "r1")
+	for _, c := range []struct {
+		name    string
+		members []session.Member
+		want    []host.Zone
+	}{
+		{"three zones and another region", []session.Member{at("1", "a", "r1"), at("2", "b", "r1"), at("3", "c", "r1"), at("4", "c", "r1"), at("5", "x", "r2")}, nil},
+		{"two zones and another region", []session.Member{at("1", "a", "r1"), at("2", "b", "r1"), at("3", "b", "r1"), at("5", "x", "r2")}, []host.Zone{"b", "a", "x"}},
+		{"one host in each other zone", []session.Member{at("2", "b", "r1"), at("5", "x", "r2"), at("6", "y", "r2")}, []host.Zone{"b", "y", "x"}},
+		{"one zone", []session.Member{at("1", "a", "r1"), at("2", "a", "r1"), at("3", "a", "r1")}, []host.Zone{"a", "a", "a"}},
+		{"too few", []session.Member{at("1", "a", "r1"), at("2", "b", "r1")}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := chosen(self, c.members)
+			if c.name == "three zones and another region" {
+				must.SliceContainsAll(t, got, []host.Zone{"b", "c", "x"})
+				return
+			}
+			must.SliceContainsAll(t, got, c.want)
+		})
+	}
+}
+
+// Whatever the fleet: three distinct sessions of other hosts, all live and the
+// newest of their host, none avoided; the same whatever the members' order.
+func TestChoiceProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []session.State{session.Live, session.Draining, session.Left, session.Lost}
+		var members []session.Member
+		seen := make(map[host.Session]session.Member)
+		newest := make(map[host.ID]uint64)
+		for range rapid.IntRange(0, 30).Draw(t, "members") {
+			m := at(rapid.StringMatching("[a-h]").Draw(t, "host"), rapid.StringMatching("[p-s]").Draw(t, "zone"), "r")
+			m.Place.Region = host.Region(map[bool]string{true: "r1", false: "r2"}[m.Place.Zone > "q"])
+			m.Session.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			m.State = rapid.SampledFrom(states).Draw(t, "state")
+			if _, ok := seen[m.Session]; ok {
+				continue
+			}
+			seen[m.Session] = m
+			newest[m.Session.Host] = max(newest[m.Session.Host], m.Session.Incarnation)
+			members = append(members, m)
+		}
+		choice := session.Choice{Self: host.Session{Host: "a", Incarnation: 9}, Place: host.Place{Region: "r2", Zone: "p"}, Members: members}
+		got := choice.Witnesses()
+		if len(got) != 0 && len(got) != session.WitnessCount {
+			t.Fatalf("%d witnesses", len(got))
+		}
+		hosts := make(map[host.ID]bool)
+		for _, w := range got {
+			hosts[w.Host] = true
+			if seen[w].State != session.Live || w.Host == "a" || w.Incarnation != newest[w.Host] {
+				t.Fatalf("%s is not suitable", w)
+			}
+		}
+		if len(hosts) != len(got) {
+			t.Fatalf("a host is chosen twice: %v", got)
+		}
+		choice.Members = rapid.Permutation(members).Draw(t, "order")
+		again := choice.Witnesses()
+		for i := range got {
+			if again[i] != got[i] {
+				t.Fatalf("order matters: %v, %v", got, again)
+			}
+		}
+	})
+}
--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -70,8 +70,8 @@
 	dead     bool
 	diedAt   time.Duration
 	held     bool          // Whether it held its lease when last looked at.
-	since    time.Duration // Since when.
-	gap      time.Duration // Longest time without.
+	since    time.Duration // Since when; 0 if it never held it.
+	gap      time.Duration // Longest time between a lapse and the next lease.
 }
 
 // node is a host with its clock.
@@ -428,8 +428,10 @@
 		return
 	}
 	f := p.node.f
-	if holds {
+	if holds && p.since > 0 {
 		p.gap = max(p.gap, f.now-p.since)
+	}
+	if holds {
 		f.note("%s holds its lease", p.id)
 	} else if !p.dead {
 		f.note("%s holds its lease no longer", p.id)
--- /dev/null
+++ b/witness/witness_test.go
@@ -0,0 +1,128 @@
+package witness_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/witness"
+)
+
+const lease = 2 * time.Second
+
+var (
+	self   = host.Session{Host: "w", Incarnation: 5}
+	holder = host.Session{Host: "h", Incarnation: 3}
+	start  = mono.Time(time.Hour)
+)
+
+func renew(seq, generation uint64) session.Renew {
+	return session.Renew{Session: holder, Witness: self, Seq: seq, Generation: generation}
+}
+
+func record(state session.State, generation uint64, witnesses ...host.Session) session.Versioned {
+	return session.Versioned{Version: generation, Record: session.Record{Session: holder, State: state, Generation: generation, Witnesses: witnesses}}
+}
+
+// A daemon that restarted is not the witness that its earlier life was.
+func TestAnotherLifeIsAStranger(t *testing.T) {
+	w := witness.New(host.Session{Host: "w", Incarnation: 6}, lease)
+	answer, ok := w.Renew(start, renew(1, 1))
+	must.True(t, ok)
+	must.Eq(t, session.Stranger, answer.Reply)
+	must.Eq(t, 0, w.Len())
+}
+
+// Trap 4: an older or repeated message is dropped and counted.
+func TestOlderRenewalIsDropped(t *testing.T) {
+	w := witness.New(self, lease)
+	_, ok := w.Renew(start, renew(7, 1))
+	must.True(t, ok)
+	for _, seq := range []uint64{7, 6} {
+		_, ok = w.Renew(start.Add(time.Second), renew(seq, 1))
+		must.False(t, ok)
+	}
+	must.Eq(t, 2, w.Stale())
+	must.True(t, w.IsSilent(start.Add(lease), holder))
+}
+
+func TestOnlySilentSessionsAreSealed(t *testing.T) {
+	w := witness.New(self, lease)
+	w.Renew(start, renew(1, 4))
+	_, ok := w.Seal(start.Add(lease-1), holder)
+	must.False(t, ok)
+	must.Eq(t, []host.Session{holder}, w.Silent(start.Add(lease)))
+	seal, ok := w.Seal(start.Add(lease), holder)
+	must.True(t, ok)
+	must.Eq(t, witness.Seal{Session: holder, Witness: self, Generation: 4}, seal)
+}
+
+// A seal binds its generation and earlier ones for good, not a later one.
+func TestSealBindsItsGeneration(t *testing.T) {
+	w := witness.New(self, lease)
+	w.Renew(start, renew(1, 4))
+	now := start.Add(lease)
+	w.Seal(now, holder)
+	answer, _ := w.Renew(now, renew(2, 4))
+	must.Eq(t, 4, answer.Sealed)
+	must.True(t, w.IsSilent(now, holder))
+	answer, _ = w.Renew(now, renew(3, 5))
+	must.Eq(t, 4, answer.Sealed)
+	must.False(t, w.IsSilent(now, holder))
+	seal, ok := w.Seal(now.Add(lease), holder)
+	must.True(t, ok)
+	must.Eq(t, 5, seal.Generation)
+}
+
+// A session that ended is refused for good, however long its holder slept;
+// so is any earlier one of its host.
+func TestEndedSessionIsNeverRenewed(t *testing.T) {
+	w := witness.New(self, lease)
+	w.Renew(start, renew(1, 1))
+	w.Learn(start, record(session.Lost, 1, self))
+	must.Eq(t, 0, w.Len())
+	answer, _ := w.Renew(start.Add(48*time.Hour), renew(2, 1))
+	must.Eq(t, session.Ended, answer.Reply)
+	w.Learn(start.Add(48*time.Hour), record(session.Live, 1, self))
+	must.Eq(t, 0, w.Len())
+}
+
+// A newer session of a host makes the earlier one silent, unless it is still
+// heard; leases that it was granted are waited for.
+func TestRestartSpeedsTakeover(t *testing.T) {
+	newer := session.Renew{Session: host.Session{Host: "h", Incarnation: 4}, Witness: self, Seq: 1}
+	w := witness.New(self, lease)
+	w.Renew(start, renew(1, 1))
+	w.Renew(start.Add(900*time.Millisecond), newer)
+	must.False(t, w.IsSilent(start.Add(900*time.Millisecond), holder))
+	newer.Seq = 2
+	w.Renew(start.Add(1200*time.Millisecond), newer)
+	seal, ok := w.Seal(start.Add(1200*time.Millisecond), holder)
+	must.True(t, ok)
+	must.Eq(t, 800*time.Millisecond, seal.Remaining)
+}
+
+// What a witness keeps is bounded: an entry that binds nobody is forgotten.
+func TestForgetsWhatBindsNobody(t *testing.T) {
+	w := witness.New(self, lease)
+	w.Renew(start, renew(1, 0)) // Tried, never named.
+	must.Eq(t, 1, w.Len())
+	must.SliceEmpty(t, w.Silent(start.Add(lease)))
+	must.Eq(t, 0, w.Len())
+	w.Renew(start, renew(2, 1))
+	w.Learn(start.Add(time.Second), record(session.Live, 2, host.Session{Host: "x", Incarnation: 1}))
+	must.SliceEmpty(t, w.Silent(start.Add(lease)))
+	must.Eq(t, 0, w.Len())
+}
+
+// A record that names the witness starts the count, though no renewal came.
+func TestRecordAloneStartsTheCount(t *testing.T) {
+	w := witness.New(self, lease)
+	w.Learn(start, record(session.Live, 1, self))
+	must.False(t, w.IsSilent(start.Add(lease-1), holder))
+	must.True(t, w.IsSilent(start.Add(lease), holder))
+}
