Measure what daemons add to the way of a request

Cause: there were no figures of the added latency nor of requests for a core, and the setting debug_address was read but nothing served it. Change: rhubarb-bench compares a direct call, one hop and two, at log levels info and warn, in one run; make bench-path runs it. rhubarbd serves profiles on debug_address, which must be a loopback address.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 LAYOUT ?= rayuela
 
-.PHONY: all build test bench lint fmt docs ci trial clean
+.PHONY: all build test bench bench-path lint fmt docs ci trial clean
 
 all: build
 
@@ -16,6 +16,10 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+# What daemons add to the way of a request; docs/MEASUREMENTS.md.
+bench-path: build
+	bin/rhubarb-bench
+
 lint:
 	$(LINT) run ./...
 	$(LINT) fmt --diff ./...
--- /dev/null
+++ b/cmd/rhubarb-bench/main.go
@@ -0,0 +1,45 @@
+// Command rhubarb-bench measures what daemons add to the way of a request.
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/internal/bench"
+	"github.com/rhubarbring/rhubarbring/internal/cli"
+)
+
+const (
+	defaultBasePort = 27000
+	defaultPhase    = 400 * time.Millisecond
+	defaultRounds   = 3
+)
+
+func main() {
+	cfg := bench.Config{}
+	command := &cobra.Command{
+		Use:   "rhubarb-bench",
+		Short: "Measure what daemons add to the way of a request",
+		Long:  "Starts pairs of daemons on loopback addresses and calls a target directly, by its owner's daemon and\nby another daemon, in turn in one run. Prints a table for each number of connections and each load.",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg.Dir = filepath.Join(os.TempDir(), "rhubarb-bench-"+strconv.Itoa(os.Getpid()))
+			return bench.Run(cfg, c.OutOrStdout())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&cfg.Daemon, "daemon", "bin/rhubarbd", "binary of the daemon")
+	flags.IntVar(&cfg.BasePort, "base-port", defaultBasePort, "first port; ten for each log level are used")
+	flags.StringSliceVar(&cfg.Levels, "levels", []string{"info", "warn"}, "log levels to compare")
+	flags.IntSliceVar(&cfg.Connections, "connections", []int{1, 10, 130}, "numbers of callers' connections")
+	flags.DurationVar(&cfg.Phase, "phase", defaultPhase, "length of one measurement")
+	flags.IntVar(&cfg.Rounds, "rounds", defaultRounds, "measurements of each way and load")
+	flags.DurationVar(&cfg.Service, "service", 0, "time that the target takes for a request")
+	flags.IntVar(&cfg.Profiles, "profiles", 0, "first port of the daemons' profiles; two for each log level from it in steps of ten, 0 for none")
+	flags.Uint64Var(&cfg.Seed, "seed", 1, "seed")
+	os.Exit(cli.Run(command, os.Stderr))
+}
--- a/cmd/rhubarbd/main.go
+++ b/cmd/rhubarbd/main.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/internal/daemon"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/profile"
 	"github.com/rhubarbring/rhubarbring/internal/settings"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -66,6 +67,13 @@
 	if err != nil {
 		return err
 	}
+	if s.DebugAddress != "" {
+		profiles, err := profile.Serve(s.DebugAddress)
+		if err != nil {
+			return err
+		}
+		defer profiles.Close()
+	}
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
 	for {
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,14 @@
+package bench
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/document"
+)
+
+func TestTheDocumentOfTheBenchIsValid(t *testing.T) {
+	_, problems := document.Parse(benchDocument)
+	must.NoError(t, problems.Err())
+}
--- /dev/null
+++ b/internal/bench/stand.go
@@ -0,0 +1,269 @@
+package bench
+
+import (
+	_ "embed" // The document of the bench.
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/internal/listen"
+	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/storestand"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	environment   = "bench"
+	app           = "bench"
+	body          = `{"page":"a short body, as most requests have"}`
+	daemons       = 2
+	portsEach     = 10
+	portsOfDaemon = 4
+	slots         = 256
+	connections   = 512
+	storeHistory  = 10000
+	storeTimeout  = 2 * time.Second
+	announceEvery = time.Second
+	readyPatience = 20 * time.Second
+	readyPoll     = 50 * time.Millisecond
+	stopPatience  = 5 * time.Second
+	keysTried     = 1000
+	fileMode      = 0o644
+	clockTicks    = 100 // of processor time a second, in /proc
+	statUser      = 11  // fields of /proc/PID/stat after the command's name
+	statSystem    = 12
+)
+
+//go:embed document.json
+var benchDocument []byte
+
+// stand is a store, a pair of daemons and their targets.
+type stand struct {
+	cfg     Config
+	level   string
+	port    int
+	store   *storestand.Server
+	daemons []*exec.Cmd
+	targets []*fasthttp.Server
+	stop    chan struct{}
+}
+
+func startStand(cfg Config, level string, port int) (*stand, error) {
+	s := &stand{cfg: cfg, level: level, port: port, stop: make(chan struct{})}
+	if err := s.startStore(); err != nil {
+		return s, err
+	}
+	for i := range daemons {
+		if err := s.startTarget(i); err != nil {
+			return s, err
+		}
+		if err := s.startDaemon(i); err != nil {
+			return s, err
+		}
+	}
+	return s, s.awaitReady()
+}
+
+func address(port int) string {
+	return "127.0.0.1:" + strconv.Itoa(port)
+}
+
+func (s *stand) peer(i int) string    { return address(s.port + 1 + i*portsOfDaemon) }
+func (s *stand) control(i int) string { return address(s.port + 2 + i*portsOfDaemon) }
+func (s *stand) caller(i int) string  { return address(s.port + 3 + i*portsOfDaemon) }
+func (s *stand) target(i int) string  { return address(s.port + 4 + i*portsOfDaemon) }
+func (s *stand) host(i int) string    { return fmt.Sprintf("%s-%d", s.level, i) }
+
+func (s *stand) startStore() error {
+	s.store = storestand.New(storestand.Config{Seed: s.cfg.Seed, History: storeHistory})
+	listener, err := listen.TCP("base-port", address(s.port))
+	if err != nil {
+		return err
+	}
+	go func() { _ = s.store.Serve(listener) }()
+	stored := document.Stored{Version: 1, Hash: document.HashOf(benchDocument), Content: string(benchDocument), Token: "bench", Who: "bench"}
+	raw, err := stored.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = storeclient.New(address(s.port), storeTimeout).Put(document.Kind, environment, 0, raw)
+	return err
+}
+
+// startTarget starts a target that answers each request with its body after
+// the service time, and that tells its daemon so every second.
+func (s *stand) startTarget(i int) error {
+	listener, err := listen.TCP("base-port", s.target(i))
+	if err != nil {
+		return err
+	}
+	server := &fasthttp.Server{Handler: s.serve, Name: "rhubarb-bench"}
+	s.targets = append(s.targets, server)
+	go func() { _ = server.Serve(listener) }()
+	go s.announce(i)
+	return nil
+}
+
+func (s *stand) serve(ctx *fasthttp.RequestCtx) {
+	if s.cfg.Service > 0 {
+		time.Sleep(s.cfg.Service)
+	}
+	ctx.Response.Header.SetBytesV("Rhubarb-Request-Id", ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(ctx.PostBody())
+}
+
+func (s *stand) announce(i int) {
+	raw, err := json.Marshal(control.Announcement{
+		App: app, Address: s.target(i), Slots: slots, Connections: connections, ChecksGrants: true, State: control.StateWarm,
+	})
+	if err != nil {
+		return
+	}
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for {
+		s.tell(i, raw)
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *stand) tell(i int, raw []byte) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + s.control(i) + "/target/announce")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBody(raw)
+	_ = fasthttp.DoTimeout(req, resp, storeTimeout)
+}
+
+func (s *stand) startDaemon(i int) error {
+	file := func(kind string) string { return filepath.Join(s.cfg.Dir, s.host(i)+kind) }
+	d := settings.Daemon{
+		Host:        host.ID(s.host(i)),
+		Region:      "here",
+		Zone:        host.Zone(fmt.Sprintf("here-%d", i+1)),
+		Environment: environment,
+		Peer:        s.peer(i),
+		Control:     s.control(i),
+		Caller:      s.caller(i),
+		Store:       address(s.port),
+		Log:         settings.Log{File: file(".log"), Level: s.level},
+		Seed:        s.cfg.Seed + uint64(i),
+	}
+	if s.cfg.Profiles > 0 {
+		d.DebugAddress = address(s.cfg.Profiles + s.port - s.cfg.BasePort + i)
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file(".json"), raw, fileMode); err != nil {
+		return err
+	}
+	process := exec.Command(s.cfg.Daemon, "--settings", file(".json"))
+	process.Stderr = os.Stderr
+	if err := process.Start(); err != nil {
+		return err
+	}
+	s.daemons = append(s.daemons, process)
+	return nil
+}
+
+func (s *stand) awaitReady() error {
+	end := time.Now().Add(readyPatience)
+	for i := range daemons {
+		for !ready(s.control(i)) {
+			if time.Now().After(end) {
+				return &result.Error{Code: result.NotConfigured, Detail: s.host(i) + " is not ready in time"}
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func ready(address string) bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/ready", storeTimeout)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+func (s *stand) direct() route {
+	return route{address: s.target(0), path: "/items", key: "direct"}
+}
+
+// routes returns the ways over the owner's daemon alone and over the other
+// one, with the same key.
+func (s *stand) routes() (one, two route, err error) {
+	var ids []int
+	for _, d := range s.daemons {
+		ids = append(ids, d.Process.Pid)
+	}
+	path := "/app/" + app + "/items"
+	client := newClient(s.caller(0), 1)
+	defer client.CloseIdleConnections()
+	for i := range keysTried {
+		one = route{address: s.caller(0), path: path, key: "k" + strconv.Itoa(i), daemons: ids}
+		if owner, ok := send(client, one); ok && owner == s.host(0) {
+			two = one
+			two.address = s.caller(1)
+			return one, two, nil
+		}
+	}
+	return one, two, &result.Error{Code: result.NotOwner, Detail: s.host(0) + " owns no key"}
+}
+
+func (s *stand) close() {
+	close(s.stop)
+	for _, d := range s.daemons {
+		_ = d.Process.Signal(syscall.SIGTERM)
+	}
+	for _, d := range s.daemons {
+		late := time.AfterFunc(stopPatience, func() { _ = d.Process.Kill() })
+		_ = d.Wait()
+		late.Stop()
+	}
+	for _, t := range s.targets {
+		_ = t.Shutdown()
+	}
+	_ = s.store.Close()
+}
+
+// processorTime returns what the processes have used so far.
+func processorTime(ids []int) time.Duration {
+	total := time.Duration(0)
+	for _, id := range ids {
+		raw, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
+		if err != nil {
+			return 0
+		}
+		_, rest, _ := strings.Cut(string(raw), ") ")
+		fields := strings.Fields(rest)
+		if len(fields) <= statSystem {
+			return 0
+		}
+		for _, at := range []int{statUser, statSystem} {
+			ticks, _ := strconv.ParseInt(fields[at], 10, 64)
+			total += time.Duration(ticks) * time.Second / clockTicks
+		}
+	}
+	return total
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,8 +49,9 @@
 	Log Log `json:"log"`
 	// Seed starts the daemon's random numbers. Default: drawn at start.
 	Seed uint64 `json:"seed"`
-	// DebugAddress serves profiles of the running daemon on "IP:port" when
-	// set. Default: none.
+	// DebugAddress serves profiles of the running daemon under /debug/pprof/
+	// on "IP:port" when set. The IP must be a loopback address, since anyone
+	// who reaches it can slow the daemon. Default: none.
 	DebugAddress string `json:"debug_address"`
 }
 
@@ -120,7 +121,17 @@
 	if d.DebugAddress == "" {
 		return nil
 	}
-	return checkAddress("debug_address", d.DebugAddress)
+	return checkLoopback("debug_address", d.DebugAddress)
+}
+
+func checkLoopback(field, value string) error {
+	if err := checkAddress(field, value); err != nil {
+		return err
+	}
+	if !netip.MustParseAddrPort(value).Addr().IsLoopback() {
+		return bad(field, strconv.Quote(value)+" is reachable from other hosts", "name a loopback address such as 127.0.0.1:6060")
+	}
+	return nil
 }
 
 func checkAddress(field, value string) error {
