--- a/session/timing.go
+++ b/session/timing.go
@@ -13,7 +13,7 @@
 	// RenewEvery is the time between two renewals.
 	RenewEvery time.Duration
 	// Margin is what a taker waits beyond the end of a lease. It must be at
-	// least 2*d*Lease, where d is the greatest relative drift of a clock.
+	// least 2*d*Lease/(1-d), where d is the greatest relative drift of a clock.
 	Margin time.Duration
 	// SilentRounds is how many renewals in a row a witness may leave
 	// unanswered before the holder replaces it. It is a count and not a time,
@@ -31,7 +31,7 @@
 }
 
 // DefaultTiming returns the durations of a deployment. A margin of 200 ms
-// covers clocks that drift by up to 5%.
+// covers clocks that drift by up to 4.7%.
 func DefaultTiming() Timing {
 	return Timing{
 		Lease:        2 * time.Second,
