Operators' command line

Cause: operators had no way to validate, plan, apply and promote documents, to see the fleet, or to settle outcomes at risk. Change: command rhubarb, over internal/operator, which runs the pure decisions against the store and asks the daemons. Promote asks every living daemon of the trial what it has in force; a daemon that doesn't answer refuses it. A store that answers 503 to a write may apply it later, so every failure of a write but a refused condition counts as doubt. Wrong documents and requests exit with 2.

--- /dev/null
+++ b/cmd/rhubarb/alarms.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/alarm"
+)
+
+func (t *tool) alarmsCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "alarms",
+		Short: "List and acknowledge alarms",
+	}
+	var all bool
+	list := &cobra.Command{
+		Use:   "list",
+		Short: "List the alarms that nobody has acknowledged",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o, err := t.outcomesOperator()
+			if err != nil {
+				return err
+			}
+			records, err := o.Alarms(t.environment, all)
+			if err != nil {
+				return err
+			}
+			return t.show(cmd, records, func(w io.Writer) { writeAlarms(w, records) })
+		},
+	}
+	list.Flags().BoolVar(&all, "all", false, "list acknowledged ones too")
+	cmd.AddCommand(list, t.acknowledgeCommand())
+	return cmd
+}
+
+func (t *tool) acknowledgeCommand() *cobra.Command {
+	var why string
+	cmd := &cobra.Command{
+		Use:   "acknowledge ID --why TEXT",
+		Short: "Note that a person took notice of an alarm, which silences it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := t.needWho(); err != nil {
+				return err
+			}
+			o, err := t.outcomesOperator()
+			if err != nil {
+				return err
+			}
+			a := alarm.Acknowledgement{Who: t.who, Why: why, UnixMs: time.Now().UnixMilli()}
+			if err := o.Acknowledge(t.environment, args[0], a); err != nil {
+				return err
+			}
+			return t.show(cmd, a, func(w io.Writer) { fmt.Fprintf(w, "acknowledged %s\n", args[0]) })
+		},
+	}
+	cmd.Flags().StringVar(&why, "why", "", "what is done about it")
+	return cmd
+}
+
+func writeAlarms(w io.Writer, records []alarm.Record) {
+	if len(records) == 0 {
+		fmt.Fprintln(w, "none")
+		return
+	}
+	fmt.Fprintln(w, "ID\tRAISED\tSEVERITY\tCAUSE\tAT RISK (NOW)\tTAKEN\tACKNOWLEDGED")
+	for _, r := range records {
+		a := r.Alarm
+		acknowledged := "-"
+		if a.Acknowledged != nil {
+			acknowledged = a.Acknowledged.Who
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", a.ID, moment(time.UnixMilli(a.RaisedMs)), a.Severity, a.Cause, counts(a.Counts), word(a.Taken, "yes", "no"), acknowledged)
+	}
+}
+
+func counts(list []alarm.Count) string {
+	parts := make([]string, len(list))
+	for i, c := range list {
+		parts[i] = fmt.Sprintf("%s %d (%d)", c.Kind, c.AtRisk, c.Now)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/cmd/rhubarb/change.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/internal/operator"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Bounds of a change's calls to the store.
+const (
+	changeTries    = 12
+	changePause    = 100 * time.Millisecond
+	changeMaxPause = 2 * time.Second
+	lookPause      = 200 * time.Millisecond
+)
+
+// changeFlags are the flags of the commands that change a document.
+type changeFlags struct {
+	base  int64
+	token string
+	wait  time.Duration
+}
+
+func (f *changeFlags) add(cmd *cobra.Command) {
+	cmd.Flags().Int64Var(&f.base, "base", -1, "version that the change was planned against; a change of another version is refused")
+	cmd.Flags().StringVar(&f.token, "token", "", "token of a change that ended as unknown, to run it again (with its --base)")
+	cmd.Flags().DurationVar(&f.wait, "wait", 10*time.Second, "wait so long until every daemon has it in force; 0 does not wait")
+}
+
+// applied is what a change came to.
+type applied struct {
+	Environment string `json:"environment"`
+	document.UpdateResult
+	Plan document.Plan `json:"plan"`
+	// Hosts of Of daemons have the version in force, after AfterMs.
+	Hosts   int   `json:"hosts"`
+	Of      int   `json:"of"`
+	AfterMs int64 `json:"after_ms"`
+}
+
+func (t *tool) applyCommand() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a document in force in the trial that it names",
+		Long: `apply puts a document in force in the trial environment that it names, and
+waits until every daemon there has it in force.
+
+If another operator's change came first, it is refused and both versions are
+shown. If the store's answer was lost and can't be found out, it says unknown
+and gives the flags with which the same change is run again until it is known.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, doc, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return t.change(cmd, flags, doc.Trial, raw, doc, nil)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func (t *tool) promoteCommand() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use:   "promote FILE",
+		Short: "Put a document that was tried in force in its own environment",
+		Long: `promote puts the same bytes in force that the trial has in force. It is
+refused if the trial holds other bytes, or if a living daemon of the trial
+doesn't have them in force or doesn't answer.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, doc, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			o, err := t.operator()
+			if err != nil {
+				return err
+			}
+			trial, err := o.Trial(doc.Trial)
+			if err != nil {
+				return err
+			}
+			evidence, err := document.Promote(document.HashOf(raw), doc, trial)
+			if err != nil {
+				return err
+			}
+			return t.change(cmd, flags, doc.Environment, raw, doc, evidence)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func (t *tool) rollbackCommand() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use:   "rollback VERSION",
+		Short: "Put an earlier version's content in force again, as a new version",
+		Long: `rollback takes the content of an earlier version of the environment from its
+history and puts it in force as a new version. It needs no new trial: the
+content was in force here before.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			version, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return settings("VERSION", "\""+args[0]+"\" is no version", "take one of rhubarb history")
+			}
+			if err := t.needEnvironment(); err != nil {
+				return err
+			}
+			o, err := t.operator()
+			if err != nil {
+				return err
+			}
+			earlier, err := findVersion(o, t.environment, version)
+			if err != nil {
+				return err
+			}
+			doc, err := earlier.Document()
+			if err != nil {
+				return err
+			}
+			return t.change(cmd, flags, t.environment, []byte(earlier.Content), doc, earlier.Trial)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func findVersion(o *operator.Operator, environment string, version uint64) (*document.Stored, error) {
+	versions, err := allVersions(o, environment)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range versions {
+		if v.Version == version {
+			return &v, nil
+		}
+	}
+	return nil, &result.Error{Code: result.StoreNotFound, Field: "VERSION", Detail: fmt.Sprintf("%s has no version %d", environment, version), Remedy: "take one of rhubarb history"}
+}
+
+// change plans a change, makes it and waits until it is in force.
+func (t *tool) change(cmd *cobra.Command, flags changeFlags, environment string, raw []byte, doc *document.Document, evidence *document.Evidence) error {
+	if err := t.needWho(); err != nil {
+		return err
+	}
+	if flags.token != "" && flags.base < 0 {
+		return settings("--base", "a change that is run again needs the base it had", "add the --base that was shown with the token")
+	}
+	o, err := t.operator()
+	if err != nil {
+		return err
+	}
+	plan, version, err := makePlan(o, environment, raw, doc)
+	if err != nil {
+		return err
+	}
+	if err := plan.Problems.Err(); err != nil {
+		return err
+	}
+	started := time.Now()
+	done := applied{Environment: environment, Plan: plan}
+	done.UpdateResult = o.Update(flags.config(t.who, environment, raw, version, evidence))
+	if done.Err() == nil && done.Verdict != document.Replaced {
+		t.await(o, flags.wait, started, &done)
+	}
+	if err := t.show(cmd, done, func(w io.Writer) { writeApplied(w, done) }); err != nil {
+		return err
+	}
+	if err := done.Err(); err != nil {
+		return err
+	}
+	return done.late(flags.wait)
+}
+
+func (f changeFlags) config(who, environment string, raw []byte, version uint64, evidence *document.Evidence) document.UpdateConfig {
+	if f.base >= 0 {
+		version = uint64(f.base)
+	}
+	token := f.token
+	if token == "" {
+		token = rand.Text()
+	}
+	return document.UpdateConfig{
+		Environment: environment, Content: raw, Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
+		Trial: evidence, Base: &version, Tries: changeTries, Pause: changePause, MaxPause: changeMaxPause,
+	}
+}
+
+// await looks until every daemon has the version in force, or time is over.
+func (t *tool) await(o *operator.Operator, wait time.Duration, started time.Time, done *applied) {
+	for {
+		done.Hosts, done.Of = 0, 0
+		hosts, err := o.Hosts(done.Environment)
+		for _, h := range hosts {
+			done.Of++
+			if h.Status != nil && h.Status.Document.Version >= done.version() {
+				done.Hosts++
+			}
+		}
+		done.AfterMs = time.Since(started).Milliseconds()
+		if err == nil && done.Hosts == done.Of || time.Since(started) >= wait {
+			return
+		}
+		time.Sleep(lookPause)
+	}
+}
+
+// version returns the version that the daemons are to have in force.
+func (a applied) version() uint64 {
+	if a.Other != nil {
+		return a.Other.Version
+	}
+	return a.Mine.Version
+}
+
+// late says that daemons lacked the version when the wait was over.
+func (a applied) late(wait time.Duration) error {
+	if wait == 0 || a.Hosts == a.Of {
+		return nil
+	}
+	return &result.Error{
+		Code: result.PeerUnreachable, Field: "--wait",
+		Detail: fmt.Sprintf("accepted as version %d, but in force on %d of %d daemons after %s", a.version(), a.Hosts, a.Of, wait),
+		Remedy: "rhubarb status names those that lag; the change stays accepted",
+	}
+}
+
+func writeApplied(w io.Writer, a applied) {
+	fmt.Fprint(w, a.Plan.Text())
+	switch a.Verdict {
+	case document.AcceptedNow:
+		fmt.Fprintf(w, "in force: %s version %d, hash %s\n", a.Environment, a.Mine.Version, a.Mine.Hash)
+	case document.AcceptedBefore:
+		fmt.Fprintf(w, "in force already: %s version %d by %s\n", a.Environment, a.Other.Version, a.Other.Who)
+	case document.Replaced:
+		fmt.Fprintf(w, "was in force as version %d, and has been replaced since\n", a.Mine.Version)
+	}
+	if a.Of > 0 {
+		fmt.Fprintf(w, "on %d of %d daemons after %d ms\n", a.Hosts, a.Of, a.AfterMs)
+	}
+}
--- /dev/null
+++ b/cmd/rhubarb/documentstatus.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/document"
+)
+
+func (t *tool) documentCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "document",
+		Short: "Ask about an environment's document",
+	}
+	var token string
+	statusCommand := &cobra.Command{
+		Use:   "status",
+		Short: "Show which version is in force, and what became of a change",
+		Long: `status shows the version that the store holds for an environment. With
+--token it also says what became of the change of that token.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := t.needEnvironment(); err != nil {
+				return err
+			}
+			o, err := t.operator()
+			if err != nil {
+				return err
+			}
+			versions, err := allVersions(o, t.environment)
+			if err != nil {
+				return err
+			}
+			s := statusOf(t.environment, token, versions)
+			return t.show(cmd, s, func(w io.Writer) { s.write(w) })
+		},
+	}
+	statusCommand.Flags().StringVar(&token, "token", "", "token of a change")
+	cmd.AddCommand(statusCommand)
+	return cmd
+}
+
+// documentStatus says what the store holds, and what became of a change.
+type documentStatus struct {
+	Environment string           `json:"environment"`
+	Current     *document.Stored `json:"current"`
+	// Change is the change that was asked for, if it was ever in force.
+	Change *document.Stored `json:"change,omitempty"`
+	Token  string           `json:"token,omitempty"`
+}
+
+func statusOf(environment, token string, versions []document.Stored) documentStatus {
+	s := documentStatus{Environment: environment, Token: token}
+	if len(versions) == 0 {
+		return s
+	}
+	s.Current = &versions[0]
+	for i, v := range versions {
+		if token != "" && v.Token == token {
+			s.Change = &versions[i]
+		}
+	}
+	return s
+}
+
+func (s documentStatus) write(w io.Writer) {
+	if s.Current == nil {
+		fmt.Fprintf(w, "%s has no document\n", s.Environment)
+	} else {
+		fmt.Fprintf(w, "%s version %d, hash %s, by %s at %s\n", s.Environment, s.Current.Version, s.Current.Hash, s.Current.Who, moment(s.Current.When))
+	}
+	switch {
+	case s.Token == "":
+	case s.Change == nil:
+		fmt.Fprintln(w, "the change is not in force; if its write may still land, run the same command again with its --base and --token")
+	case s.Change.Version == s.Current.Version:
+		fmt.Fprintf(w, "the change is in force as version %d\n", s.Change.Version)
+	default:
+		fmt.Fprintf(w, "the change was in force as version %d, and has been replaced since\n", s.Change.Version)
+	}
+}
+
+// moment writes a time for people.
+func moment(at time.Time) string {
+	return at.UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/cmd/rhubarb/explain.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/internal/operator"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/status"
+)
+
+func (t *tool) explainCommand() *cobra.Command {
+	var app string
+	cmd := &cobra.Command{
+		Use:   "explain KEY",
+		Short: "Say who owns a key, since when, and whether it is served",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if app == "" {
+				return settings("--app", "the app is missing", "add --app with a name of the document")
+			}
+			if t.daemon == "" {
+				return settings("--daemon", "the address of a daemon is missing", "add --daemon IP:port, the control address of any daemon")
+			}
+			k, err := explain(operator.New(t.store, t.timeout), t.daemon, key.App(app), args[0])
+			if err != nil {
+				return err
+			}
+			return t.show(cmd, k, func(w io.Writer) { writeKey(w, k) })
+		},
+	}
+	cmd.Flags().StringVar(&app, "app", "", "the app that the key belongs to")
+	return cmd
+}
+
+// explain asks a daemon, and then the owner that it names, which alone knows
+// whether it serves the key. If the owner doesn't answer, the first answer
+// stands.
+func explain(o *operator.Operator, daemon string, app key.App, k string) (*status.Key, error) {
+	answer, err := o.Explain(daemon, app, k)
+	if err != nil || answer.Here || answer.Owner.IsNobody() {
+		return answer, err
+	}
+	known, err := o.Status(daemon)
+	if err != nil {
+		return answer, nil
+	}
+	for _, s := range known.Fleet {
+		if s.Session != answer.Owner {
+			continue
+		}
+		if owners, err := o.Explain(s.Control, app, k); err == nil {
+			return owners, nil
+		}
+	}
+	return answer, nil
+}
+
+func writeKey(w io.Writer, k *status.Key) {
+	fmt.Fprintf(w, "key\t%s\n", k.Key)
+	fmt.Fprintf(w, "slice\t%s/%d%s\n", k.App, k.Slice, word(k.CarvedOut, ", the hot key's own", ""))
+	if k.Owner.IsNobody() {
+		fmt.Fprintln(w, "owner\tnobody: requests are refused as not run")
+	} else {
+		fmt.Fprintf(w, "owner\t%s in %s, %s, epoch %d\n", k.Owner, k.OwnerPlace.Zone, k.OwnerState, k.Epoch)
+	}
+	if !k.Next.IsNobody() {
+		fmt.Fprintf(w, "next\t%s, by a handover under way\n", k.Next)
+	}
+	if k.Here {
+		fmt.Fprintf(w, "served\t%s, lease runs for %d ms more\n", k.Admits, k.LeaseLeftMs)
+	} else {
+		fmt.Fprintln(w, "served\tunknown: the owner did not answer")
+	}
+	for i := len(k.Moves) - 1; i >= 0; i-- {
+		m := k.Moves[i]
+		fmt.Fprintf(w, "move\t%s to %s, epoch %d%s\n", moment(time.UnixMilli(m.AtMs)), m.Owner, m.Epoch, word(m.Next.IsNobody(), "", ", handover to "+m.Next.String()))
+	}
+}
--- /dev/null
+++ b/cmd/rhubarb/main.go
@@ -0,0 +1,121 @@
+// Command rhubarb is the operators' command line: it validates, plans, applies
+// and promotes documents, shows the fleet and explains keys, and lists and
+// settles outcomes at risk.
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbring/rhubarbring/internal/cli"
+	"github.com/rhubarbring/rhubarbring/internal/operator"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+func main() {
+	os.Exit(cli.Run(command(), os.Stderr))
+}
+
+const help = `rhubarb validates, plans, applies and promotes the configuration documents of
+rhubarbring, shows the fleet, explains keys, and lists and settles outcomes at
+risk.
+
+A first document:
+  rhubarb validate doc.json
+  rhubarb plan     doc.json --store 10.0.0.5:20000
+  rhubarb apply    doc.json --store 10.0.0.5:20000    (in the trial it names)
+  rhubarb promote  doc.json --store 10.0.0.5:20000    (the same bytes)
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong input or flags.
+docs/operators/guide.md leads through it; docs/DOCUMENT.md lists the fields.`
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// tool holds the flags that all commands share.
+type tool struct {
+	store       string
+	daemon      string
+	environment string
+	output      string
+	who         string
+	timeout     time.Duration
+}
+
+func command() *cobra.Command {
+	t := &tool{}
+	cmd := &cobra.Command{
+		Use:   "rhubarb",
+		Short: "Operate rhubarbring",
+		Long:  help,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			return t.check()
+		},
+	}
+	flags := cmd.PersistentFlags()
+	flags.StringVar(&t.store, "store", "", "address of the platform's store, IP:port")
+	flags.StringVar(&t.daemon, "daemon", "", "control address of a daemon, IP:port")
+	flags.StringVar(&t.environment, "environment", "", "name of the environment")
+	flags.StringVar(&t.output, "output", outputText, "text or json")
+	flags.StringVar(&t.who, "who", os.Getenv("USER"), "who makes a change, as it stands in the history")
+	flags.DurationVar(&t.timeout, "timeout", 5*time.Second, "longest time of one call")
+	cmd.AddCommand(t.validateCommand(), t.planCommand(), t.applyCommand(), t.promoteCommand(), t.rollbackCommand())
+	cmd.AddCommand(t.historyCommand(), t.documentCommand(), t.statusCommand(), t.explainCommand())
+	cmd.AddCommand(t.outcomesCommand(), t.alarmsCommand())
+	return cmd
+}
+
+func (t *tool) check() error {
+	if t.output != outputText && t.output != outputJSON {
+		return settings("--output", "\""+t.output+"\" is no output", "write text or json")
+	}
+	return nil
+}
+
+// operator returns the caller of the store, which a command needs.
+func (t *tool) operator() (*operator.Operator, error) {
+	if t.store == "" {
+		return nil, settings("--store", "the address of the store is missing", "add --store IP:port")
+	}
+	return operator.New(t.store, t.timeout), nil
+}
+
+// needEnvironment refuses a command without --environment.
+func (t *tool) needEnvironment() error {
+	if t.environment == "" {
+		return settings("--environment", "the environment is missing", "add --environment with the name that the daemons have in their settings")
+	}
+	return nil
+}
+
+// needWho refuses a change by nobody.
+func (t *tool) needWho() error {
+	if t.who == "" {
+		return settings("--who", "a change needs a name", "add --who NAME")
+	}
+	return nil
+}
+
+func settings(field, detail, remedy string) error {
+	return &result.Error{Code: result.BadSettings, Field: field, Detail: detail, Remedy: remedy}
+}
+
+// show writes a value as JSON, or as the text that the function writes.
+func (t *tool) show(cmd *cobra.Command, value any, text func(io.Writer)) error {
+	out := cmd.OutOrStdout()
+	if t.output == outputJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
--- a/document/plan_test.go
+++ b/document/plan_test.go
@@ -90,6 +90,7 @@
 		{"never applied", document.TrialState{Environment: "trial"}, result.NotTried},
 		{"other bytes", document.TrialState{Environment: "trial", Stored: &document.Stored{Hash: "y"}, Zones: zones(inForce, inForce)}, result.HashMismatch},
 		{"one zone behind", document.TrialState{Environment: "trial", Stored: stored, Zones: zones(inForce, older)}, result.NotTried},
+		{"a daemon is silent", document.TrialState{Environment: "trial", Stored: stored, Zones: zones(inForce, inForce), Silent: []host.ID{"h9"}}, result.NotTried},
 		{"no daemon", document.TrialState{Environment: "trial", Stored: stored}, result.NotTried},
 	}
 	for _, c := range cases {
--- a/document/promote.go
+++ b/document/promote.go
@@ -8,14 +8,17 @@
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
-// TrialState is what the store tells of the trial environment.
+// TrialState is what the store and the daemons tell of the trial environment.
 type TrialState struct {
 	// Environment is the trial's name.
 	Environment string
 	// Stored is the trial's document; nil if it has none.
 	Stored *Stored
-	// Zones holds the InForce record of each availability zone that has one.
+	// Zones says what each availability zone with a living daemon has in
+	// force.
 	Zones map[host.Zone]InForce
+	// Silent lists the living daemons that didn't answer.
+	Silent []host.ID
 }
 
 // Promote decides whether the bytes with the given hash may go from the trial
@@ -32,11 +35,14 @@
 	if trial.Stored.Hash != want {
 		return nil, refuse(result.HashMismatch, "hash", fmt.Sprintf("%s holds %s by %s, not %s", trial.Environment, trial.Stored.Hash.Short(), trial.Stored.Who, want.Short()), "promote the bytes that were tried, or apply these in trial first")
 	}
+	if len(trial.Silent) > 0 {
+		return nil, refuse(result.NotTried, "trial", fmt.Sprintf("%d daemons of %s don't answer, first %s", len(trial.Silent), trial.Environment, trial.Silent[0]), "wait until they answer or their sessions have ended, then promote")
+	}
 	return evidence(doc, trial)
 }
 
 // evidence demands the trial's version of every zone of the document that
-// has reported, and at least one report.
+// has living daemons, and at least one of them.
 func evidence(doc *Document, trial TrialState) (*Evidence, error) {
 	e := &Evidence{Environment: trial.Environment, Version: trial.Stored.Version, Hash: trial.Stored.Hash}
 	for _, zone := range reported(doc, trial) {
--- a/document/stored.go
+++ b/document/stored.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -15,8 +14,6 @@
 	Kind = "document"
 	// HistoryKind holds replaced versions, each named by HistoryName.
 	HistoryKind = "document-history"
-	// InForceKind holds InForce records, each named by InForceName.
-	InForceKind = "document-in-force"
 )
 
 // Stored is a document as it stands in the store. Its bytes are those that
@@ -55,16 +52,13 @@
 	Hosts int `json:"hosts"`
 }
 
-// InForce is written by the relay of an availability zone once every living
-// daemon of the zone has a version in force.
+// InForce says what the living daemons of an availability zone have in force:
+// the lowest version among them.
 type InForce struct {
-	// Version and Hash are those of the document in force.
 	Version uint64 `json:"version"`
 	Hash    Hash   `json:"hash"`
-	// Hosts counts the daemons of the zone that have it in force.
+	// Hosts counts the daemons.
 	Hosts int `json:"hosts"`
-	// When the last of them had it, by the clock of the relay's host.
-	When time.Time `json:"when"`
 }
 
 // HistoryName names the object of a replaced version.
@@ -72,11 +66,6 @@
 	return environment + "." + strconv.FormatUint(version, 10)
 }
 
-// InForceName names the InForce record of an availability zone.
-func InForceName(environment string, zone host.Zone) string {
-	return environment + "." + string(zone)
-}
-
 // Encode returns the value as it is stored.
 func (s *Stored) Encode() ([]byte, error) {
 	return json.Marshal(s)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -19,6 +19,14 @@
 	ExitSettings = 2
 )
 
+// inputCodes are the results that blame what the operator wrote.
+var inputCodes = map[result.Code]bool{
+	result.BadSettings:  true,
+	result.AddressInUse: true,
+	result.BadDocument:  true,
+	result.BadRequest:   true,
+}
+
 // ErrReported makes a command fail without another line: it has already
 // written what failed.
 var ErrReported = errors.New("failed")
@@ -50,5 +58,5 @@
 	if !errors.As(err, &e) {
 		return false
 	}
-	return e.Code == result.BadSettings || e.Code == result.AddressInUse
+	return inputCodes[e.Code]
 }
--- /dev/null
+++ b/internal/operator/daemon.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/status"
+)
+
+// httpClient asks daemons at their control addresses.
+type httpClient struct {
+	client  *fasthttp.Client
+	timeout time.Duration
+}
+
+func newHTTPClient(timeout time.Duration) *httpClient {
+	return &httpClient{client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}, timeout: timeout}
+}
+
+// Status asks the daemon at a control address about itself.
+func (o *Operator) Status(daemon string) (*status.Daemon, error) {
+	var s status.Daemon
+	if err := o.http.get(daemon, "/status", &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Explain asks the daemon at a control address about a key.
+func (o *Operator) Explain(daemon string, app key.App, k string) (*status.Key, error) {
+	var answer status.Key
+	query := "/explain?app=" + url.QueryEscape(string(app)) + "&key=" + url.QueryEscape(k)
+	if err := o.http.get(daemon, query, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+func (c *httpClient) get(daemon, path string, into any) error {
+	code, body, err := c.client.GetTimeout(nil, "http://"+daemon+path, c.timeout)
+	if err != nil {
+		return &result.Error{Code: result.PeerUnreachable, Field: daemon, Cause: err, Remedy: "check the address and whether the daemon runs"}
+	}
+	if code != fasthttp.StatusOK {
+		return &result.Error{Code: result.PeerUnreachable, Field: daemon, Detail: "status " + strconv.Itoa(code) + ": " + string(body)}
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return &result.Error{Code: result.BadFrame, Field: daemon, Cause: err, Remedy: "check that it is the control address of a daemon"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,126 @@
+// Package operator does in the store and at the daemons what the command line
+// asks for. The decisions are those of packages document, outcome and alarm.
+package operator
+
+import (
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// listPage is how many objects are read at a time.
+const listPage = 200
+
+// Operator calls the store. It is safe for concurrent use.
+type Operator struct {
+	store *storeclient.Client
+	http  *httpClient
+}
+
+// New returns an operator for the store at an address, "IP:port". Each call
+// ends within timeout.
+func New(store string, timeout time.Duration) *Operator {
+	return &Operator{store: storeclient.New(store, timeout), http: newHTTPClient(timeout)}
+}
+
+// Document returns the stored document of an environment; nil if there is
+// none.
+func (o *Operator) Document(environment string) (*document.Stored, error) {
+	object, err := o.store.Get(document.Kind, environment)
+	if isCode(err, result.StoreNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return document.DecodeStored(object.Value)
+}
+
+// History returns the replaced documents of an environment, oldest first.
+func (o *Operator) History(environment string) ([]document.Stored, error) {
+	var all []document.Stored
+	err := each(o.store, document.HistoryKind, func(object storeclient.Object) error {
+		if !strings.HasPrefix(object.Name, environment+".") {
+			return nil
+		}
+		stored, err := document.DecodeStored(object.Value)
+		if err == nil {
+			all = append(all, *stored)
+		}
+		return err
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Version < all[j].Version })
+	return all, err
+}
+
+// Update runs a change of a document to its verdict.
+func (o *Operator) Update(cfg document.UpdateConfig) document.UpdateResult {
+	u := document.NewUpdate(cfg)
+	action := u.Start()
+	for {
+		switch a := action.(type) {
+		case document.Finish:
+			return a.Result
+		case document.Load:
+			action = u.Step(o.load(a))
+		case document.Save:
+			action = u.Step(o.save(a))
+		case document.Pause:
+			time.Sleep(a.For)
+			action = u.Step(document.PauseOver{})
+		}
+	}
+}
+
+func (o *Operator) load(a document.Load) document.UpdateEvent {
+	object, err := o.store.Get(a.Object.Kind, a.Object.Name)
+	if isCode(err, result.StoreNotFound) {
+		return document.Loaded{Object: a.Object}
+	}
+	if err != nil {
+		return document.LoadFailed{}
+	}
+	return document.Loaded{Object: a.Object, Revision: object.Version, Value: object.Value}
+}
+
+// save takes every failure but a refused condition as doubt: a store that
+// answers that it is unavailable may still apply the write later.
+func (o *Operator) save(a document.Save) document.UpdateEvent {
+	_, err := o.store.Put(a.Object.Kind, a.Object.Name, a.IfRevision, a.Value)
+	if err == nil {
+		return document.Saved{}
+	}
+	if isCode(err, result.StoreConflict) {
+		return document.SaveRefused{}
+	}
+	return document.SaveInDoubt{}
+}
+
+// each calls a function for each object of a kind, by name.
+func each(store *storeclient.Client, kind string, do func(storeclient.Object) error) error {
+	after := ""
+	for {
+		page, err := store.List(kind, after, listPage)
+		if err != nil {
+			return err
+		}
+		for _, object := range page.Items {
+			if err := do(object); err != nil {
+				return err
+			}
+		}
+		if page.Next == "" {
+			return nil
+		}
+		after = page.Next
+	}
+}
+
+func isCode(err error, code result.Code) bool {
+	return errors.Is(err, &result.Error{Code: code})
+}
