Show what each zone had in force

Cause: the relays now write what their zone has in force, and nothing showed it. Change: rhubarb document status shows these records. Conclusion: promote goes on asking the daemons themselves.

--- a/cmd/rhubarb/documentstatus.go
+++ b/cmd/rhubarb/documentstatus.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/host"
 )
 
 func (t *tool) documentCommand() *cobra.Command {
@@ -35,6 +38,9 @@
 				return err
 			}
 			s := statusOf(t.environment, token, versions)
+			if s.Zones, err = o.InForce(t.environment); err != nil {
+				return err
+			}
 			return t.show(cmd, s, func(w io.Writer) { s.write(w) })
 		},
 	}
@@ -50,6 +56,9 @@
 	// Change is the change that was asked for, if it was ever in force.
 	Change *document.Stored `json:"change,omitempty"`
 	Token  string           `json:"token,omitempty"`
+	// Zones says what each availability zone had in force on all daemons
+	// when its relay last wrote it.
+	Zones map[host.Zone]document.InForce `json:"zones"`
 }
 
 func statusOf(environment, token string, versions []document.Stored) documentStatus {
@@ -72,6 +81,10 @@
 	} else {
 		fmt.Fprintf(w, "%s version %d, hash %s, by %s at %s\n", s.Environment, s.Current.Version, s.Current.Hash, s.Current.Who, moment(s.Current.When))
 	}
+	for _, zone := range slices.Sorted(maps.Keys(s.Zones)) {
+		f := s.Zones[zone]
+		fmt.Fprintf(w, "%s: version %d in force on all %d daemons since %s\n", zone, f.Version, f.Hosts, moment(f.When))
+	}
 	switch {
 	case s.Token == "":
 	case s.Change == nil:
--- a/document/stored.go
+++ b/document/stored.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -14,6 +15,8 @@
 	Kind = "document"
 	// HistoryKind holds replaced versions, each named by HistoryName.
 	HistoryKind = "document-history"
+	// InForceKind holds InForce records, each named by InForceName.
+	InForceKind = "document-in-force"
 )
 
 // Stored is a document as it stands in the store. Its bytes are those that
@@ -53,12 +56,15 @@
 }
 
 // InForce says what the living daemons of an availability zone have in force:
-// the lowest version among them.
+// the lowest version among them. The zone's relay writes it to the store once
+// all of them have a new version.
 type InForce struct {
 	Version uint64 `json:"version"`
 	Hash    Hash   `json:"hash"`
 	// Hosts counts the daemons.
 	Hosts int `json:"hosts"`
+	// When the last of them had it, by the clock of the relay's host.
+	When time.Time `json:"when,omitzero"`
 }
 
 // HistoryName names the object of a replaced version.
@@ -66,6 +72,11 @@
 	return environment + "." + strconv.FormatUint(version, 10)
 }
 
+// InForceName names the InForce record of an availability zone.
+func InForceName(environment string, zone host.Zone) string {
+	return environment + "." + string(zone)
+}
+
 // Encode returns the value as it is stored.
 func (s *Stored) Encode() ([]byte, error) {
 	return json.Marshal(s)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,12 +3,14 @@
 package operator
 
 import (
+	"encoding/json"
 	"errors"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -58,6 +60,23 @@
 	return all, err
 }
 
+// InForce returns what each availability zone of an environment had in force
+// when its relay last wrote it.
+func (o *Operator) InForce(environment string) (map[host.Zone]document.InForce, error) {
+	zones := make(map[host.Zone]document.InForce)
+	err := each(o.store, document.InForceKind, func(object storeclient.Object) error {
+		zone, ok := strings.CutPrefix(object.Name, environment+".")
+		if !ok {
+			return nil
+		}
+		var f document.InForce
+		err := json.Unmarshal(object.Value, &f)
+		zones[host.Zone(zone)] = f
+		return err
+	})
+	return zones, err
+}
+
 // Update runs a change of a document to its verdict.
 func (o *Operator) Update(cfg document.UpdateConfig) document.UpdateResult {
 	u := document.NewUpdate(cfg)
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -63,6 +63,7 @@
 var shared = map[string]bool{
 	document.Kind:        true,
 	document.HistoryKind: true,
+	document.InForceKind: true,
 }
 
 // Scoped returns a client for the objects of one environment. Kinds other
