--- /dev/null
+++ b/handover/random_test.go
@@ -0,0 +1,112 @@
+package handover_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// ownership is a slice's history in the store, written by the rules, and what
+// its holder has promised.
+type ownership struct {
+	history  []assignment.Slice
+	released uint64 // Highest epoch that the holder released.
+	tickets  []handover.Ticket
+	lease    mono.Time
+}
+
+// write appends one change that a leader may make.
+func (o *ownership) write(choice int) {
+	s := o.history[len(o.history)-1]
+	mine := s.Owner == alpha
+	given := !mine || o.released == s.Epoch
+	switch {
+	case choice == 0 && mine:
+		s.Next = beta
+	case choice == 1 && mine:
+		s.Next = host.Nobody
+	case choice == 2 && given:
+		s = assignment.Slice{Owner: alpha, Epoch: s.Epoch + 1}
+	case choice == 3 && given:
+		s = assignment.Slice{Owner: beta, Epoch: s.Epoch + 1}
+	}
+	o.history = append(o.history, s)
+}
+
+func (o *ownership) take(t *rapid.T, actions []handover.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case handover.Admit:
+			must.Greater(t, o.released, a.Epoch, must.Sprint("admitted after its release"))
+		case handover.TellReleased:
+			must.SliceEmpty(t, o.tickets, must.Sprint("released with requests in flight"))
+			o.released = max(o.released, a.Release.Epoch)
+		case handover.ReportOverruled:
+			t.Fatalf("overruled: %+v", a)
+		}
+	}
+}
+
+// Packs of any version, in any order and again and again, never make the
+// holder admit an epoch that it released, one that it was not granted, or
+// anything without a lease.
+func TestStalePacksAreHarmless(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHolder()
+		o := &ownership{history: []assignment.Slice{{Owner: alpha, Epoch: 1}}, lease: 1000 * second}
+		now := mono.Time(1)
+		for range 80 {
+			now += second / 2
+			switch rapid.IntRange(0, 6).Draw(t, "op") {
+			case 0, 1:
+				o.write(rapid.IntRange(0, 3).Draw(t, "write"))
+			case 2, 3:
+				s := rapid.SampledFrom(o.history).Draw(t, "version")
+				o.take(t, h.Seen(now, assignment.Change{Slice: slice, To: s}))
+			case 4:
+				ticket, v := h.Begin(now, slice)
+				if !v.Admitted() {
+					break
+				}
+				must.Greater(t, o.released, v.Epoch)
+				must.True(t, now.Before(o.lease))
+				must.SliceContains(t, o.owned(), v.Epoch)
+				o.tickets = append(o.tickets, ticket)
+			case 5:
+				if n := len(o.tickets); n > 0 {
+					ticket := o.tickets[n-1]
+					o.tickets = o.tickets[:n-1]
+					o.take(t, h.End(now, ticket))
+				}
+				o.take(t, h.Tick(now))
+			case 6:
+				o.lease = now.Add(rapid.SampledFrom([]mono.Time{-second, 5 * second}).Draw(t, "lease").Sub(0))
+				h.SetLease(o.lease)
+			}
+		}
+	})
+}
+
+func (o *ownership) owned() []uint64 {
+	var epochs []uint64
+	for _, s := range o.history {
+		if s.Owner == alpha {
+			epochs = append(epochs, s.Epoch)
+		}
+	}
+	return epochs
+}
