--- a/handover/holder.go
+++ b/handover/holder.go
@@ -149,10 +149,10 @@
 	return h.out
 }
 
+// assigned takes a slice's assignment in, which may be of any version of its
+// pack. One of an epoch that is not the newest changes nothing: a record that
+// does not hold its newest epoch is in state none, where the chart ignores it.
 func (h *Holder) assigned(now mono.Time, r *record, c assignment.Change) {
-	if c.To.Epoch < r.newest {
-		return
-	}
 	if c.To.Epoch > r.newest {
 		h.raise(now, r, c)
 	}
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -32,6 +32,7 @@
 	told    map[handover.Release]bool
 	keys    []string
 	err     error
+	answers []Event // Of writes, to be given a second time.
 
 	leader  Leader // The leader object, version 0 if there is none.
 	version uint64
@@ -198,11 +199,12 @@
 		w.late = append(w.late, a)
 		w.feed(l, Doubtful{Kind: a.Kind, Name: a.Name, Token: a.Token})
 	default:
+		var answer Event = Refused{Kind: a.Kind, Name: a.Name, Token: a.Token}
 		if version, ok := w.land(a); ok {
-			w.feed(l, Written{Kind: a.Kind, Name: a.Name, Token: a.Token, Version: version})
-			return
+			answer = Written{Kind: a.Kind, Name: a.Name, Token: a.Token, Version: version}
 		}
-		w.feed(l, Refused{Kind: a.Kind, Name: a.Name, Token: a.Token})
+		w.answers = append(w.answers, answer)
+		w.feed(l, answer)
 	}
 }
 
@@ -379,12 +381,15 @@
 	}
 }
 
-// deliver hands a leader some news: a release, perhaps an old one, a record,
-// or a pack of any version.
+// deliver hands a leader some news: a release, perhaps an old one, the answer
+// to a write once more, a record, or a pack of any version.
 func (w *world) deliver(l *modelLeader) {
 	if len(l.told) > 0 {
 		w.feed(l, Released{Release: l.told[w.pick(len(l.told))]})
 	}
+	if len(w.answers) > 0 {
+		w.feed(l, w.answers[w.pick(len(w.answers))])
+	}
 	rs := w.records[w.hosts[w.pick(len(w.hosts))].self.Host]
 	r := rs[w.pick(len(rs))]
 	w.feed(l, SessionSeen{Record: r.record, Version: r.version})
--- a/placement/random_test.go
+++ b/placement/random_test.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 func TestMain(m *testing.M) {
@@ -143,3 +144,33 @@
 		w.carryOut(l, false)
 	}
 }
+
+// A cool key goes back to its slice, and the slice waits for it: if balance
+// moved it meanwhile, the key would follow it from host to host.
+func TestASliceWaitsForItsCoolKey(t *testing.T) {
+	w := newWorld(func(int) int { return 0 }, guards{}, func() Policy { return &Balanced{} })
+	w.app.MaxMoves = modelSlices
+	l, full, other := w.leaders[0], w.hosts[0].self, w.hosts[1].self
+	p := assignment.NewPack(w.app.Name, w.app.Slices, 0)
+	for i := range key.SliceID(modelSlices) {
+		p.Set(i, assignment.Slice{Owner: full, Epoch: 1})
+	}
+	id, _ := p.CarveOut("key0")
+	p.Set(id, assignment.Slice{Owner: other, Epoch: 2})
+	parent, _ := p.Parent("key0")
+	w.feed(l, AppsChanged{Apps: []App{w.app}})
+	l.carry(w)
+	w.feed(l, PackSeen{Pack: p, Version: 9})
+	a := l.core.apps[0]
+	a.loads.keys["key0"] = hotKey{owner: other, at: w.now, hotAt: mono.Never}
+	w.now = w.now.Add(10 * time.Second)
+	w.feed(l, Tick{})
+	must.SliceLen(t, 1, l.pending)
+	moved := map[key.SliceID]Reason{}
+	for _, m := range l.pending[0].(Write).Moves {
+		moved[m.Slice.ID] = m.Reason
+	}
+	must.Eq(t, CoolKey, moved[id])
+	must.MapNotContainsKey(t, moved, parent)
+	must.Greater(t, 1, len(moved), must.Sprint("other slices move"))
+}
