Keep the memory of ids across a target's new address; settle when the caller is told

Cause: (1) a target that came back at another address got a new gate, whose memory of ids was empty while the slice's known-since stayed: a dated repeat of what had run would have run again. (2) A gate settled an outcome at risk when it sent a kept answer; if that answer was lost with its entry daemon, nobody was told and nothing was raised. Change: Gate.Successor shares memory, sequence numbers and answers not acknowledged with the gate before it and goes on numbering runs; the daemon uses it, and tells retired gates of lost connections and sessions too. The router settles when it hands a repeat's caller the answer.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -167,7 +167,6 @@
 	}
 	g.counters.Replayed++
 	g.send(o, kept, out)
-	out.Settles = append(out.Settles, settlement(r, result.Done))
 }
 
 // capacity says whether the target can do the request in time.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -147,7 +147,7 @@
 	slots    int // slots taken
 	conns    []bool
 	seen     map[host.ID]lastSeen
-	unacked  unacked
+	unacked  *unacked
 	service  estimator
 	timers   timer.Queue[*job]
 	free     []*job
@@ -189,6 +189,19 @@
 	}
 }
 
+// Successor returns a gate for another target beside the same daemon. It knows
+// what g knows of ids, sendings and answers, and goes on numbering runs, so
+// that a change of the target's address forgets nothing. Both may be used by
+// the same thread; g then only ends what it has.
+func (g *Gate) Successor(cfg Config) *Gate {
+	next := New(cfg)
+	next.memory = g.memory
+	next.seen = g.seen
+	next.unacked = g.unacked
+	next.run = g.run
+	return next
+}
+
 // Counters returns the counts so far.
 func (g *Gate) Counters() Counters {
 	return g.counters
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -186,3 +186,26 @@
 	})
 	must.Eq(t, result.IDTooOld, b.code(t))
 }
+
+// A target that comes back at another address gets a new gate, which still
+// knows what ran.
+func TestASuccessorForgetsNothing(t *testing.T) {
+	b := warmBench(1)
+	again := func(r *request.Request) {
+		r.ID = "deposit"
+		r.Repeat = request.RepeatAgain
+		r.IDTimeMs = wallStartMs
+	}
+	b.arrive(benchStart, request.Normal, again)
+	b.g.TargetAnswered(benchStart, 1, 200, "", []byte("did it"), &b.out)
+	b.g = b.g.Successor(b.g.cfg)
+	b.g.Announced(benchStart, Announcement{Slots: 1, Connections: 1, State: Warm}, &b.out)
+	b.arrive(benchStart, request.Normal, again)
+	must.SliceEmpty(t, b.out.Starts)
+	must.Eq(t, "did it", string(b.out.Answers[0].Answer.Body))
+	b.arrive(benchStart, request.Normal, nil)
+	must.Eq(t, 2, b.out.Starts[0].Run)
+	b.out.Reset()
+	b.g.OriginLost(benchStart, host.Session{Host: "e", Incarnation: 1}, &b.out)
+	must.SliceLen(t, 1, b.out.Raises)
+}
--- a/gate/unacked.go
+++ b/gate/unacked.go
@@ -22,8 +22,8 @@
 	limit int
 }
 
-func newUnacked(limit int) unacked {
-	return unacked{risks: make(map[sending]request.Risk), limit: limit}
+func newUnacked(limit int) *unacked {
+	return &unacked{risks: make(map[sending]request.Risk), limit: limit}
 }
 
 func (u *unacked) add(s sending, r request.Risk) {
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
@@ -128,8 +129,8 @@
 		return
 	}
 	delete(r.origins, from)
-	if r.gate != nil {
-		r.gate.OriginDisconnected(now, from, &r.gateOut)
+	for _, g := range r.gates() {
+		g.OriginDisconnected(now, from, &r.gateOut)
 	}
 }
 
@@ -250,11 +251,14 @@
 	if app, ok := r.fleet.app(cfg.App); ok {
 		cfg.MaxQueued = app.QueueBound
 	}
-	if r.gate != nil {
-		r.gate.TargetGone(now, &r.gateOut)
-		r.retired = append(r.retired, r.gate)
+	old := r.gate
+	if old == nil {
+		r.gate = gate.New(cfg)
+	} else {
+		old.TargetGone(now, &r.gateOut)
+		r.retired = append(r.retired, old)
+		r.gate = old.Successor(cfg)
 	}
-	r.gate = gate.New(cfg)
 	r.target = &localTarget{app: cfg.App, client: targetclient.New(a.Address, a.Connections)}
 }
 
@@ -277,9 +281,17 @@
 		}
 		return
 	}
-	if r.gate != nil {
-		r.gate.OriginLost(now, w.session, &r.gateOut)
+	for _, g := range r.gates() {
+		g.OriginLost(now, w.session, &r.gateOut)
+	}
+}
+
+// gates returns the gate and those that only end what they have.
+func (r *routingDuty) gates() []*gate.Gate {
+	if r.gate == nil {
+		return nil
 	}
+	return append(slices.Clone(r.retired), r.gate)
 }
 
 func (stopRequested) routingWork(r *routingDuty, now mono.Time) {
--- a/request/answer.go
+++ b/request/answer.go
@@ -146,6 +146,7 @@
 	r.counters.Replied++
 	if a.Code == result.OK {
 		r.noteAck(c)
+		r.settleRepeat(c, out)
 	}
 	delete(r.callers, c.caller)
 	out.Replies = append(out.Replies, Reply{Caller: c.caller, Answer: a})
@@ -192,6 +193,15 @@
 	out.Settles = append(out.Settles, Settlement{ID: c.req.ID, App: c.req.App, Key: c.req.Key, Outcome: outcome})
 }
 
+// settleRepeat settles what was raised of an id earlier, now that its caller
+// is told.
+func (r *Router) settleRepeat(c *call, out *Actions) {
+	if c.req.Idempotent || c.req.Repeat == RepeatFirst {
+		return
+	}
+	out.Settles = append(out.Settles, Settlement{ID: c.req.ID, App: c.req.App, Key: c.req.Key, Outcome: result.Done})
+}
+
 // ended tells the chooser that a sending is over.
 func (r *Router) ended(now mono.Time, c *call, code result.Code, size int) {
 	if c.req.Slice == NoSlice {
