--- a/cmd/gen-docs/main.go
+++ b/cmd/gen-docs/main.go
@@ -1,5 +1,5 @@
 // Command gen-docs writes the tables in docs/ that repeat what the code
-// defines: result codes, log events and state charts.
+// defines: result codes, log events, state charts and the document.
 package main
 
 import (
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -20,6 +21,7 @@
 		"RESULT-CODES.md": resultCodes(),
 		"LOG-EVENTS.md":   logEvents(),
 		"CHARTS.md":       charts.Page(),
+		"DOCUMENT.md":     document.Page(),
 	}
 	for name, text := range pages {
 		if err := os.WriteFile(filepath.Join("docs", name), []byte(text), docsMode); err != nil {
--- /dev/null
+++ b/document/page.go
@@ -0,0 +1,104 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Page returns the text of docs/DOCUMENT.md: every field of the schema.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Configuration document\n\nWritten by `make docs` from document/schema.json; a test checks that both agree.\n\n")
+	b.WriteString(schemaNode().Description + "\n\n")
+	b.WriteString("A duration is a string such as `\"250ms\"`, `\"5s\"` or `\"1m30s\"`; " + form(namePattern()) + " is called a name below.\n")
+	b.WriteString("Fields that aren't listed here are refused. `rhubarb validate FILE` names everything that is wrong at once.\n")
+	writeObject(&b, "", schemaNode())
+	b.WriteString("\n## Checks beyond the schema\n\n")
+	for _, rule := range rules {
+		b.WriteString("- " + rule + "\n")
+	}
+	return b.String()
+}
+
+// rules are the checks of check and of a plan, in words.
+var rules = []string{
+	"`trial` differs from `environment`.",
+	"Regions, availability zones and apps have names of their own; a zone's name is unique across regions.",
+	"Each pair of regions has exactly one link, and a link joins two different regions of the document.",
+	"`request_share` and `control_share` of a link are together at most 1.",
+	"`slices` stands exactly in apps divided by key, `hot_keys` only there, and `max_moves_per_round` is at most `slices`.",
+	fmt.Sprintf("`deadline.default` and `deadline.maximum` are from %s to %s, the maximum not below the default.", MinDeadline, MaxDeadline),
+	"At least one of an app's `weights` is above 0.",
+	fmt.Sprintf("`hot_keys.expiry` is from %s to %s.", MinHotKeyExpiry, MaxAlarmBound),
+	fmt.Sprintf("The bounds of `alarm` are from %s to %s.", MinAlarmBound, MaxAlarmBound),
+	"No field stands in an object twice, and the bytes are valid UTF-8.",
+	"In a running environment an app keeps `divided_by_key` and `slices`: a change would give keys two owners.",
+}
+
+// writeObject writes the table of an object's fields, then those of the
+// objects in it.
+func writeObject(b *strings.Builder, path string, n *node) {
+	title := "The document"
+	if path != "" {
+		title = "`" + path + "`"
+	}
+	fmt.Fprintf(b, "\n## %s\n\n| Field | Type | Needed | Meaning |\n|---|---|---|---|\n", title)
+	names := sorted(n.Properties)
+	for _, name := range names {
+		field := n.Properties[name]
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", name, field.words(), needed(n, name), field.Description)
+	}
+	for _, name := range names {
+		inner, suffix := n.Properties[name].resolve(), ""
+		if inner.Items != nil {
+			inner, suffix = inner.Items.resolve(), "[]"
+		}
+		if inner.Properties != nil {
+			writeObject(b, join(path, name)+suffix, inner)
+		}
+	}
+}
+
+func needed(n *node, name string) string {
+	for _, required := range n.Required {
+		if required == name {
+			return "yes"
+		}
+	}
+	return "no"
+}
+
+// words describes what may stand in a field.
+func (n *node) words() string {
+	switch n.Ref {
+	case "#/$defs/name":
+		return "name"
+	case "#/$defs/duration":
+		return "duration"
+	}
+	r := n.resolve()
+	if r.Items != nil {
+		return "list of " + r.Items.words() + r.count()
+	}
+	return r.Type + r.bounds()
+}
+
+func (n *node) bounds() string {
+	switch {
+	case n.Minimum != nil && n.Maximum != nil:
+		return fmt.Sprintf(", %s to %s", *n.Minimum, *n.Maximum)
+	case n.ExclusiveMinimum != nil && n.Maximum != nil:
+		return fmt.Sprintf(", above %s up to %s", *n.ExclusiveMinimum, *n.Maximum)
+	}
+	return ""
+}
+
+func (n *node) count() string {
+	switch {
+	case n.MinItems != nil && n.MaxItems != nil:
+		return fmt.Sprintf(", %s to %s of them", *n.MinItems, *n.MaxItems)
+	case n.MaxItems != nil:
+		return fmt.Sprintf(", up to %s of them", *n.MaxItems)
+	}
+	return ""
+}
