--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -181,3 +181,20 @@
 	}
 	return len(raw)
 }
+
+// All rounds after an availability zone is lost: a 22nd of the hosts at once.
+func BenchmarkZoneLoss(b *testing.B) {
+	const hosts, lost = 12_000, 545
+	for b.Loop() {
+		b.StopTimer()
+		f := benchFleet(hosts)
+		writes := f.writes
+		for i := range lost {
+			f.state(trialHost(i+1), session.Lost)
+		}
+		b.StartTimer()
+		f.settle()
+		b.ReportMetric(float64(f.writes-writes), "writes")
+		b.ReportMetric(float64(f.ownerChanges()), "slices")
+	}
+}
