Believe a refusal only for its own request; tell an answer above the limit as such

Cause: the client of the target took the header Rhubarb-Refused from any answer, although "not run" rests on it; and an answer above the limit counted as a lost connection: it kept its slot until 10 s after its deadline, and an idempotent request was sent again only to fail again. Found by reading the client against the gate. Change: a refusal must echo id and run as an answer must; Gate.TargetTruncated ends the run, frees its slot and raises what must not repeat. Conclusion: each with a test.

--- a/gate/outcome.go
+++ b/gate/outcome.go
@@ -19,7 +19,7 @@
 		return
 	}
 	switch a.Code {
-	case result.LeaseLapsedAfter:
+	case result.LeaseLapsedAfter, result.AnswerTruncated:
 		g.raise(j, a, out)
 	case result.OK:
 		g.expectAcks(j, out)
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -49,9 +49,9 @@
 	b.g.Arrive(now, wallStartMs, host.Session{Host: "e", Incarnation: 1}, r, &b.out)
 }
 
-func (b *bench) fill(now mono.Time, n int) {
+func (b *bench) fill(n int) {
 	for range n {
-		b.arrive(now, request.Normal, nil)
+		b.arrive(benchStart, request.Normal, nil)
 	}
 }
 
@@ -81,7 +81,7 @@
 
 func TestAShedRequestPausesTheStarts(t *testing.T) {
 	b := warmBench(1)
-	b.fill(benchStart, 3)
+	b.fill(3)
 	b.out.Reset()
 	b.g.TargetRefused(benchStart, 1, result.TargetShed, &b.out)
 	must.Eq(t, result.TargetShed, b.code(t))
@@ -124,7 +124,7 @@
 // Urgent requests go first, and a normal one after each eight of them.
 func TestUrgentFirstWithoutStarvingNormal(t *testing.T) {
 	b := warmBench(1)
-	b.fill(benchStart, 3)
+	b.fill(3)
 	for range 20 {
 		b.arrive(benchStart, request.Urgent, nil)
 	}
@@ -160,7 +160,7 @@
 // free, and what was lost with it is told and raised.
 func TestARestartedTargetHasItsSlots(t *testing.T) {
 	b := warmBench(2)
-	b.fill(benchStart, 2)
+	b.fill(2)
 	b.out.Reset()
 	b.g.Announced(benchStart+ms, Announcement{Slots: 2, Connections: 130, State: Warm, Instance: 2}, &b.out)
 	must.SliceLen(t, 2, b.out.Answers)
@@ -169,6 +169,18 @@
 	must.True(t, b.g.Idle())
 }
 
+// An answer that is too large is told and raised, and its slot is free: the
+// target is done with the run.
+func TestATruncatedAnswerFreesItsSlot(t *testing.T) {
+	b := warmBench(1)
+	b.fill(2)
+	b.out.Reset()
+	b.g.TargetTruncated(benchStart, 1, &b.out)
+	must.Eq(t, result.AnswerTruncated, b.code(t))
+	must.SliceLen(t, 1, b.out.Raises)
+	must.SliceLen(t, 1, b.out.Starts)
+}
+
 // A gate whose clock is behind that of an entry daemon can't tell by dates
 // what it knows.
 func TestAClockBehindKnowsNothing(t *testing.T) {
--- a/gate/run.go
+++ b/gate/run.go
@@ -161,8 +161,20 @@
 	g.pump(now, out)
 }
 
+// TargetTruncated says that the target answered a run, but not whole, or with
+// more than the limit: it ran, and no longer does.
+func (g *Gate) TargetTruncated(now mono.Time, run uint64, out *Actions) {
+	j := g.runs[run]
+	if j == nil {
+		g.counters.Strays++
+		return
+	}
+	g.step(now, j, eventAnswered, g.outcome(j, result.AnswerTruncated), out)
+	g.pump(now, out)
+}
+
 // TargetLost says that the connection was lost after a run was sent, wholly
-// or in part; code is AnswerLost, or AnswerTruncated if the answer broke off.
+// or in part; code says why no answer comes.
 func (g *Gate) TargetLost(now mono.Time, run uint64, code result.Code, out *Actions) {
 	j := g.runs[run]
 	if j == nil {
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -148,6 +148,8 @@
 		g.TargetRefused(now, run, refusalCode(w.reply.Reason), &r.gateOut)
 	case targetclient.NotSent:
 		g.TargetConnectFailed(now, run, &r.gateOut)
+	case targetclient.Truncated:
+		g.TargetTruncated(now, run, &r.gateOut)
 	default:
 		g.TargetLost(now, run, result.AnswerLost, &r.gateOut)
 		r.endLater(now, w.run)
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -63,6 +63,8 @@
 	NotSent
 	// LostAfterSend: the request may have run; no whole answer came.
 	LostAfterSend
+	// Truncated: the target answered with more than the limit; it ran.
+	Truncated
 )
 
 // Reply is the result of a call.
@@ -130,12 +132,12 @@
 	if err := c.http.DoTimeout(req, resp, call.Wait); err != nil {
 		return failed(err)
 	}
-	if reason := resp.Header.Peek(refusedHeader); len(reason) > 0 {
-		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode()}
-	}
 	if !answers(resp, call) {
 		return Reply{Verdict: LostAfterSend, Reason: "the answer is to another request"}
 	}
+	if reason := resp.Header.Peek(refusedHeader); len(reason) > 0 {
+		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode()}
+	}
 	return Reply{
 		Verdict: Answered,
 		Status:  resp.StatusCode(),
@@ -193,6 +195,9 @@
 	if neverSent {
 		return Reply{Verdict: NotSent, Reason: err.Error()}
 	}
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return Reply{Verdict: Truncated, Reason: err.Error()}
+	}
 	return Reply{Verdict: LostAfterSend, Reason: err.Error()}
 }
 
--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
@@ -59,3 +60,36 @@
 	client := targetclient.New(start(t), 8)
 	must.Eq(t, targetclient.Answered, client.Do(call(request.NoSlice, 0, 0)).Verdict)
 }
+
+// faulty serves a target that answers each request as told.
+func faulty(t *testing.T, answer fasthttp.RequestHandler) *targetclient.Client {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: answer}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	t.Cleanup(func() {
+		must.NoError(t, server.Shutdown())
+		must.NoError(t, <-done)
+	})
+	return targetclient.New(ln.Addr().String(), 8)
+}
+
+// A refusal to another request says nothing of this one.
+func TestARefusalCountsOnlyForItsRequest(t *testing.T) {
+	client := faulty(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Rhubarb-Refused", "shed")
+		ctx.Response.Header.Set("Rhubarb-Request-Id", "other")
+		ctx.Response.Header.Set("Rhubarb-Attempt", "1")
+	})
+	must.Eq(t, targetclient.LostAfterSend, client.Do(call(3, 2, bootclock.Now())).Verdict)
+}
+
+func TestAnAnswerAboveTheLimitIsNotPassedOn(t *testing.T) {
+	client := faulty(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Rhubarb-Request-Id", "id")
+		ctx.Response.Header.Set("Rhubarb-Attempt", "1")
+		ctx.SetBody(make([]byte, 4<<20))
+	})
+	must.Eq(t, targetclient.Truncated, client.Do(call(3, 2, bootclock.Now())).Verdict)
+}
