Count what goes over the link to owners, and let small shares serve

Cause: only balanced requests counted against the share of the link; those to an owner in the other region, and their answers, were not seen. Change: the router tells the chooser what it forwards and gets back; a request larger than the burst goes when the share is whole.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -316,6 +316,26 @@
 	}
 }
 
+// Forwarded counts the bytes of a request whose gate was no choice: the owner
+// of its slice. It takes them from the share of the link if they cross it.
+func (b *Balancer) Forwarded(to host.Session, now mono.Time, size int) {
+	if b.far(to) {
+		b.link.Count(now, Requests, size+overheadBytes)
+	}
+}
+
+// Returned counts the bytes of the answer to such a request.
+func (b *Balancer) Returned(from host.Session, now mono.Time, size int) {
+	if b.far(from) {
+		b.link.Count(now, Answers, size+overheadBytes)
+	}
+}
+
+func (b *Balancer) far(s host.Session) bool {
+	g := b.all[s]
+	return g != nil && g.tier == otherRegion
+}
+
 // Ended counts the end of a sending.
 func (b *Balancer) Ended(to host.Session, now mono.Time, e request.Ended) {
 	g := b.all[to]
@@ -324,7 +344,7 @@
 	}
 	g.inFlight = max(g.inFlight-1, 0)
 	if g.tier == otherRegion {
-		b.link.Count(now, Answers, e.Bytes)
+		b.link.Count(now, Answers, e.Bytes+overheadBytes)
 	}
 	switch e.Code {
 	case result.PeerUnreachable, result.PeerLost, result.Draining, result.TargetUnavailable:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -67,8 +67,13 @@
 	}
 	to, _ = choose(b, 1)
 	must.Eq(t, overLink.Session, to)
-	must.Eq(t, uint64(500), b.Link().Bytes(balance.Answers))
-	must.Positive(t, b.Link().Bytes(balance.Requests))
+	must.Eq(t, 700, b.Link().Bytes(balance.Answers))
+	must.Eq(t, 1200, b.Link().Bytes(balance.Requests))
+	b.Forwarded(overLink.Session, 2, 100)
+	b.Returned(overLink.Session, 2, 300)
+	b.Forwarded(here.Session, 2, 100)
+	must.Eq(t, 1200, b.Link().Bytes(balance.Answers))
+	must.Eq(t, 1500, b.Link().Bytes(balance.Requests))
 }
 
 func TestTheLinkKeepsItsShare(t *testing.T) {
@@ -92,6 +97,19 @@
 	must.Between(t, share*seconds*9/10, used, share*(seconds+1))
 }
 
+// A share smaller than a request delays it and never shuts it out.
+func TestASmallShareDelays(t *testing.T) {
+	b := twoRegions(balance.LinkConfig{BytesPerSecond: 400, Burst: 800}, overLink)
+	sent := 0
+	const seconds = 60
+	for s := range mono.Time(seconds) {
+		if _, code := choose(b, s*mono.Time(time.Second)); code == result.OK {
+			sent++
+		}
+	}
+	must.Between(t, 15, sent, 400*seconds/1200+1)
+}
+
 // A gate that refuses fast does not draw the requests.
 func TestFastRefusalsDoNotAttract(t *testing.T) {
 	second := gateAt("second", "north", "n1")
--- a/balance/link.go
+++ b/balance/link.go
@@ -55,10 +55,12 @@
 }
 
 // Take counts n bytes of a request if the share has room for them and for as
-// many bytes of the answer as are expected.
+// many bytes of the answer as are expected. One that is larger than all that
+// can be saved up goes when that is full, so that a small share delays it but
+// never shuts it out; what it takes beyond is made good first.
 func (l *Link) Take(now mono.Time, n, answer int) bool {
 	l.refill(now)
-	if l.tokens < float64(n+answer) {
+	if l.tokens < min(float64(n+answer), l.cfg.Burst) {
 		return false
 	}
 	l.tokens -= float64(n)
--- a/balance/naive_test.go
+++ b/balance/naive_test.go
@@ -22,6 +22,8 @@
 	return r.gates[r.next%len(r.gates)].Session, result.OK
 }
 func (*roundRobin) Sent(host.Session, mono.Time)                 {}
+func (*roundRobin) Forwarded(host.Session, mono.Time, int)       {}
+func (*roundRobin) Returned(host.Session, mono.Time, int)        {}
 func (*roundRobin) Ended(host.Session, mono.Time, request.Ended) {}
 
 // leastReported believes what the targets report.
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -220,6 +220,8 @@
 	return v.w.sites[i].self, result.OK
 }
 func (chooserView) Sent(host.Session, mono.Time)                 {}
+func (chooserView) Forwarded(host.Session, mono.Time, int)       {}
+func (chooserView) Returned(host.Session, mono.Time, int)        {}
 func (chooserView) Ended(host.Session, mono.Time, request.Ended) {}
 
 // grant makes a site the owner of a slice.
--- a/request/answer.go
+++ b/request/answer.go
@@ -26,6 +26,9 @@
 		return
 	}
 	r.ended(now, c, a.Code, len(a.Body))
+	if c.req.Slice != NoSlice {
+		r.cfg.Chooser.Returned(from, now, len(a.Body))
+	}
 	c.lastEpoch = max(c.lastEpoch, a.Epoch)
 	r.decide(now, c, from, a, out)
 }
--- a/request/life.go
+++ b/request/life.go
@@ -187,6 +187,8 @@
 	r.counters.Sent++
 	if c.req.Slice == NoSlice {
 		r.cfg.Chooser.Sent(c.to, now)
+	} else {
+		r.cfg.Chooser.Forwarded(c.to, now, len(c.req.Body))
 	}
 	r.setTimer(c, c.deadline)
 	if c.to == r.cfg.Self {
--- a/request/router.go
+++ b/request/router.go
@@ -40,6 +40,10 @@
 	Sent(to host.Session, now mono.Time)
 	// Ended counts its end.
 	Ended(to host.Session, now mono.Time, e Ended)
+	// Forwarded and Returned count the bytes of a request that goes to the
+	// owner of its slice, which is no choice, and of its answer.
+	Forwarded(to host.Session, now mono.Time, size int)
+	Returned(from host.Session, now mono.Time, size int)
 }
 
 // Ended is how a sending ended.
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -25,6 +25,12 @@
 func (m *oneSlice) Divided(app key.App) (bool, bool)    { return true, app == "pay" }
 func (m *oneSlice) Route(key.App, string) request.Route { return m.route }
 
+// noChoice is the chooser of an app whose slices have owners.
+type noChoice struct{ request.Chooser }
+
+func (noChoice) Forwarded(host.Session, mono.Time, int) {}
+func (noChoice) Returned(host.Session, mono.Time, int)  {}
+
 type fixture struct {
 	r   *request.Router
 	m   *oneSlice
@@ -36,6 +42,7 @@
 	cfg := request.DefaultConfig()
 	cfg.Self = self
 	cfg.Map = f.m
+	cfg.Chooser = noChoice{}
 	if change != nil {
 		change(&cfg)
 	}
