Ask another zone's relay at once about a new document

Cause: in a run of three daemons in three zones, a document took about a second: each relay held it until its next heartbeat showed that another had it. Change: a relay that holds a document greets another zone's relay at once. Apply says if no daemon has a session yet.

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -249,7 +249,9 @@
 	case document.Replaced:
 		fmt.Fprintf(w, "was in force as version %d, and has been replaced since\n", a.Mine.Version)
 	}
-	if a.Of > 0 {
-		fmt.Fprintf(w, "on %d of %d daemons after %d ms\n", a.Hosts, a.Of, a.AfterMs)
+	if a.Of == 0 {
+		fmt.Fprintf(w, "no daemon of %s has a session in the store yet\n", a.Environment)
+		return
 	}
+	fmt.Fprintf(w, "on %d of %d daemons after %d ms\n", a.Hosts, a.Of, a.AfterMs)
 }
--- a/spread/relay.go
+++ b/spread/relay.go
@@ -104,8 +104,12 @@
 	c.storeSeen = now
 	c.answered = now
 	c.relays[i].caughtUp = true
+	held := len(c.held)
 	c.takeAll(now, i, ev.Objects, true)
 	c.advance(now, i, ev.Revision)
+	if len(c.held) > held {
+		c.greet(now, c.tree.others)
+	}
 	c.follow(i, "answered")
 	c.join(now)
 }
