--- a/alarm/night_test.go
+++ b/alarm/night_test.go
@@ -1,6 +1,10 @@
 package alarm_test
 
 import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +15,8 @@
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
+var update = flag.Bool("update", false, "write the golden files anew")
+
 // watchman runs the alarm through a script, answers its deliveries, and
 // restarts it in the middle of the night.
 type watchman struct {
@@ -172,6 +178,23 @@
 	return slowest
 }
 
+// One night's alarms, as golden file: when each rang, and for what.
+func TestGoldenNight(t *testing.T) {
+	w := newWatchman(newScript(1))
+	w.night()
+	var log strings.Builder
+	for _, r := range w.rings {
+		fmt.Fprintf(&log, "%s %s %v\n", r.at, r.cause, w.taken[r.cause])
+	}
+	if *update {
+		must.NoError(t, os.MkdirAll("testdata", 0o755))
+		must.NoError(t, os.WriteFile("testdata/night.txt", []byte(log.String()), 0o644))
+	}
+	want, err := os.ReadFile("testdata/night.txt")
+	must.NoError(t, err)
+	must.Eq(t, string(want), log.String())
+}
+
 // Nights of scripted faults: everything at risk is rung, nothing else is. A
 // threshold alarm on the same nights does neither.
 func TestNights(t *testing.T) {
--- a/spread/bench_test.go
+++ b/spread/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -83,3 +84,24 @@
 		}
 	}
 }
+
+// BenchmarkMemory is what a daemon holds for 12,000 objects of 600 bytes, as
+// session records are, each changed once.
+func BenchmarkMemory(b *testing.B) {
+	const objects, size = 12_000, 600
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := newShelf(sessions, Blocks{})
+		for v := range uint64(2 * objects) {
+			value := []byte(content(v)[500:])[:size]
+			s.put(Object{Name: fmt.Sprintf("host-%05d.1", v%objects), Version: v + 1, Value: append([]byte(nil), value...)})
+		}
+		s.watchedTo(2 * objects)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/objects, "B/object")
+		runtime.KeepAlive(s)
+	}
+}
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -53,7 +53,7 @@
 	c.hearStoreAge(now, m.StoreAge)
 	c.release(now)
 	served := c.compare(now, from, n)
-	if m.Answer && !served {
+	if m.Answer && (!served || !m.Ready) {
 		c.sendHave(now, from, false)
 	}
 	c.join(now)
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -30,6 +30,7 @@
 	// onStart changes each core that starts; storeless can't reach the store.
 	onStart   func(*Core)
 	storeless *node
+	trace     func(*node, string)
 	faults    []string
 	wrote     mono.Time
 	// checked counts the documents whose bound was checked.
@@ -172,6 +173,9 @@
 }
 
 func (f *fleet) act(n *node, a Action) {
+	if f.trace != nil {
+		f.trace(n, describe(a))
+	}
 	switch a := a.(type) {
 	case Send:
 		f.send(n, a)
--- a/spread/relay.go
+++ b/spread/relay.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"time"
+
 	"github.com/rhubarbring/rhubarbring/chart"
 	"github.com/rhubarbring/rhubarbring/charts"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -9,6 +11,9 @@
 
 var relayChart = charts.MustLoad("relay_watch")
 
+// firstWait is the wait of the first watch of each kind.
+const firstWait = time.Millisecond
+
 // The states of the chart relay_watch.
 const (
 	off      chart.State = "off"
@@ -82,7 +87,7 @@
 	kind := c.cfg.Kinds[i]
 	switch action {
 	case "watch":
-		c.do(Watch{Kind: kind, Revision: max(c.shelves[i].watched, c.shelves[i].revision), Wait: c.cfg.WatchWait})
+		c.do(Watch{Kind: kind, Revision: max(c.shelves[i].watched, c.shelves[i].revision), Wait: c.watchWait(i)})
 	case "unwatch":
 		c.do(Unwatch{Kind: kind})
 	case "list_first":
@@ -92,6 +97,15 @@
 	}
 }
 
+// watchWait returns how long the next watch of a kind waits. The first one
+// since the start only asks what there is.
+func (c *Core) watchWait(i int) time.Duration {
+	if !c.relays[i].caughtUp {
+		return firstWait
+	}
+	return c.cfg.WatchWait
+}
+
 func (c *Core) watched(now mono.Time, ev Watched) {
 	i := c.kindIndex(ev.Kind)
 	if i < 0 || c.relays[i].state != watching {
