Never shorten a takeover's wait by lowering a deadline

Cause: an owner that is cut off may hold an earlier document and run requests with its longer deadline, while the leader waits by the newest document before it assigns the slices of an owner whose target does not check grants. Change: the stored document keeps the longest deadline of each app over all versions, placement waits by it, and the plan says so.

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -173,7 +173,7 @@
 	}
 	started := time.Now()
 	done := applied{Environment: environment, Plan: plan}
-	done.UpdateResult = o.Update(flags.config(t.who, environment, raw, version, evidence))
+	done.UpdateResult = o.Update(flags.config(t.who, environment, raw, doc, version, evidence))
 	if done.Err() == nil && done.Verdict != document.Replaced {
 		t.await(o, flags.wait, started, &done)
 	}
@@ -186,7 +186,7 @@
 	return done.late(flags.wait)
 }
 
-func (f changeFlags) config(who, environment string, raw []byte, version uint64, evidence *document.Evidence) document.UpdateConfig {
+func (f changeFlags) config(who, environment string, raw []byte, doc *document.Document, version uint64, evidence *document.Evidence) document.UpdateConfig {
 	if f.base >= 0 {
 		version = uint64(f.base)
 	}
@@ -195,7 +195,7 @@
 		token = rand.Text()
 	}
 	return document.UpdateConfig{
-		Environment: environment, Content: raw, Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
+		Environment: environment, Content: raw, Deadlines: doc.Deadlines(), Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
 		Trial: evidence, Base: &version, Tries: changeTries, Pause: changePause, MaxPause: changeMaxPause,
 	}
 }
--- a/document/document.go
+++ b/document/document.go
@@ -10,7 +10,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/key"
@@ -181,14 +180,13 @@
 	return Link{}, false
 }
 
-// LongestDeadline returns the longest deadline that any app allows. A
-// takeover waits for it where targets don't check grants.
-func (d *Document) LongestDeadline() time.Duration {
-	var longest time.Duration
+// Deadlines returns the maximum deadline of each app.
+func (d *Document) Deadlines() map[key.App]Duration {
+	all := make(map[key.App]Duration, len(d.Apps))
 	for _, a := range d.Apps {
-		longest = max(longest, a.Deadline.Maximum.Std())
+		all[a.Name] = a.Deadline.Maximum
 	}
-	return longest
+	return all
 }
 
 // Serves reports whether the document may be in force in the environment:
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -76,7 +76,7 @@
 	link, ok := rayuela.Link("patagonia-sur", "pampa-norte")
 	must.True(t, ok)
 	must.Eq(t, 30_000_000, link.BitsPerSecond)
-	must.Eq(t, 10*time.Second, rayuela.LongestDeadline())
+	must.Eq(t, document.Duration(5*time.Second), rayuela.Deadlines()["reservation"])
 	must.True(t, rayuela.Serves("trial"))
 	must.False(t, rayuela.Serves("elsewhere"))
 }
--- a/document/planner_limits.go
+++ b/document/planner_limits.go
@@ -31,6 +31,12 @@
 			Effect: "are refused as bad_deadline; none of their requests runs",
 		})
 	}
+	if a.Deadline.Maximum < old.Deadline.Maximum && a.DividedByKey && !a.TargetsCheckGrants {
+		p.add(Item{
+			Kind: LimitChanged, Subject: subject, Concerns: "takeovers of the app's slices",
+			Effect: "still wait for the longest deadline that any version allowed",
+		})
+	}
 	if a.QueueBound < old.QueueBound {
 		p.add(Item{
 			Kind: RefusalsExpected, Subject: subject, Concerns: "callers when more than " + strconv.Itoa(a.QueueBound) + " wait for a target",
--- a/document/stored.go
+++ b/document/stored.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strconv"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -37,6 +39,10 @@
 	Who string `json:"who"`
 	// When the change was made, by the clock of the operator's machine.
 	When time.Time `json:"when"`
+	// Longest holds, for each app, the longest deadline that any version so
+	// far allowed. An owner that was cut off may still run requests under an
+	// earlier version, so a takeover waits by this, not by the newest.
+	Longest map[key.App]Duration `json:"longest,omitempty"`
 	// Trial is the evidence that the content was in force in the trial; nil
 	// in the trial itself.
 	Trial *Evidence `json:"trial,omitempty"`
@@ -94,6 +100,24 @@
 	return &s, nil
 }
 
+// LongestDeadline returns the longest deadline of an app's requests that any
+// daemon may have admitted under this or an earlier version.
+func (s *Stored) LongestDeadline(a App) time.Duration {
+	return max(a.Deadline.Maximum, s.Longest[a.Name]).Std()
+}
+
+// merge returns the longer deadline of each app.
+func merge(a, b map[key.App]Duration) map[key.App]Duration {
+	longest := maps.Clone(a)
+	if longest == nil {
+		longest = make(map[key.App]Duration)
+	}
+	for app, d := range b {
+		longest[app] = max(longest[app], d)
+	}
+	return longest
+}
+
 // Document parses the stored content.
 func (s *Stored) Document() (*Document, error) {
 	doc, problems := Parse([]byte(s.Content))
--- a/document/update.go
+++ b/document/update.go
@@ -5,6 +5,7 @@
 
 	"github.com/rhubarbring/rhubarbring/chart"
 	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/key"
 )
 
 // UpdateConfig describes a change of an environment's document.
@@ -13,6 +14,8 @@
 	Environment string
 	// Content is the new document's exact bytes.
 	Content []byte
+	// Deadlines are the maximum deadlines of the new document's apps.
+	Deadlines map[key.App]Duration
 	// Token is unique to the change. A change that ended as Unclear is run
 	// again with the same token.
 	Token string
@@ -60,6 +63,7 @@
 			Token:   cfg.Token,
 			Who:     cfg.Who,
 			When:    cfg.When,
+			Longest: merge(nil, cfg.Deadlines),
 			Trial:   cfg.Trial,
 		},
 	}
@@ -181,6 +185,9 @@
 		u.cfg.Base = &version
 	}
 	u.mine.Version = *u.cfg.Base + 1
+	if found != nil {
+		u.mine.Longest = merge(found.Longest, u.cfg.Deadlines)
+	}
 	if version != *u.cfg.Base {
 		u.other = found
 		return "base_other"
--- a/document/update_test.go
+++ b/document/update_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -123,6 +124,23 @@
 	must.Eq(t, []string{"t1", "t3", "t4"}, s.accepted)
 }
 
+// A lowered deadline doesn't shorten the wait of takeovers: an owner that was
+// cut off may still hold the version before.
+func TestLongestDeadlineNeverFalls(t *testing.T) {
+	s := newStore()
+	for i, deadline := range []time.Duration{time.Second, 10 * time.Second, 2 * time.Second} {
+		cfg := change(fmt.Sprint("t", i), fmt.Sprint("content ", i))
+		cfg.Deadlines = map[key.App]document.Duration{"payments": document.Duration(deadline)}
+		must.Eq(t, document.AcceptedNow, s.run(document.NewUpdate(cfg)).Verdict)
+	}
+	stored, err := document.DecodeStored(s.objects[document.Object{Kind: document.Kind, Name: "e"}].value)
+	must.NoError(t, err)
+	app := document.App{Name: "payments", Deadline: document.Deadline{Maximum: document.Duration(2 * time.Second)}}
+	must.Eq(t, 10*time.Second, stored.LongestDeadline(app))
+	app.Name = "new"
+	must.Eq(t, 2*time.Second, stored.LongestDeadline(app))
+}
+
 func TestUnreachableStore(t *testing.T) {
 	u := document.NewUpdate(change("t1", "a"))
 	action := u.Start()
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -283,7 +283,7 @@
 		return nil
 	}
 	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
-	s.d.placement.wait(appsChanged{apps: placementApps(doc)})
+	s.d.placement.wait(appsChanged{apps: placementApps(stored, doc)})
 	return nil
 }
 
@@ -357,14 +357,14 @@
 }
 
 // placementApps returns what placement needs to know of a document's apps.
-func placementApps(doc *document.Document) []placement.App {
+func placementApps(stored *document.Stored, doc *document.Document) []placement.App {
 	apps := make([]placement.App, 0, len(doc.Apps))
 	for _, a := range doc.Apps {
 		app := placement.App{
 			Name:         a.Name,
 			Slices:       slicesOf(a),
 			DividedByKey: a.DividedByKey,
-			MaxDeadline:  a.Deadline.Maximum.Std(),
+			MaxDeadline:  stored.LongestDeadline(a),
 			Weights:      placement.Weights{Imbalance: a.Weights.Imbalance, Churn: a.Weights.Churn, Unavailable: a.Weights.Unavailable},
 			MaxMoves:     a.MaxMovesPerRound,
 		}
