Fail a trial whose outcomes at risk are not kept; say why an address can't be had

Cause: the trial read outcomes outside their environment and found none; a told outcome that nobody keeps would not have failed it. gnet hides the error of a failed bind. Change: the judge fails on outcomes that were told and not kept; the peer address is opened once before gnet takes it.

--- a/cmd/rhubarb-trial/calls.go
+++ b/cmd/rhubarb-trial/calls.go
@@ -177,7 +177,7 @@
 }
 
 func saveKept(store, file string) error {
-	client := storeAt(store)
+	client := storeAt(store).Scoped(trial.Environment)
 	ids := []string{}
 	for after := ""; ; {
 		page, err := client.List(outcome.Kind, after, listLimit)
--- a/cmd/rhubarb-trial/main_test.go
+++ b/cmd/rhubarb-trial/main_test.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/cli"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/storestand"
+	"github.com/rhubarbring/rhubarbring/internal/trial"
 	"github.com/rhubarbring/rhubarbring/outcome"
 )
 
@@ -59,7 +60,7 @@
 	batch := outcome.Batch{Name: "a", Outcomes: []outcome.Outcome{{ID: "id-1"}, {ID: "id-2"}}}
 	value, err := batch.Encode()
 	must.NoError(t, err)
-	_, err = client.Put(outcome.Kind, batch.Name, 0, value)
+	_, err = client.Scoped(trial.Environment).Put(outcome.Kind, batch.Name, 0, value)
 	must.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "outcomes.json")
 	code, _ = run("kept", "--store", "http://"+address, "--file", file)
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -178,11 +178,16 @@
 		{"run cut by the planned stop", func(x *trial) {
 			x.run("h1", "x", "h1/1", 1, 290, 0)
 			x.record("x", word("h2:1", "unknown", 190, 300))
+			x.Kept = []string{"x"}
 		}, "cut_off=1"},
 		{"run at the planned stop whose answer was lost", func(x *trial) {
 			x.run("h1", "x", "h1/1", 1, 190, 210)
 			x.record("x", word("h2:1", "unknown", 180, 300))
+			x.Kept = []string{"x"}
 		}, "cut_off=1"},
+		{"outcome at risk that the store does not keep", func(x *trial) {
+			x.record("x", word("h3:1", "unknown", 6200, 6300))
+		}, "outcomes at risk are not kept in the store"},
 		{"refused at the planned stop", func(x *trial) {
 			x.record("x", word("h1:1", "not_run", 190, 250))
 		}, "ok"},
@@ -222,7 +227,9 @@
 	x.record("z", word("h3:1", "unknown", 5000, 5100)).Idempotent = true
 	x.record("n", word("h3:1", "not_run", 5000, 5100))
 	x.Kept = []string{"y", "n"}
-	must.Eq(t, judge.AtRisk{Told: 2, Kept: 1}, judge.Judge(x.Input).AtRisk)
+	v := judge.Judge(x.Input)
+	must.Eq(t, judge.AtRisk{Told: 2, Kept: 1, Missing: []string{"x"}}, v.AtRisk)
+	must.False(t, v.OK())
 }
 
 func TestChurnCountsMovesThatNothingForced(t *testing.T) {
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -92,6 +92,7 @@
 	problem(v.TwoOwners, "runs under a second owner", nil)
 	problem(len(v.FalseNotRun), "false answers \"not run\"", v.FalseNotRun)
 	problem(len(v.CutOff), "requests cut off", v.CutOff)
+	problem(len(v.AtRisk.Missing), "outcomes at risk are not kept in the store", v.AtRisk.Missing)
 	strays := strayRuns(in, byID)
 	problem(len(strays), "requests ran that no caller sent", strays)
 	if float64(v.Done) < leastDoneShare*float64(v.Requests) || v.Requests == 0 {
--- a/internal/judge/words.go
+++ b/internal/judge/words.go
@@ -29,21 +29,27 @@
 type AtRisk struct {
 	// Told counts requests, not idempotent, whose last word was "unknown" or
 	// "late"; Kept counts those of them that the store keeps.
+	// The refusal of a repeat whose first sending still runs is none.
 	Told int
 	Kept int
+	// Missing are those told and not kept: nobody would find them later.
+	Missing []string
 }
 
 func atRisk(in Input) AtRisk {
 	var out AtRisk
 	for _, r := range in.Records {
 		w, _ := r.Last()
-		if r.Idempotent || (w.Outcome != result.Unknown.String() && w.Outcome != result.Late.String()) {
+		open := w.Outcome == result.Unknown.String() || w.Outcome == result.Late.String()
+		if r.Idempotent || !open || result.Code(w.Code) == result.DuplicateInFlight {
 			continue
 		}
 		out.Told++
 		if slices.Contains(in.Kept, r.ID) {
 			out.Kept++
+			continue
 		}
+		out.Missing = append(out.Missing, r.ID)
 	}
 	return out
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/rhubarbring/rhubarbring/internal/listen"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -83,6 +84,9 @@
 		bytesOut:  metrics.GetOrRegisterCounter(bytesOutName, registry),
 		framesOut: metrics.GetOrRegisterCounter(framesOutName, registry),
 	}
+	if err := probe(address); err != nil {
+		return nil, err
+	}
 	if err := t.startClient(); err != nil {
 		return nil, err
 	}
@@ -93,6 +97,15 @@
 	return t, nil
 }
 
+// probe opens and closes the address, since gnet hides why it can't be had.
+func probe(address string) error {
+	listener, err := listen.TCP("peer", address)
+	if err != nil {
+		return err
+	}
+	return listener.Close()
+}
+
 func (t *Transport) startClient() error {
 	client, err := gnet.NewClient(&clientEvents{t: t}, append(options(), gnet.WithNumEventLoop(clientLoops))...)
 	if err != nil {
