Wait for an app's hosts before its slices get their first owners

Cause: the leader gave every slice of payments to the first host that announced its target and kept it there: hosts that came a second later counted as cold for 30 s. Change: slices that never had an owner wait until no host has come for 1 s, at most 5 s; hosts that are there when an app starts count as warm.

--- a/placement/app.go
+++ b/placement/app.go
@@ -10,13 +10,21 @@
 
 // app is what a leader knows of one app.
 type app struct {
-	params      App
-	packs       []*packInfo
-	releases    map[key.SliceID]handover.Release
-	movedAt     map[key.SliceID]mono.Time
-	loads       loads
-	generation  uint64 // Of the fleet that hosts was built from.
-	hosts       []HostLoad
+	params     App
+	packs      []*packInfo
+	releases   map[key.SliceID]handover.Release
+	movedAt    map[key.SliceID]mono.Time
+	loads      loads
+	generation uint64 // Of the fleet that hosts was built from.
+	hosts      []HostLoad
+	// hostsSince is when this leader first saw a host of the app, and grewAt
+	// when it last saw one more.
+	hostsSince mono.Time
+	grewAt     mono.Time
+	// startedAt is when this leader gave the app's slices their first owners;
+	// 0 before that, mono.Never if another leader did. Hosts that were there
+	// by then are as new as the app itself and count as warm.
+	startedAt   mono.Time
 	index       map[host.Session]int
 	stale       bool // The hosts' loads must be summed anew.
 	nextBalance mono.Time
@@ -40,11 +48,15 @@
 	a.movedAt = make(map[key.SliceID]mono.Time)
 	a.loads = newLoads(a.params.Slices)
 	a.hosts, a.index, a.generation = nil, nil, 0
+	a.startedAt = 0
 }
 
 // adopt makes a stored version the base of what follows.
 func (a *app) adopt(p *packInfo, pack *assignment.Pack, version uint64) {
 	pack.Trim()
+	if a.startedAt == 0 && hasOwner(pack) {
+		a.startedAt = mono.Never
+	}
 	p.pack, p.version, p.dirty = pack, version, true
 	p.seen, p.at = nil, nil
 	p.handovers = pack.Handovers()
@@ -117,3 +129,12 @@
 		delete(a.releases, id)
 	}
 }
+
+func hasOwner(p *assignment.Pack) bool {
+	for i := range p.Len() {
+		if s, ok := p.At(p.First + key.SliceID(i)); ok && s.Epoch > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/core.go
+++ b/placement/core.go
@@ -54,6 +54,8 @@
 	fill(&cfg.ClaimStep, DefaultClaimStep)
 	fill(&cfg.ReadRetry, DefaultReadRetry)
 	fill(&cfg.BalanceInterval, DefaultBalanceInterval)
+	fill(&cfg.StartWait, DefaultStartWait)
+	fill(&cfg.StartWaitMax, DefaultStartWaitMax)
 	fill(&cfg.WarmUp, DefaultWarmUp)
 	fill(&cfg.Settle, DefaultSettle)
 	fill(&cfg.ReportAge, DefaultReportAge)
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -33,7 +33,7 @@
 func newTrialFleet(hosts, slots int, app App, policy Policy) *trialFleet {
 	self := host.Session{Host: "h00000", Incarnation: 1}
 	f := &trialFleet{
-		core: New(Config{Self: self, Seed: 1, Policy: policy}), now: 1, app: app, slots: slots,
+		core: New(Config{Self: self, Seed: 1, Policy: policy, StartWait: -1}), now: 1, app: app, slots: slots,
 		packs: map[string]*assignment.Pack{}, busy: map[string]float64{}, targets: map[host.Session]float32{},
 	}
 	f.step(AppsChanged{Apps: []App{app}})
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -27,6 +27,12 @@
 	a := r.a
 	a.generation = r.c.fleet.generation
 	serving := r.c.fleet.serving(a.params.Name)
+	if len(serving) > len(a.hosts) {
+		a.grewAt = r.now
+	}
+	if len(a.hosts) == 0 {
+		a.hostsSince = r.now
+	}
 	a.hosts = make([]HostLoad, len(serving))
 	a.index = make(map[host.Session]int, len(serving))
 	for i, h := range serving {
@@ -66,6 +72,9 @@
 func (r *round) resetHost(h *HostLoad) {
 	info := r.c.fleet.hosts[h.Session.Host]
 	share := warmth(r.now.Sub(info.since), r.c.cfg.WarmUp)
+	if r.a.startedAt == 0 || info.since <= r.a.startedAt {
+		share = 1
+	}
 	h.Warming = share < 1
 	h.Capacity = float64(info.slots) * share
 	h.Load, h.Slices = 0, 0
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -107,7 +107,7 @@
 	i := len(w.leaders)
 	self := host.Session{Host: host.ID(fmt.Sprintf("leader%d", i)), Incarnation: 1}
 	w.record(session.Record{Session: self, State: session.Live})
-	l := &modelLeader{core: New(Config{Self: self, Seed: uint64(i), Policy: policy, BalanceInterval: time.Second, Settle: time.Second, WarmUp: time.Second})}
+	l := &modelLeader{core: New(Config{Self: self, Seed: uint64(i), Policy: policy, BalanceInterval: time.Second, Settle: time.Second, WarmUp: time.Second, StartWait: -1})}
 	l.core.guards = g
 	w.leaders = append(w.leaders, l)
 	w.feed(l, AppsChanged{Apps: []App{w.app}})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -47,6 +47,12 @@
 	// BalanceInterval is the time between two rounds that move slices
 	// between living owners. What has no owner does not wait for it.
 	BalanceInterval time.Duration
+	// StartWait is how long a slice that never had an owner waits after the
+	// latest host of its app was first seen, at most StartWaitMax after the
+	// first one: when an app starts, its hosts come one by one, and the first
+	// must not be given everything. Negative: it does not wait.
+	StartWait    time.Duration
+	StartWaitMax time.Duration
 	// WarmUp is how long a new host is given less than its share.
 	WarmUp time.Duration
 	// Settle is how long a slice that was moved stays before it is moved
@@ -63,6 +69,8 @@
 	DefaultClaimStep       = 300 * time.Millisecond
 	DefaultReadRetry       = time.Second
 	DefaultBalanceInterval = 5 * time.Second
+	DefaultStartWait       = time.Second
+	DefaultStartWaitMax    = 5 * time.Second
 	DefaultWarmUp          = 30 * time.Second
 	DefaultSettle          = 60 * time.Second
 	DefaultReportAge       = 30 * time.Second
--- a/placement/round.go
+++ b/placement/round.go
@@ -93,7 +93,12 @@
 	owner := r.c.fleet.status(s.Owner)
 	released := r.a.hasReleased(id, s) || r.c.guards.noRelease && !s.Next.IsNobody()
 	switch {
+	case owner == statusNobody && s.Epoch == 0 && r.gathering():
+		p.dirty = true
 	case owner == statusNobody:
+		if r.a.startedAt == 0 {
+			r.a.startedAt = r.now
+		}
 		r.want(id, s, Unowned, true)
 	case owner.gone() || r.c.guards.noRecord && owner == statusDraining:
 		r.decideGone(p, id, s, owner)
@@ -106,6 +111,12 @@
 	}
 }
 
+// gathering reports whether the app's hosts are still coming one by one.
+func (r *round) gathering() bool {
+	calm := r.now.Sub(r.a.grewAt) >= r.c.cfg.StartWait
+	return !calm && r.now.Sub(r.a.hostsSince) < r.c.cfg.StartWaitMax
+}
+
 func (r *round) fit(s host.Session) bool {
 	return r.c.fleet.fit(s, r.a.params.Name)
 }
--- /dev/null
+++ b/placement/start_test.go
@@ -0,0 +1,41 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// The first host of an app that starts is not given every slice: those that
+// never had an owner wait until the hosts stop coming.
+func TestStartWaitsForHosts(t *testing.T) {
+	app := App{Name: "a", Slices: 40, MaxMoves: 4}
+	f := &trialFleet{
+		core: New(Config{Self: trialHost(0), Seed: 1}), now: 1, app: app, slots: 4,
+		packs: map[string]*assignment.Pack{}, busy: map[string]float64{}, targets: map[host.Session]float32{},
+	}
+	f.step(AppsChanged{Apps: []App{app}})
+	f.state(trialHost(0), session.Live)
+	f.step(Listed{})
+	f.step(LeaderSeen{Leader: Leader{Session: trialHost(0), Term: 1}, Version: 1})
+	f.settle()
+	must.Zero(t, f.writes)
+	for i := 1; i < 4; i++ {
+		f.now = f.now.Add(DefaultStartWait / 2)
+		f.state(trialHost(i), session.Live)
+		f.settle()
+		must.Zero(t, f.writes)
+	}
+	f.now = f.now.Add(DefaultStartWait)
+	f.settle()
+	owned := map[host.Session]int{}
+	for _, m := range f.moves {
+		owned[m.To]++
+	}
+	must.MapLen(t, 4, owned)
+	must.Eq(t, 10, owned[trialHost(3)])
+}
