--- a/placement/round.go
+++ b/placement/round.go
@@ -93,13 +93,8 @@
 	owner := r.c.fleet.status(s.Owner)
 	released := r.a.hasReleased(id, s) || r.c.guards.noRelease && !s.Next.IsNobody()
 	switch {
-	case owner == statusNobody && s.Epoch == 0 && r.gathering():
-		p.dirty = true
 	case owner == statusNobody:
-		if r.a.startedAt == 0 {
-			r.a.startedAt = r.now
-		}
-		r.want(id, s, Unowned, true)
+		r.decideUnowned(p, id, s)
 	case owner.gone() || r.c.guards.noRecord && owner == statusDraining:
 		r.decideGone(p, id, s, owner)
 	case released:
@@ -111,6 +106,18 @@
 	}
 }
 
+// decideUnowned gives a slice its first owner once the app's hosts are there.
+func (r *round) decideUnowned(p *packInfo, id key.SliceID, s assignment.Slice) {
+	if s.Epoch == 0 && r.gathering() {
+		p.dirty = true
+		return
+	}
+	if r.a.startedAt == 0 {
+		r.a.startedAt = r.now
+	}
+	r.want(id, s, Unowned, true)
+}
+
 // gathering reports whether the app's hosts are still coming one by one.
 func (r *round) gathering() bool {
 	calm := r.now.Sub(r.a.grewAt) >= r.c.cfg.StartWait
