Bench targets echo the attempt; no daemon outlives the bench

Cause: an answer without the attempt counts as lost since answers are bound to their run, so the bench found no owner; daemons of a bench that was killed stayed. Change: the header is echoed, and the kernel ends the daemons with the bench.

--- a/internal/bench/stand.go
+++ b/internal/bench/stand.go
@@ -121,6 +121,7 @@
 		time.Sleep(s.cfg.Service)
 	}
 	ctx.Response.Header.SetBytesV("Rhubarb-Request-Id", ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+	ctx.Response.Header.SetBytesV("Rhubarb-Attempt", ctx.Request.Header.Peek("Rhubarb-Attempt"))
 	ctx.SetContentType("application/json")
 	ctx.SetBody(ctx.PostBody())
 }
@@ -181,6 +182,7 @@
 	}
 	process := exec.Command(s.cfg.Daemon, "--settings", file(".json"))
 	process.Stderr = os.Stderr
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		return err
 	}
