Count peers' bytes over the link between regions by purpose

Cause: control bytes to daemons of another region were not taken from the link's share, and nothing told what went over the link for what. Change: the transport counts frames to other regions as link.requests.bytes, link.answers.bytes and link.control.bytes; the routing duty takes the control bytes from the share at each tick. Conclusion: Link.Count has its caller; the relays' calls by HTTP are not frames and are not counted.

--- a/internal/daemon/gates.go
+++ b/internal/daemon/gates.go
@@ -60,6 +60,16 @@
 	r.balancer.Link().SetShare(now, balance.LinkConfig{BytesPerSecond: part, Burst: part * linkBurst.Seconds()})
 }
 
+// countControl takes the control bytes that went to other regions since the
+// last time from the share. Requests and answers are counted one by one.
+func (r *routingDuty) countControl(now mono.Time) {
+	crossed := r.peers.Crossed(balance.Control)
+	if n := crossed - r.crossed; n > 0 {
+		r.balancer.Link().Count(now, balance.Control, int(n))
+	}
+	r.crossed = crossed
+}
+
 // narrowestShare returns the bytes per second that requests may use of the
 // narrowest link from a region.
 func narrowestShare(doc *document.Document, from host.Region) (float64, bool) {
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -71,10 +71,12 @@
 	// balancer chooses gates; balanced is what it was last given.
 	balancer *balance.Balancer
 	balanced map[key.App][]balance.Gate
-	holder   *handover.Holder
-	owners   *assignment.Map
-	gate     *gate.Gate // nil until a target has announced itself
-	target   *localTarget
+	// crossed is how many control bytes to other regions were counted.
+	crossed int64
+	holder  *handover.Holder
+	owners  *assignment.Map
+	gate    *gate.Gate // nil until a target has announced itself
+	target  *localTarget
 	// retired are gates of earlier targets that still have runs.
 	retired []*gate.Gate
 	// released is told of each release, which goes to the placement leader.
@@ -243,6 +245,7 @@
 	r.doHolder(now, r.holder.Tick(now))
 	r.tickGates(now)
 	r.forgetSent(now)
+	r.countControl(now)
 	r.report(now)
 	r.flush(now)
 	r.publish()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,6 +21,7 @@
 	address   string // where the connection was opened to; empty if a peer opened it
 	hello     atomic.Pointer[wire.Hello]
 	waiting   atomic.Int64
+	unplaced  unplaced
 }
 
 // Address returns the peer's address if this daemon opened the connection,
@@ -55,6 +56,7 @@
 	}
 	c.transport.bytesOut.Inc(int64(len(frame)))
 	c.transport.framesOut.Inc(1)
+	c.transport.crossings.count(c, frame)
 	err := c.conn.AsyncWrite(frame, c.written)
 	if err != nil {
 		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Cause: err}
@@ -81,6 +83,7 @@
 		return false
 	}
 	c.hello.Store(&hello)
+	c.transport.crossings.settleAll(c)
 	if c.address == "" {
 		_ = c.Send(c.transport.hello)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -64,6 +64,7 @@
 	bytesIn   metrics.Counter
 	bytesOut  metrics.Counter
 	framesOut metrics.Counter
+	crossings *crossings
 }
 
 // Listen starts a transport that takes connections on address, "IP:port". It
@@ -83,6 +84,7 @@
 		bytesIn:   metrics.GetOrRegisterCounter(bytesInName, registry),
 		bytesOut:  metrics.GetOrRegisterCounter(bytesOutName, registry),
 		framesOut: metrics.GetOrRegisterCounter(framesOutName, registry),
+		crossings: newCrossings(hello.Region, registry),
 	}
 	if err := probe(address); err != nil {
 		return nil, err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,6 +105,11 @@
 	return Kind(header[lengthBytes]), int(size), nil
 }
 
+// KindOf returns the kind of a whole frame.
+func KindOf(frame []byte) Kind {
+	return Kind(frame[lengthBytes])
+}
+
 // Decode reads a payload into a message of type T. The message keeps no
 // reference to the payload.
 func Decode[T any](payload []byte) (T, error) {
