Refuse no first sending for its date

Cause: a gate that had dropped any id refused each first sending accepted in its future, so that a host whose clock was 2 s behind would have refused every booking after ten minutes. The check guarded against late duplicates, which the rising numbers drop already. Change: a first sending runs, as the contract says. Conclusion: a wrong clock makes repeats unknown, never bookings impossible.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -104,20 +104,19 @@
 }
 
 // knowable reports whether an id that is not in the memory is surely new. For
-// a first sending that is the caller's word; it must only be younger than what
-// the memory dropped, since a delayed duplicate of it says the same. A request
-// that was accepted in this host's future shows that the host's clock is
-// behind: it dates its grants too early to tell.
+// a first sending that is the caller's word; a duplicate of it was dropped by
+// its number before. A request that was accepted in this host's future shows
+// that the host's clock is behind: it dates its grants too early to tell.
 func (g *Gate) knowable(nowMs int64, s key.Slice, r *request.Request, adm Admission) bool {
-	skew := g.cfg.Memory.Skew.Milliseconds()
-	dropped := g.memory.DroppedMs(s)
 	if r.Repeat == request.RepeatFirst {
-		return dropped == 0 || within(r.AcceptedMs, dropped+skew, nowMs+skew)
+		return true
 	}
+	skew := g.cfg.Memory.Skew.Milliseconds()
 	if r.IDTimeMs == 0 || r.AcceptedMs > nowMs+skew {
 		return false
 	}
-	return within(r.IDTimeMs, max(dropped, adm.KnownSinceMs)+skew, nowMs+skew)
+	horizon := max(g.memory.DroppedMs(s), adm.KnownSinceMs)
+	return within(r.IDTimeMs, horizon+skew, nowMs+skew)
 }
 
 func within(t, after, upTo int64) bool {
