Let the load of slices fade that reports leave out

Cause: gates report only slices that were asked for, so a slice that went idle kept its last load with the leader for ever. A test of it.

--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -120,17 +120,22 @@
 	f.settle()
 }
 
-// zipf gives n keys loads that fall with the power s of their rank and sum
-// to total.
-func (f *trialFleet) zipf(n int, s, total float64) {
+const (
+	zipfKeys  = 20_000
+	zipfPower = 1.1
+)
+
+// zipf gives the keys loads that fall with a power of their rank and sum to
+// total.
+func (f *trialFleet) zipf(total float64) {
 	var sum float64
-	for i := range n {
-		sum += math.Pow(float64(i+1), -s)
+	for i := range zipfKeys {
+		sum += math.Pow(float64(i+1), -zipfPower)
 	}
-	for i := range n {
+	for i := range zipfKeys {
 		k := fmt.Sprintf("key%d", i)
 		f.keys = append(f.keys, k)
-		f.busy[k] = total * math.Pow(float64(i+1), -s) / sum
+		f.busy[k] = total * math.Pow(float64(i+1), -zipfPower) / sum
 	}
 }
 
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -45,6 +45,41 @@
 	a.stale = true
 }
 
+// markReported notes which hosts reported since the last round for balance.
+func (r *round) markReported() {
+	for i := range r.a.hosts {
+		h := &r.a.hosts[i]
+		h.reported = r.a.loads.reports[h.Session].round == r.a.loads.slices.round
+	}
+}
+
+// fadeLoads lowers the loads of slices that the reports since the last round
+// for balance left out, and begins the next round.
+func (r *round) fadeLoads() {
+	a := r.a
+	for _, p := range a.packs {
+		if p.pack != nil && a.params.DividedByKey {
+			a.fadePack(p)
+		}
+	}
+	a.loads.slices.round++
+}
+
+func (a *app) fadePack(p *packInfo) {
+	at := a.hostsOf(p)
+	for i := range p.pack.Len() {
+		owner, _, _ := p.pack.Places(i)
+		if on := at[owner]; on >= 0 && a.hosts[on].reported {
+			a.loads.slices.fade(p.first + key.SliceID(i))
+		}
+	}
+	for _, c := range p.pack.CarveOuts() {
+		if on := a.place(c.Assigned.Owner); on >= 0 && a.hosts[on].reported {
+			a.loads.slices.fade(c.ID)
+		}
+	}
+}
+
 // sumLoads sums the loads of the slices on their hosts. A slice whose handover
 // is under way counts on its next owner.
 func (r *round) sumLoads() {
--- a/placement/load.go
+++ b/placement/load.go
@@ -19,7 +19,8 @@
 	// Target is the share of busy slots, 0 to 1, as the target says itself;
 	// negative if it says nothing. It may lag or mislead.
 	Target float32
-	// Slices gives what the gate saw of each slice that it owns.
+	// Slices gives what the gate saw of each slice that it owns; those left
+	// out caused no load.
 	Slices []SliceLoad
 	// Keys gives the keys that keep the most slots busy.
 	Keys []KeyLoad
@@ -66,6 +67,7 @@
 	sequence uint64
 	at       mono.Time
 	sway     float64 // Factor on the load that the gate saw.
+	round    uint32  // Of balance, in which it came.
 }
 
 type hotKey struct {
@@ -101,7 +103,7 @@
 		}
 	}
 	sway := targetSway(float64(r.Target), total, float64(h.slots))
-	a.loads.reports[r.From] = targetReport{sequence: r.Sequence, at: now, sway: sway}
+	a.loads.reports[r.From] = targetReport{sequence: r.Sequence, at: now, sway: sway, round: a.loads.slices.round}
 	for _, k := range r.Keys {
 		a.loads.key(now, r.From, k, scale, a.params.HotKeys.Share*float64(h.slots))
 	}
--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -3,18 +3,15 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/session"
 )
 
-const (
-	zipfKeys  = 20_000
-	zipfPower = 1.1
-)
-
 // Under Zipf keys the balanced policy is better than the naive one, with and
 // without carve-outs, and a target that lies about its load changes little.
 func TestImbalanceUnderZipfKeys(t *testing.T) {
@@ -32,7 +29,7 @@
 			total := 0.6 * float64(c.hosts*c.slots)
 			run := func(app App, p Policy, lie float32) (float64, int) {
 				f := newTrialFleet(c.hosts, c.slots, app, p)
-				f.zipf(zipfKeys, zipfPower, total)
+				f.zipf(total)
 				f.ownerChanges()
 				if lie >= 0 {
 					f.targets[trialHost(2)] = lie
@@ -93,7 +90,7 @@
 func TestNoiseMovesFewSlices(t *testing.T) {
 	for _, app := range []App{rayuelaApp(), kalderimiApp()} {
 		f := newTrialFleet(6, 12, app, &Balanced{})
-		f.zipf(zipfKeys, zipfPower, 0.6*6*12)
+		f.zipf(0.6 * 6 * 12)
 		f.rounds()
 		f.ownerChanges()
 		rng := rand.New(rand.NewPCG(1, 2))
@@ -112,7 +109,7 @@
 func TestBalanceFollowsHotKeys(t *testing.T) {
 	const bound = 24 // Rounds of 5 s.
 	f := newTrialFleet(6, 12, rayuelaApp(), &Balanced{})
-	f.zipf(zipfKeys, zipfPower, 0.6*6*12)
+	f.zipf(0.6 * 6 * 12)
 	f.rounds()
 	f.ownerChanges()
 	old := maps.Clone(f.busy)
@@ -127,3 +124,19 @@
 	must.Greater(t, 1.15, before)
 	must.LessEq(t, 1.15, f.imbalance())
 }
+
+// A slice that its owner's reports leave out counts for nothing after a while.
+func TestLoadOfIdleSlicesFades(t *testing.T) {
+	f := newTrialFleet(2, 12, rayuelaApp(), &Balanced{})
+	f.zipf(12)
+	f.round()
+	a := f.core.apps[0]
+	id := key.SliceOf(f.app.Name, f.keys[0], f.app.Slices).ID
+	busy, ok := a.loads.slices.get(id)
+	must.True(t, ok)
+	must.Greater(t, 1.0, busy)
+	f.keys = slices.DeleteFunc(f.keys, func(k string) bool { return key.SliceOf(f.app.Name, k, f.app.Slices).ID == id })
+	f.rounds()
+	busy, _ = a.loads.slices.get(id)
+	must.Less(t, 0.05, busy)
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -20,6 +20,8 @@
 	Slices int
 	// Warming says that the host was seen only a short while ago.
 	Warming bool
+
+	reported bool // A report came since the last round for balance.
 }
 
 // Use returns the load for each slot.
--- a/placement/round.go
+++ b/placement/round.go
@@ -40,6 +40,10 @@
 	if !due && !a.anyDirty() {
 		return
 	}
+	if due {
+		r.markReported()
+		r.fadeLoads()
+	}
 	if a.stale || due {
 		r.sumLoads()
 	}
--- a/placement/sliceloads.go
+++ b/placement/sliceloads.go
@@ -11,10 +11,17 @@
 	carved  map[key.SliceID]float32
 	known   int
 	sum     float64
+
+	round        uint32 // Of balance.
+	regularRound []uint32
+	carvedRound  map[key.SliceID]uint32
 }
 
 func newSliceLoads(slices uint32) sliceLoads {
-	l := sliceLoads{regular: make([]float32, slices), carved: make(map[key.SliceID]float32)}
+	l := sliceLoads{
+		regular: make([]float32, slices), regularRound: make([]uint32, slices),
+		carved: make(map[key.SliceID]float32), carvedRound: make(map[key.SliceID]uint32), round: 1,
+	}
 	for i := range l.regular {
 		l.regular[i] = unreported
 	}
@@ -41,9 +48,10 @@
 
 func (l *sliceLoads) set(id key.SliceID, busy float64) {
 	if id >= key.SliceID(len(l.regular)) {
-		l.carved[id] = float32(busy)
+		l.carved[id], l.carvedRound[id] = float32(busy), l.round
 		return
 	}
+	l.regularRound[id] = l.round
 	if old, ok := l.get(id); ok {
 		l.known--
 		l.sum -= old
@@ -62,4 +70,19 @@
 
 func (l *sliceLoads) remove(id key.SliceID) {
 	delete(l.carved, id)
+	delete(l.carvedRound, id)
+}
+
+// fade lowers the load of a slice that its owner's report of this round left
+// out: nothing was asked of it.
+func (l *sliceLoads) fade(id key.SliceID) {
+	round := l.carvedRound[id]
+	if id < key.SliceID(len(l.regular)) {
+		round = l.regularRound[id]
+	}
+	if round == l.round {
+		return
+	}
+	busy, _ := l.get(id)
+	l.set(id, max(0, busy)*(1-reportWeight))
 }
--- a/placement/ways_test.go
+++ b/placement/ways_test.go
@@ -63,7 +63,7 @@
 // Zipf keys; and on a loss they move no fewer keys.
 func TestTableIsMoreEvenThanHashing(t *testing.T) {
 	f := newTrialFleet(6, 12, rayuelaApp(), &Balanced{})
-	f.zipf(zipfKeys, zipfPower, 0.6*6*12)
+	f.zipf(0.6 * 6 * 12)
 	f.rounds()
 	table := f.imbalance()
 	var hosts []host.Session
