Bound the timers of requests that are over

Cause: each request left its timer in the queue until its deadline: at 24,000 requests a second with deadlines of 30 s, 720,000 entries of 24 B and the search among them. Change: timer.Queue.Compact; router and gate drop what no longer matters once it outnumbers what does, beyond 4,096. Conclusion: memory follows what is live.

--- a/gate/job.go
+++ b/gate/job.go
@@ -6,6 +6,7 @@
 	"github.com/rhubarbring/rhubarbring/idmemory"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/timer"
 )
 
 // The states, events and actions of charts/admission.json, in the order of
@@ -113,8 +114,14 @@
 
 func (g *Gate) setTimer(j *job, at mono.Time) {
 	j.timer = g.timers.Add(at, j)
+	if g.timers.Len() > maxStaleTimers+2*(len(g.runs)+g.urgent.len()+g.normal.len()) {
+		g.timers.Compact(func(e timer.Entry[*job]) bool { return e.Item.timer == e.ID })
+	}
 }
 
+// maxStaleTimers is how many timers of jobs that are over may be kept.
+const maxStaleTimers = 4096
+
 // step takes the chart's transition and does its actions. The answer is what
 // the event says of the outcome, or nil.
 func (g *Gate) step(now mono.Time, j *job, event uint8, a *request.Answer, out *Actions) {
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -221,3 +221,14 @@
 	b.g.OriginLost(benchStart, host.Session{Host: "e", Incarnation: 1}, &b.out)
 	must.SliceLen(t, 1, b.out.Raises)
 }
+
+// Timers of requests that are over don't pile up until their deadlines.
+func TestTimersAreBounded(t *testing.T) {
+	b := warmBench(12)
+	for run := range uint64(20_000) {
+		b.arrive(benchStart, request.Normal, func(r *request.Request) { r.Budget = time.Minute; r.Idempotent = true })
+		b.g.TargetAnswered(benchStart, run+1, 200, "", nil, &b.out)
+	}
+	must.True(t, b.g.Idle())
+	must.LessEq(t, maxStaleTimers+2, b.g.timers.Len())
+}
--- a/request/answer.go
+++ b/request/answer.go
@@ -6,6 +6,7 @@
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/timer"
 )
 
 // Answered takes a gate's answer. It counts only if session, id, attempt and
@@ -215,8 +216,14 @@
 // setTimer replaces the call's timer.
 func (r *Router) setTimer(c *call, at mono.Time) {
 	c.timer = r.timers.Add(at, c)
+	if r.timers.Len() > maxStaleTimers+2*(r.Live()+r.inState[stateDoubtful]) {
+		r.timers.Compact(func(e timer.Entry[*call]) bool { return e.Item.timer == e.ID })
+	}
 }
 
+// maxStaleTimers is how many timers of calls that are over may be kept.
+const maxStaleTimers = 4096
+
 func (r *Router) newCall() *call {
 	r.inState[stateReceived]++
 	if len(r.free) == 0 {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -1,6 +1,6 @@
-// Package timer holds a queue of instants, earliest first. Entries are never
-// removed early: whoever pops one checks by its number whether it still
-// matters. That costs an entry's memory until its time, and no search.
+// Package timer holds a queue of instants, earliest first. Entries are not
+// removed one by one: whoever pops one checks by its number whether it still
+// matters, and Compact drops those that don't when they have become many.
 package timer
 
 import "github.com/rhubarbring/rhubarbring/mono"
@@ -57,6 +57,22 @@
 	return e, true
 }
 
+// Compact drops the entries that don't matter any longer. Used when they
+// outnumber those that do, it costs a constant for each entry ever added.
+func (q *Queue[T]) Compact(matters func(Entry[T]) bool) {
+	kept := q.heap[:0]
+	for _, e := range q.heap {
+		if matters(e) {
+			kept = append(kept, e)
+		}
+	}
+	clear(q.heap[len(kept):])
+	q.heap = kept
+	for i := len(kept)/2 - 1; i >= 0; i-- {
+		q.down(i)
+	}
+}
+
 func (q *Queue[T]) less(i, j int) bool {
 	a, b := q.heap[i], q.heap[j]
 	if a.At != b.At {
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -33,3 +33,21 @@
 	}
 	must.Zero(t, q.Len())
 }
+
+func TestCompactKeepsWhatMattersInOrder(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(2, 1))
+	var q timer.Queue[int]
+	for i := range 500 {
+		q.Add(mono.Time(rnd.IntN(1000)), i)
+	}
+	q.Compact(func(e timer.Entry[int]) bool { return e.Item%5 == 0 })
+	must.Eq(t, 100, q.Len())
+	last := mono.Time(0)
+	for range 100 {
+		e, due := q.PopDue(1000)
+		must.True(t, due)
+		must.Zero(t, e.Item%5)
+		must.LessEq(t, e.At, last)
+		last = e.At
+	}
+}
