Ask a gate again that is behind the map

Cause: after a hand-over a request could reach the new owner a moment before the owner had heard of its epoch; the refusal made the router wait for a change of the map that never came, 2 s, and then answer no_owner. A lapsed lease did the same.

--- a/request/answer.go
+++ b/request/answer.go
@@ -42,6 +42,7 @@
 func (r *Router) decide(now mono.Time, c *call, from host.Session, a *Answer, out *Actions) {
 	c.lastCode = a.Code
 	c.lastAfter = a.RetryAfter
+	c.behind = behind(c.req, a)
 	switch a.Code {
 	case result.NotOwner, result.Draining, result.LeaseLapsed, result.FenceRefused:
 		r.moved(now, c, from, a, out)
@@ -78,6 +79,10 @@
 		c.hintTo = from
 		c.hintEpoch = a.OwnEpoch
 	}
+	if _, moved := r.look(c); c.behind && !moved {
+		r.again(now, c, out)
+		return
+	}
 	if !r.budget.Spend() {
 		r.refuse(now, c, result.RetryBudgetSpent, out)
 		return
@@ -87,6 +92,13 @@
 	r.route(now, c, out)
 }
 
+// behind reports whether a gate that refused a request may soon admit it
+// although the map does not change: it has not yet heard of the epoch that it
+// was asked at, or its lease has lapsed and may be renewed.
+func behind(req *Request, a *Answer) bool {
+	return a.Code == result.LeaseLapsed || a.Code == result.NotOwner && a.Epoch < req.Epoch
+}
+
 // doubtAnswer passes on a gate's "unknown" and goes on waiting for the late
 // answer that the gate sends when it learns the outcome.
 func (r *Router) doubtAnswer(now mono.Time, c *call, a *Answer, out *Actions) {
--- a/request/life.go
+++ b/request/life.go
@@ -103,6 +103,17 @@
 // owner returns the newest known owner of the request's slice, or nobody if
 // none is known but the one that refused it.
 func (r *Router) owner(c *call) (host.Session, uint64) {
+	route, moved := r.look(c)
+	if !moved && !c.behind && refusedAsOwner(c.lastCode) {
+		return host.Nobody, 0
+	}
+	c.req = atSlice(c.req, route)
+	return route.Owner, route.Epoch
+}
+
+// look returns the newest known route of the request, and whether it leads
+// elsewhere than the last sending went.
+func (r *Router) look(c *call) (Route, bool) {
 	text := c.req.Key
 	if divided, _ := r.cfg.Map.Divided(c.req.App); !divided {
 		text = c.req.ID
@@ -117,11 +128,7 @@
 		route.Epoch = c.hintEpoch
 	}
 	moved := route.Slice != c.req.Slice || route.Owner != c.to || route.Epoch > c.req.Epoch
-	if !moved && refusedAsOwner(c.lastCode) {
-		return host.Nobody, 0
-	}
-	c.req = atSlice(c.req, route)
-	return route.Owner, route.Epoch
+	return route, moved
 }
 
 // refusedAsOwner reports whether a gate that refused with the code will go on
--- a/request/router.go
+++ b/request/router.go
@@ -158,6 +158,9 @@
 	lastCode  result.Code
 	lastAfter time.Duration
 	lastEpoch uint64
+	// behind says that the gate which refused knows less than the map that
+	// the request was sent by: it is asked again after a pause.
+	behind bool
 }
 
 // NewRouter returns a router without requests.
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -131,6 +131,21 @@
 	must.SliceLen(t, 1, f.out.Sends)
 }
 
+// A gate that has not heard yet of the epoch it is asked at, or whose lease
+// has lapsed, is asked again after a pause; the map need not change for that.
+func TestAGateThatIsBehindIsAskedAgain(t *testing.T) {
+	for _, code := range []result.Code{result.NotOwner, result.LeaseLapsed} {
+		f := newFixture(nil)
+		f.submit(1, deposit(request.RepeatFirst))
+		f.answer(owner, code, func(a *request.Answer) { a.Epoch = 0 })
+		must.SliceEmpty(t, f.out.Replies)
+		f.out.Reset()
+		f.r.Tick(mono.Time(100*time.Millisecond), &f.out)
+		must.SliceLen(t, 1, f.out.Sends, must.Sprint(code))
+		must.Eq(t, owner, f.out.Sends[0].To)
+	}
+}
+
 // A refusal says "not run" to a first sending, and never to a repeat.
 func TestARefusalOfARepeatIsUnknown(t *testing.T) {
 	for rep, want := range map[request.Repeat]result.Code{
