--- a/cmd/rhubarb-bench/main.go
+++ b/cmd/rhubarb-bench/main.go
@@ -32,8 +32,8 @@
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&cfg.Daemon, "daemon", "bin/rhubarbd", "binary of the daemon")
-	flags.IntVar(&cfg.BasePort, "base-port", defaultBasePort, "first port; ten for each log level are used")
+	flags.StringSliceVar(&cfg.Daemons, "daemon", []string{"bin/rhubarbd"}, "binaries of the daemon to compare")
+	flags.IntVar(&cfg.BasePort, "base-port", defaultBasePort, "first port; ten for each binary and log level are used")
 	flags.StringSliceVar(&cfg.Levels, "levels", []string{"info", "warn"}, "log levels to compare")
 	flags.IntSliceVar(&cfg.Connections, "connections", []int{1, 10, 130}, "numbers of callers' connections")
 	flags.DurationVar(&cfg.Phase, "phase", defaultPhase, "length of one measurement")
--- a/event/request.go
+++ b/event/request.go
@@ -7,6 +7,7 @@
 	RequestAnswered ID = 4003
 	AnswerDropped   ID = 4004
 	SendFailed      ID = 4005
+	RequestRefused  ID = 4006
 	OutcomeSettled  ID = 4011
 )
 
@@ -16,5 +17,6 @@
 	{RequestAnswered, "request_answered", Info, "id code result owner epoch attempt", "The caller was answered with this result."},
 	{AnswerDropped, "answer_dropped", Info, "id attempt code", "An answer matched no sending on its connection: late, doubled or foreign. It was dropped."},
 	{SendFailed, "send_failed", Info, "id to cause", "A request never left this process; it is a true not run."},
+	{RequestRefused, "request_refused", Info, "id code result epoch attempt", "Gate decision: the sending was answered with this result, not with an answer of the target."},
 	{OutcomeSettled, "outcome_settled", Info, "id app outcome", "An outcome at risk became known."},
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"time"
@@ -18,11 +19,12 @@
 
 // Config describes one run.
 type Config struct {
-	// Daemon is the path of the binary rhubarbd.
-	Daemon string
-	// BasePort is the first port; ten for each log level are used.
+	// Daemons are the paths of the binaries of rhubarbd to compare.
+	Daemons []string
+	// BasePort is the first port; ten for each pair of daemons are used.
 	BasePort int
-	// Levels are the log levels to compare, one pair of daemons for each.
+	// Levels are the log levels to compare, one pair of daemons for each
+	// binary and level.
 	Levels []string
 	// Connections are the numbers of callers' connections to measure.
 	Connections []int
@@ -45,9 +47,10 @@
 type Way struct {
 	// Name says it in the table.
 	Name string
-	// Level is the daemons' log level; empty if no daemon takes part.
-	Level string
-	route route
+	// Level is the daemons' log level, and Daemon the name of their binary;
+	// empty if no daemon takes part.
+	Level, Daemon string
+	route         route
 }
 
 // Sample is what was measured of one way at one load.
@@ -124,20 +127,23 @@
 		}
 	}
 	var ways []Way
-	for i, level := range cfg.Levels {
-		s, err := startStand(cfg, level, cfg.BasePort+i*portsEach)
-		stands = append(stands, s)
-		if err != nil {
-			return nil, closeAll, err
+	for _, binary := range cfg.Daemons {
+		for _, level := range cfg.Levels {
+			s, err := startStand(cfg, binary, level, cfg.BasePort+len(stands)*portsEach)
+			stands = append(stands, s)
+			if err != nil {
+				return nil, closeAll, err
+			}
+			if len(ways) == 0 {
+				ways = append(ways, Way{Name: "direct", route: s.direct()})
+			}
+			one, two, err := s.routes()
+			if err != nil {
+				return nil, closeAll, err
+			}
+			name := filepath.Base(binary)
+			ways = append(ways, Way{Name: "1 hop", Level: level, Daemon: name, route: one}, Way{Name: "2 hops", Level: level, Daemon: name, route: two})
 		}
-		if i == 0 {
-			ways = append(ways, Way{Name: "direct", route: s.direct()})
-		}
-		one, two, err := s.routes()
-		if err != nil {
-			return nil, closeAll, err
-		}
-		ways = append(ways, Way{Name: "1 hop", Level: level, route: one}, Way{Name: "2 hops", Level: level, route: two})
 	}
 	return ways, closeAll, nil
 }
@@ -168,12 +174,12 @@
 
 func writeTable(out io.Writer, title string, samples []*Sample) {
 	fmt.Fprintf(out, "\n%s\n\n", title)
-	fmt.Fprintln(out, "| way | log | requests/s | requests/s per core of daemons | p50 ms | p99 ms | p99.9 ms | added p50 ms | added p99 ms | failed |")
-	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(out, "| way | daemon | log | requests/s | requests/s per core of daemons | p50 ms | p99 ms | p99.9 ms | added p50 ms | added p99 ms | failed |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|")
 	direct := samples[0].Latency
 	for _, s := range samples {
 		h := s.Latency
-		fmt.Fprintf(out, "| %s | %s | %.0f | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d |\n", s.Way.Name, s.Way.Level, s.PerSecond(), perCore(s),
+		fmt.Fprintf(out, "| %s | %s | %s | %.0f | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d |\n", s.Way.Name, s.Way.Daemon, s.Way.Level, s.PerSecond(), perCore(s),
 			quantileMs(h, p50), quantileMs(h, p99), quantileMs(h, p999),
 			quantileMs(h, p50)-quantileMs(direct, p50), quantileMs(h, p99)-quantileMs(direct, p99), s.Failed)
 	}
--- a/internal/bench/stand.go
+++ b/internal/bench/stand.go
@@ -52,6 +52,7 @@
 // stand is a store, a pair of daemons and their targets.
 type stand struct {
 	cfg     Config
+	binary  string
 	level   string
 	port    int
 	store   *storestand.Server
@@ -60,8 +61,8 @@
 	stop    chan struct{}
 }
 
-func startStand(cfg Config, level string, port int) (*stand, error) {
-	s := &stand{cfg: cfg, level: level, port: port, stop: make(chan struct{})}
+func startStand(cfg Config, binary, level string, port int) (*stand, error) {
+	s := &stand{cfg: cfg, binary: binary, level: level, port: port, stop: make(chan struct{})}
 	if err := s.startStore(); err != nil {
 		return s, err
 	}
@@ -84,7 +85,7 @@
 func (s *stand) control(i int) string { return address(s.port + 2 + i*portsOfDaemon) }
 func (s *stand) caller(i int) string  { return address(s.port + 3 + i*portsOfDaemon) }
 func (s *stand) target(i int) string  { return address(s.port + 4 + i*portsOfDaemon) }
-func (s *stand) host(i int) string    { return fmt.Sprintf("%s-%d", s.level, i) }
+func (s *stand) host(i int) string    { return fmt.Sprintf("%s-%d-%d", s.level, s.port, i) }
 
 func (s *stand) startStore() error {
 	s.store = storestand.New(storestand.Config{Seed: s.cfg.Seed, History: storeHistory})
@@ -180,7 +181,7 @@
 	if err := os.WriteFile(file(".json"), raw, fileMode); err != nil {
 		return err
 	}
-	process := exec.Command(s.cfg.Daemon, "--settings", file(".json"))
+	process := exec.Command(s.binary, "--settings", file(".json"))
 	process.Stderr = os.Stderr
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
--- /dev/null
+++ b/internal/daemon/pair_test.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"bytes"
+	"math"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/internal/entry"
+	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/peer"
+	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+const (
+	pairApp    = "catalogue"
+	pairBudget = time.Second
+)
+
+// routingPair is the routing duties of two daemons with a peer connection
+// between them and a target at the second, which owns the app's only slice.
+// Their other duties don't run: leases hold for ever.
+type routingPair struct {
+	entry, owner *Daemon
+	logs         [2]*bytes.Buffer
+	calls        request.Caller
+}
+
+func newRoutingPair(t testing.TB, level event.Level) *routingPair {
+	p := &routingPair{}
+	p.entry = p.routingDaemon(t, "first", 0, level)
+	p.owner = p.routingDaemon(t, "second", 1, level)
+	pack := assignment.NewPack(pairApp, 1, 0)
+	pack.Set(0, assignment.Slice{Owner: p.owner.self, Epoch: 1})
+	for _, d := range []*Daemon{p.entry, p.owner} {
+		p.introduce(t, d)
+		d.routing.ring.Push(packsSeen{packs: []packVersion{{pack: pack, version: 1}}})
+	}
+	p.owner.routing.ring.Push(announced{control.Announcement{
+		App: pairApp, Address: startEcho(t), Slots: 12, Connections: 130, ChecksGrants: true, State: control.StateWarm,
+	}})
+	return p
+}
+
+func (p *routingPair) routingDaemon(t testing.TB, name host.ID, i int, level event.Level) *Daemon {
+	p.logs[i] = &bytes.Buffer{}
+	registry := metrics.NewRegistry()
+	address := freeAddress(t)
+	d := New(&settings.Daemon{Host: name, Region: "pampa-norte", Zone: "pampa-norte-1", Environment: "trial", Peer: address, Store: "127.0.0.1:1", Seed: 1},
+		eventlog.New(p.logs[i], level, name, registry), registry)
+	d.provision()
+	peers, err := peer.Listen(address, wire.Hello{Session: d.self, Zone: d.settings.Zone, Region: d.settings.Region}, &frames{d: d}, registry)
+	must.NoError(t, err)
+	d.peers, d.routing.peers = peers, peers
+	d.lease.heldUntil.Store(math.MaxInt64)
+	d.routing.start()
+	t.Cleanup(func() {
+		d.routing.close()
+		peers.Close()
+	})
+	return d
+}
+
+func (p *routingPair) introduce(t testing.TB, d *Daemon) {
+	raw, err := os.ReadFile("../../examples/rayuela.json")
+	must.NoError(t, err)
+	doc, problems := document.Parse(raw)
+	must.NoError(t, problems.Err())
+	d.fleet.adopt(&document.Stored{Version: 1}, doc)
+	var records []session.Versioned
+	for _, other := range []*Daemon{p.entry, p.owner} {
+		records = append(records, session.Versioned{Version: 1, Record: session.Record{Session: other.self, Place: other.place(), Peer: other.settings.Peer, State: session.Live}})
+	}
+	d.fleet.put(records, nil)
+}
+
+// call submits a request at a daemon and returns the answer.
+func (p *routingPair) call(t testing.TB, d *Daemon, id string, body []byte) *request.Answer {
+	p.calls++
+	s := entry.Submission{
+		Caller: p.calls,
+		Request: &request.Request{
+			ID: id, App: pairApp, Key: "k", Repeat: request.RepeatFirst, Budget: pairBudget, Method: "POST", Path: "/items", Type: "application/json", Body: body,
+		},
+		Deadline: bootclock.Now().Add(pairBudget),
+		Reply:    make(chan *request.Answer, 1),
+	}
+	must.True(t, d.Submit(s))
+	return <-s.Reply
+}
+
+// startEcho starts a target that answers each request with its body.
+func startEcho(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		for _, name := range []string{"Rhubarb-Request-Id", "Rhubarb-Attempt"} {
+			ctx.Response.Header.SetBytesV(name, ctx.Request.Header.Peek(name))
+		}
+		ctx.SetBody(ctx.PostBody())
+	}}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func freeAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -440,6 +440,10 @@
 // sent is lost: the entry daemon learns of the lost connection, or its
 // deadline passes, and it tells its caller so.
 func (r *routingDuty) answer(now mono.Time, a gate.Answer) {
+	if a.Answer.Code != result.OK {
+		r.log.Event(event.RequestRefused, "id", a.Answer.ID, "code", uint16(a.Answer.Code), "result", a.Answer.Code.String(),
+			"epoch", a.Answer.Epoch, "attempt", a.Answer.Attempt)
+	}
 	if a.To == r.self {
 		r.router.Answered(now, r.self, a.Answer, &r.out)
 		return
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -103,6 +103,7 @@
 			_ = l.out.Flush()
 		case <-l.stop:
 			l.drain()
+			l.reportDrops(reported)
 			_ = l.out.Flush()
 			return
 		}
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,78 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+)
+
+// gatedWriter lets no write through until it is opened.
+type gatedWriter struct {
+	open  chan struct{}
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (w *gatedWriter) Write(b []byte) (int, error) {
+	<-w.open
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lines.Write(b)
+}
+
+var dropCount = regexp.MustCompile(`name=log_dropped level=\w+ count=(\d+)`)
+
+// A disk that stands still loses lines but stops nobody, and each lost line
+// is counted.
+func TestFullRingDropsAndCounts(t *testing.T) {
+	const written = 200_000 // More than ring and buffer hold.
+	registry := metrics.NewRegistry()
+	w := &gatedWriter{open: make(chan struct{})}
+	log := eventlog.New(w, event.Info, "h1", registry)
+	for range written {
+		log.Event(event.RequestStarted, "id", "a")
+	}
+	dropped := metrics.GetOrRegisterCounter("ring.log.refused", registry).Count()
+	close(w.open)
+	log.Close()
+	must.Positive(t, dropped)
+	text := w.lines.String()
+	must.Eq(t, written-int(dropped), strings.Count(text, "name=request_started"))
+	logged := int64(0)
+	for _, count := range dropCount.FindAllStringSubmatch(text, -1) {
+		n, err := strconv.ParseInt(count[1], 10, 64)
+		must.NoError(t, err)
+		logged += n
+	}
+	must.Eq(t, dropped, logged)
+}
+
+func TestLevelsBelowTheMinimumAreNotWritten(t *testing.T) {
+	w := &bytes.Buffer{}
+	log := eventlog.New(w, event.Warn, "h1", metrics.NewRegistry())
+	must.False(t, log.Enabled(event.Info))
+	log.Event(event.RequestStarted, "id", "a")
+	log.Event(event.BadFrame, "peer", "p", "cause", "c d")
+	log.Close()
+	must.StrNotContains(t, w.String(), "request_started")
+	must.StrHasSuffix(t, "name=bad_frame level=warn peer=p cause=\"c d\"\n", w.String())
+}
+
+func BenchmarkEvent(b *testing.B) {
+	log := eventlog.New(io.Discard, event.Info, "h1", metrics.NewRegistry())
+	defer log.Close()
+	b.ReportAllocs()
+	for i := uint64(0); b.Loop(); i++ {
+		log.Event(event.RequestStarted, "id", "order-1", "app", "catalogue", "slice", uint32(7), "epoch", i, "run", i, "key", "k")
+	}
+}
