Spread the claims of daemons that start together

Cause: a daemon that has just started knows few others, so after a restart of everything each would take itself for the first in turn and claim at once. Change: for its first 10 s a daemon waits up to 2 s more, by a hash of its session, and reads the leader object again before it claims. Conclusion: a restart of everything does not crowd the store with claims.

--- a/placement/golden_test.go
+++ b/placement/golden_test.go
@@ -108,20 +108,25 @@
 		s.tellRecords(l)
 		s.feed(l, Listed{})
 	}
-	for range 4 {
+	for !s.led() {
 		for _, l := range s.leaders {
 			s.turn(l)
 		}
 		s.wait(DefaultClaimStep)
 	}
-	s.all()
 	for _, l := range s.leaders {
-		if l.core.Leads() {
-			return l
-		}
+		s.turn(l)
 	}
-	s.t.Fatal("no leader")
-	return nil
+	s.all()
+	if s.leaders[1].core.Leads() {
+		return s.leaders[1]
+	}
+	return s.leaders[0]
+}
+
+func (s *script) led() bool {
+	must.Less(s.t, 10*time.Second, time.Duration(s.now))
+	return s.leaders[0].core.Leads() || s.leaders[1].core.Leads()
 }
 
 func TestGoldenHandoverUnderLoad(t *testing.T) {
@@ -190,14 +195,12 @@
 	s.note("the first lands; the leader is lost before the second")
 	s.land(first)
 	s.record(session.Record{Session: old.core.cfg.Self, State: session.Lost})
-	for range 3 {
+	for !plans(other) {
+		must.Less(t, 10*time.Second, time.Duration(s.now))
 		s.wait(DefaultClaimStep)
 		s.tellRecords(other)
 		s.feed(other, Tick{})
-		for len(other.pending) > 0 {
-			if w, ok := other.pending[0].(Write); ok && w.Kind == assignment.Kind {
-				break
-			}
+		for len(other.pending) > 0 && !plans(other) {
 			s.carryOut(other, false)
 		}
 	}
@@ -213,6 +216,15 @@
 	s.golden("leader-lost.txt")
 }
 
+// plans reports whether a leader's next action is the write of a pack.
+func plans(l *modelLeader) bool {
+	if len(l.pending) == 0 {
+		return false
+	}
+	w, ok := l.pending[0].(Write)
+	return ok && w.Kind == assignment.Kind
+}
+
 // give writes owners past the leader: slices below a count are b's.
 func (s *script) give(id key.SliceID, most, few host.Session, count key.SliceID) {
 	name := assignment.Name(s.app.Name, id)
--- a/placement/leader.go
+++ b/placement/leader.go
@@ -57,6 +57,9 @@
 	version uint64
 	claim   Leader
 
+	begun       bool
+	begunAt     mono.Time
+	checked     bool // The object was read again for the claim to come.
 	vacant      bool
 	vacantSince mono.Time
 	asked       bool
@@ -75,18 +78,24 @@
 	}
 	l.known, l.asked = true, false
 	if ev.Version != l.version {
-		l.vacant = false
+		l.vacant, l.checked = false, false
 	}
 	l.leader, l.version = ev.Leader, ev.Version
-	if ev.Version == 0 {
-		c.fireLeadership(now, eventFailed)
-		return
+	c.fireLeadership(now, c.nameOf(ev))
+	if l.checked {
+		c.tickLeadership(now)
 	}
-	if ev.Leader.Session == c.cfg.Self {
-		c.fireLeadership(now, eventElected)
-		return
+}
+
+// nameOf returns the chart's event for what the leader object says.
+func (c *Core) nameOf(ev LeaderSeen) chart.Event {
+	switch {
+	case ev.Version == 0:
+		return eventFailed
+	case ev.Leader.Session == c.cfg.Self:
+		return eventElected
 	}
-	c.fireLeadership(now, eventOther)
+	return eventOther
 }
 
 // tickLeadership claims the lead when nobody holds it and it is this daemon's
@@ -94,6 +103,9 @@
 // conditional write from each of them.
 func (c *Core) tickLeadership(now mono.Time) {
 	l := &c.lead
+	if !l.begun {
+		l.begun, l.begunAt = true, now
+	}
 	fit := c.fleet.status(c.cfg.Self) == statusLive
 	if !fit {
 		c.fireLeadership(now, eventUnfit)
@@ -112,10 +124,38 @@
 	if !fit || l.state != stateFollowing {
 		return
 	}
-	turn := l.vacantSince.Add(time.Duration(c.rank()) * c.cfg.ClaimStep)
-	if !now.Before(turn) {
-		c.fireLeadership(now, eventVacant)
+	if now.Before(c.turn(now)) {
+		return
+	}
+	if c.isYoung(now) && !l.checked {
+		l.checked = true
+		c.readLeader(now)
+		return
+	}
+	c.fireLeadership(now, eventVacant)
+}
+
+const (
+	// youngAge is how long a daemon counts as just started: it may know few
+	// of the others, and so can't tell its turn among them.
+	youngAge = 10 * time.Second
+	// youngSpread is the time over which daemons that start together spread
+	// their claims. They look at the leader object again before they claim.
+	youngSpread = 2 * time.Second
+)
+
+func (c *Core) isYoung(now mono.Time) bool {
+	return now.Sub(c.lead.begunAt) < youngAge
+}
+
+// turn returns when this daemon may claim.
+func (c *Core) turn(now mono.Time) mono.Time {
+	turn := c.lead.vacantSince.Add(time.Duration(c.rank()) * c.cfg.ClaimStep)
+	if !c.isYoung(now) {
+		return turn
 	}
+	spread := key.Hash(c.cfg.Self.String()) % uint64(youngSpread)
+	return turn.Add(time.Duration(spread))
 }
 
 // isVacant reports whether no session leads that could still be at work. A
--- a/placement/leader_test.go
+++ b/placement/leader_test.go
@@ -1,18 +1,22 @@
 package placement
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/session"
 )
 
 // claims lets every daemon but the silent ones tick until one leads, and
 // returns the leader and the number of claims that were written.
 func (s *script) claims(silent map[host.ID]bool) (*modelLeader, int) {
-	n := 0
+	before := s.claimed
 	for range 200 {
 		for _, l := range s.leaders {
 			if silent[l.core.cfg.Self.Host] {
@@ -21,20 +25,15 @@
 			s.tellRecords(l)
 			s.feed(l, LeaderSeen{Leader: s.leader, Version: s.version})
 			s.feed(l, Tick{})
-			for _, a := range l.pending {
-				if w, ok := a.(Write); ok && w.Kind == LeaderKind {
-					n++
-				}
-			}
 			l.carry(s.world)
 			if l.core.Leads() {
-				return l, n
+				return l, s.claimed - before
 			}
 		}
 		s.wait(DefaultClaimStep / 3)
 	}
 	s.t.Fatal("no leader")
-	return nil, n
+	return nil, 0
 }
 
 // A lost leader brings one claim, not one from each daemon; a daemon whose
@@ -85,3 +84,50 @@
 	_, n := s.claims(map[host.ID]bool{l.core.cfg.Self.Host: true})
 	must.Eq(t, 1, n, must.Sprint("claims after the resignation"))
 }
+
+// Every daemon restarts at once, each knows only itself and that the old
+// leader is gone, and hears of a new leader a second late: few claim, and few
+// look at the leader object more than once.
+func TestRestartOfAllBringsFewClaims(t *testing.T) {
+	const daemons, heardAfter = 300, time.Second
+	old := host.Session{Host: "d0", Incarnation: 1}
+	var cores []*Core
+	for i := range daemons {
+		self := host.Session{Host: host.ID(fmt.Sprintf("d%d", i)), Incarnation: 2}
+		c := New(Config{Self: self})
+		c.Step(1, SessionSeen{Record: session.Record{Session: self, State: session.Live}, Version: uint64(i + 2)})
+		c.Step(1, SessionSeen{Record: session.Record{Session: host.Session{Host: "d0", Incarnation: 2}, State: session.Live}, Version: 2})
+		cores = append(cores, c)
+	}
+	leader, version, won := Leader{Session: old, Term: 1}, uint64(1), mono.Time(0)
+	claims, reads := 0, 0
+	for now := mono.Time(1); now < mono.Time(10*time.Second); now += mono.Time(100 * time.Millisecond) {
+		var writes []Write
+		for _, c := range cores {
+			if won != 0 && now.Sub(won) >= heardAfter {
+				c.Step(now, LeaderSeen{Leader: leader, Version: version})
+			}
+			todo := c.Step(now, Tick{})
+			for len(todo) > 0 {
+				a := todo[0]
+				todo = todo[1:]
+				switch a := a.(type) {
+				case Read:
+					reads++
+					todo = append(todo, c.Step(now, LeaderSeen{Leader: leader, Version: version})...)
+				case Write:
+					writes = append(writes, a)
+				}
+			}
+		}
+		claims += len(writes)
+		if won == 0 && len(writes) > 0 {
+			won, version = now, 2
+			must.NoError(t, json.Unmarshal(writes[0].Value, &leader))
+		}
+	}
+	t.Logf("%d daemons: %d claims, %d reads of the leader object, a leader after %s", daemons, claims, reads, time.Duration(won))
+	must.Positive(t, claims)
+	must.LessEq(t, daemons/20, claims)
+	must.LessEq(t, 2*daemons, reads)
+}
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -36,6 +36,7 @@
 
 	leader  Leader // The leader object, version 0 if there is none.
 	version uint64
+	claimed int // Claims that were written, landed or not.
 	trace   func(format string, args ...any)
 }
 
@@ -210,6 +211,7 @@
 
 // landLeader applies a claim to the leader object.
 func (w *world) landLeader(l *modelLeader, a Write) {
+	w.claimed++
 	if a.IfVersion != w.version {
 		w.feed(l, Refused{Kind: a.Kind, Name: a.Name, Token: a.Token})
 		return
