A restarted daemon ends its earlier life itself, when that is proved over

Cause: when all daemons restart at once, each earlier session has lost all its witnesses with it: nothing could seal it, and its slices stayed unserved until an operator declared each lost. Change: a record names the running machine beside the peer address. A later session with the same machine and address, which only one process can listen on, records the earlier one as lost without seals or waiting. Conclusion: needs Machine in the daemon's settings of the cores, and the peer address bound first; without it the rule is off.

--- a/session/core.go
+++ b/session/core.go
@@ -23,6 +23,10 @@
 type Config struct {
 	Session host.Session
 	Place   host.Place
+	// Machine identifies the running machine, and Peer is the address that
+	// the daemon listens on for its peers, already bound and shared with no
+	// other process. See Record.Succeeds.
+	Machine string
 	Peer    string
 	Control string
 	Caller  string
@@ -64,7 +68,7 @@
 		cfg:    cfg,
 		rng:    rng,
 		state:  sessionChart.Initial,
-		wanted: Record{Session: cfg.Session, Place: cfg.Place, Peer: cfg.Peer, Control: cfg.Control, Caller: cfg.Caller, State: Live},
+		wanted: Record{Session: cfg.Session, Place: cfg.Place, Machine: cfg.Machine, Peer: cfg.Peer, Control: cfg.Control, Caller: cfg.Caller, State: Live},
 		writer: NewWriter(cfg.Timing, rng),
 		lease:  newLease(cfg.Timing.Lease),
 		held:   mono.Never,
--- a/session/record.go
+++ b/session/record.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/key"
@@ -18,11 +19,17 @@
 // Kind is the kind of a session's object in the store.
 const Kind = "session"
 
+// DeleteAfter is the least time for which a final record must stand before it
+// is deleted: longer than any write of the session's creation can still be
+// under way, since that one would bring the record back.
+const DeleteAfter = 10 * time.Minute
+
 // State is the state of a session as recorded in the store.
 type State string
 
 // The states of a session. Lost and left are final: the record then never
-// changes again and may be deleted once no assignment names the session.
+// changes again and may be deleted after DeleteAfter, once no assignment names
+// the session.
 const (
 	Live     State = "live"
 	Draining State = "draining"
@@ -55,6 +62,10 @@
 	Session host.Session `json:"session"`
 	// Place is where the host stands.
 	Place host.Place `json:"place"`
+	// Machine identifies the running machine: no two running kernels have the
+	// same. With Peer it tells whether an earlier session of the host must be
+	// over, since only one process can listen on an address. Empty if unknown.
+	Machine string `json:"machine,omitempty"`
 	// Peer, Control and Caller are the daemon's addresses, "IP:port".
 	Peer    string `json:"peer"`
 	Control string `json:"control"`
@@ -103,6 +114,14 @@
 	return r, err
 }
 
+// Succeeds reports whether the process of the record r can only run if that of
+// the record old is gone: both name the same machine and listen on the same
+// address, and r is the later.
+func (r *Record) Succeeds(old *Record) bool {
+	same := old.Session.Host == r.Session.Host && old.Machine == r.Machine && old.Peer == r.Peer
+	return same && r.Machine != "" && r.Peer != "" && old.Session.Incarnation < r.Session.Incarnation
+}
+
 // StoreLeased reports whether the lease is renewed in the store.
 func (r *Record) StoreLeased() bool {
 	return len(r.Witnesses) == 0
--- a/takeover/attempt.go
+++ b/takeover/attempt.go
@@ -28,7 +28,7 @@
 	due     mono.Time // When the turn comes, in the states that wait for one.
 	fails   int       // Reads that failed in a row.
 	heard   mono.Time // When another witness last said that it hears the session.
-	byStore bool      // Whether it takes over a lease in the store.
+	byStore bool      // Whether it rests on the store alone, not on this witness's silence.
 	started bool      // Whether its start was reported.
 	told    bool      // Whether it was reported as stuck.
 	record  session.Versioned
@@ -78,3 +78,11 @@
 	}
 	return ends[n-1], true
 }
+
+// reason says what the attempt waits for.
+func (a *attempt) reason() Reason {
+	if a.state == takeoverChart.Initial || a.state == "reading" || !a.writer.Idle() {
+		return StoreSilent
+	}
+	return WitnessesSilent
+}
--- a/takeover/core.go
+++ b/takeover/core.go
@@ -48,9 +48,13 @@
 
 // Config describes the daemon that takes over.
 type Config struct {
-	Self   host.Session
-	Seed   uint64
-	Timing session.Timing
+	Self host.Session
+	// Machine and Peer are those of the daemon's own record. Earlier sessions
+	// of the host with the same are over, and are recorded so at once.
+	Machine string
+	Peer    string
+	Seed    uint64
+	Timing  session.Timing
 }
 
 // observation is a record with a lease in the store, as last seen.
@@ -99,13 +103,22 @@
 type Pending struct {
 	Session host.Session
 	Since   mono.Time
+	// Place is where the session stands, if its record was read.
+	Place host.Place
+	// Heard is when another witness last said that it hears the session;
+	// mono.Never if none did.
+	Heard mono.Time
+	// Reason is what the takeover waits for. If it is WitnessesSilent, the
+	// session may be cut off from here and serve on.
+	Reason Reason
 }
 
 // Pending returns the takeovers under way, in a fixed order.
 func (c *Core) Pending() []Pending {
 	var out []Pending
 	for _, s := range c.order() {
-		out = append(out, Pending{Session: s, Since: c.attempts[s].began})
+		a := c.attempts[s]
+		out = append(out, Pending{Session: s, Since: a.began, Place: a.record.Record.Place, Heard: a.heard, Reason: a.reason()})
 	}
 	return out
 }
@@ -232,6 +245,9 @@
 	c.witness.Learn(now, v)
 	c.observe(now, v)
 	a := c.attempts[v.Record.Session]
+	if a == nil || a.state == takeoverChart.Initial {
+		a = c.succeed(now, v, a)
+	}
 	if a == nil {
 		return
 	}
@@ -255,6 +271,22 @@
 	}
 }
 
+// succeed records an earlier life of this daemon as lost. Neither seals nor
+// its lease need be waited for: its process is gone.
+func (c *Core) succeed(now mono.Time, v session.Versioned, a *attempt) *attempt {
+	own := session.Record{Session: c.cfg.Self, Machine: c.cfg.Machine, Peer: c.cfg.Peer}
+	if v.Record.State.Final() || !own.Succeeds(&v.Record) {
+		return a
+	}
+	if a == nil {
+		a = c.begin(now, v.Record.Session)
+	}
+	a.byStore = true
+	a.record = v
+	c.take(now, a, "succeeded")
+	return nil
+}
+
 // follow does what is due about an attempt.
 func (c *Core) follow(now mono.Time, a *attempt) {
 	c.reportStuck(now, a)
@@ -416,10 +448,7 @@
 		return
 	}
 	a.told = true
-	reason := WitnessesSilent
-	if a.state == takeoverChart.Initial || a.state == "reading" || !a.writer.Idle() {
-		reason = StoreSilent
-	}
+	reason := a.reason()
 	c.out.log(event.TakeoverStuck, a.session, reason.String())
 	c.out.add(Stuck{Session: a.session, Place: a.record.Record.Place, Reason: reason})
 }
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -193,3 +193,25 @@
 	answer = core.Asked(start.Add(timing.Lease), ask)[0].(takeover.Seals)
 	must.Eq(t, []witness.Seal{{Session: holder, Witness: self, Generation: 4}}, answer.List)
 }
+
+// An earlier life on the same machine and address is over, and recorded so at
+// once; one on another machine, or of an unknown one, is not.
+func TestEarlierLifeIsSucceeded(t *testing.T) {
+	own := host.Session{Host: "h", Incarnation: 4}
+	for _, c := range []struct {
+		machine, peer string
+		own           string
+		want          int
+	}{
+		{"m1", "10.0.0.1:7000", "m1", 1},
+		{"m2", "10.0.0.1:7000", "m1", 0},
+		{"m1", "10.0.0.2:7000", "m1", 0},
+		{"", "10.0.0.1:7000", "", 0},
+	} {
+		core := takeover.New(takeover.Config{Self: own, Machine: c.own, Peer: "10.0.0.1:7000", Timing: timing}, witness.New(own, timing.Lease))
+		v := record(9, 4)
+		v.Record.Machine = c.machine
+		v.Record.Peer = c.peer
+		must.Len(t, c.want, puts(core.Seen(start, v)))
+	}
+}
