Fuzz deltas; check the sessions that a delta names

Cause: a delta could bring a host name that a pack may not hold. Change: Apply refuses it; FuzzApply; a test of apps that are not divided by key. Conclusion: a wrong delta leaves the pack alone.

--- a/assignment/assignment_test.go
+++ b/assignment/assignment_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
@@ -188,3 +189,36 @@
 		assignment.NewMap().Put(p, 1)
 	})
 }
+
+// A delta of a peer that is wrong gives an error and leaves the pack alone.
+func FuzzApply(f *testing.F) {
+	p := assignment.NewPack("catalogue", 64, 0)
+	q := p.Clone()
+	q.Set(1, assignment.Slice{Owner: host.Session{Host: "alpha", Incarnation: 1}, Epoch: 3})
+	parent := q.Clone()
+	for i := range key.SliceID(64) {
+		parent.Set(i, assignment.Slice{Owner: host.Session{Host: "beta", Incarnation: 1}, Epoch: 4, Next: host.Session{Host: "alpha", Incarnation: 1}})
+	}
+	parent.CarveOut("k")
+	for _, d := range []*assignment.Delta{assignment.Diff(p, 1, q, 2), assignment.Diff(p, 1, parent, 2), assignment.Diff(parent, 1, p, 2)} {
+		raw, err := cbor.Marshal(d)
+		must.NoError(f, err)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var d assignment.Delta
+		if cbor.Unmarshal(raw, &d) != nil {
+			return
+		}
+		before := encode(t, p)
+		next, err := p.Apply(&d)
+		must.Eq(t, before, encode(t, p))
+		if err != nil {
+			must.ErrorIs(t, err, &result.Error{Code: result.BadFrame})
+			return
+		}
+		again, err := assignment.Decode(encode(t, next))
+		must.NoError(t, err)
+		must.Eq(t, encode(t, next), encode(t, again))
+	})
+}
--- a/assignment/delta.go
+++ b/assignment/delta.go
@@ -105,6 +105,11 @@
 	if d.App != p.App || d.First != p.First {
 		return nil, badPack("delta of another pack", nil)
 	}
+	for _, s := range d.Sessions {
+		if s.IsNobody() || len(s.Host) > MaxHostBytes {
+			return nil, badPack("wrong session in the table", nil)
+		}
+	}
 	q := p.Clone()
 	q.Token, q.floor = d.Token, d.Floor
 	for _, id := range d.Merged {
--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -140,3 +141,20 @@
 	busy, _ = a.loads.slices.get(id)
 	must.Less(t, 0.05, busy)
 }
+
+// An app that is not divided by key is balanced by the number of slices, in
+// proportion to the slots, and a host that joins gets its share.
+func TestSlicesFollowSlots(t *testing.T) {
+	app := App{Name: "payments", Slices: 90, MaxDeadline: time.Second, MaxMoves: 9, Weights: Weights{Imbalance: 1, Churn: 1, Unavailable: 1}}
+	f := newTrialFleet(3, 6, app, &Balanced{})
+	for i := range 3 {
+		must.Between(t, 28, f.owned(trialHost(i)), 32)
+	}
+	f.slots = 12
+	f.state(trialHost(3), session.Live)
+	f.rounds()
+	must.Between(t, 30, f.owned(trialHost(3)), 38)
+	f.ownerChanges()
+	f.rounds()
+	must.Eq(t, 0, f.ownerChanges())
+}
