Give up a gate that stays behind as soon as a wait for an owner

Cause: a gate that goes on refusing because it is behind was asked until the request's deadline, which may be 30 s, at the cost of the retry budget of all. Conclusion: given up is told at once.

--- a/request/answer.go
+++ b/request/answer.go
@@ -71,6 +71,13 @@
 		r.finish(now, c, a, out)
 		return
 	}
+	if c.movedSince == 0 {
+		c.movedSince = now
+	}
+	if now.Sub(c.movedSince) >= r.cfg.MaxWait {
+		r.refuse(now, c, result.NoOwner, out)
+		return
+	}
 	if c.req.Slice == NoSlice {
 		r.again(now, c, out)
 		return
--- a/request/router.go
+++ b/request/router.go
@@ -161,6 +161,9 @@
 	// behind says that the gate which refused knows less than the map that
 	// the request was sent by: it is asked again after a pause.
 	behind bool
+	// movedSince is when a gate first refused it for want of ownership; 0 if
+	// none did.
+	movedSince mono.Time
 }
 
 // NewRouter returns a router without requests.
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -146,6 +146,25 @@
 	}
 }
 
+// It is asked for no longer than requests wait for an owner.
+func TestAGateThatStaysBehindIsGivenUp(t *testing.T) {
+	f := newFixture(func(c *request.Config) { c.MaxWait = 300 * time.Millisecond })
+	f.submit(1, deposit(request.RepeatFirst))
+	now := mono.Time(2)
+	for f.r.Live() == 1 {
+		sent := f.out.Sends[0].Request
+		f.out.Reset()
+		f.r.Answered(now, owner, &request.Answer{ID: sent.ID, Attempt: sent.Attempt, Seq: sent.Seq, Code: result.NotOwner}, &f.out)
+		for f.r.Live() == 1 && len(f.out.Sends) == 0 {
+			now = now.Add(time.Millisecond)
+			f.r.Tick(now, &f.out)
+		}
+	}
+	must.Eq(t, result.NoOwner, f.replied(t))
+	must.Between(t, 300*time.Millisecond, now.Sub(0), 500*time.Millisecond)
+	must.Between(t, 4, f.r.Counters().Sent, 12)
+}
+
 // A refusal says "not run" to a first sending, and never to a repeat.
 func TestARefusalOfARepeatIsUnknown(t *testing.T) {
 	for rep, want := range map[request.Repeat]result.Code{
