Use the memory of the routing duty's actions again

Cause: each piece of work made new lists of actions. Change: two sets of lists take turns; Reset keeps their memory.

--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -92,9 +92,11 @@
 	origins map[host.Session]*peer.Conn
 	merged  map[key.Slice]int64 // when a carved-out key last returned, milliseconds since 1970
 	history history
-	out     request.Actions
-	gateOut gate.Actions
-	stats   routingStats
+	// out and gateOut collect what the cores ask for; doing and gateDoing
+	// are being done. Their memory is used again.
+	out, doing         request.Actions
+	gateOut, gateDoing gate.Actions
+	stats              routingStats
 
 	meter      *loadmeter.Meter
 	reports    uint64
@@ -298,15 +300,16 @@
 	r.gate.Tick(now, wallMs(), &r.gateOut)
 }
 
-// flush carries out what the cores asked for. Local sendings may ask for more.
+// flush carries out what the cores asked for. Local sendings may ask for more,
+// which is collected aside meanwhile.
 func (r *routingDuty) flush(now mono.Time) {
 	for len(r.out.Local) > 0 || r.pending() {
-		out := r.out
-		r.out = request.Actions{}
-		r.doRouter(now, &out)
-		gateOut := r.gateOut
-		r.gateOut = gate.Actions{}
-		r.doGate(now, &gateOut)
+		r.out, r.doing = r.doing, r.out
+		r.doRouter(now, &r.doing)
+		r.doing.Reset()
+		r.gateOut, r.gateDoing = r.gateDoing, r.gateOut
+		r.doGate(now, &r.gateDoing)
+		r.gateDoing.Reset()
 	}
 }
 
