Make log fields only for lines that are written

Cause: the routing duty made the fields of each line also at level warn. Change: the lines of the hot path stand in one file and ask the log first.

--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -345,8 +345,7 @@
 
 func (r *routingDuty) send(now mono.Time, s request.Send) {
 	req := s.Request
-	r.log.Event(event.RequestSent, "id", req.ID, "app", string(req.App), "slice", uint32(req.Slice),
-		"to", s.To.String(), "epoch", req.Epoch, "attempt", req.Attempt)
+	r.logSent(s.To, req)
 	frame, err := wire.Encode(wire.KindRequest, req)
 	if err != nil {
 		r.router.SendFailed(now, req.Seq, result.TooLarge, &r.out)
@@ -401,8 +400,7 @@
 
 func (r *routingDuty) reply(reply request.Reply) {
 	a := reply.Answer
-	r.log.Event(event.RequestAnswered, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
-		"owner", a.Owner, "epoch", a.Epoch, "attempt", a.Attempt)
+	r.logAnswered(a)
 	ch, ok := r.replies[reply.Caller]
 	if !ok {
 		return
@@ -444,8 +442,7 @@
 // deadline passes, and it tells its caller so.
 func (r *routingDuty) answer(now mono.Time, a gate.Answer) {
 	if a.Answer.Code != result.OK {
-		r.log.Event(event.RequestRefused, "id", a.Answer.ID, "code", uint16(a.Answer.Code), "result", a.Answer.Code.String(),
-			"epoch", a.Answer.Epoch, "attempt", a.Answer.Attempt)
+		r.logRefused(a.Answer)
 	}
 	if a.To == r.self {
 		r.router.Answered(now, r.self, a.Answer, &r.out)
@@ -464,8 +461,7 @@
 // stays held until the run is over.
 func (r *routingDuty) startRun(now mono.Time, s *gate.Start) {
 	req := s.Request
-	r.log.Event(event.RequestStarted, "id", req.ID, "app", string(req.App), "slice", uint32(req.Slice),
-		"epoch", s.Epoch, "run", s.Run, "key", req.Key)
+	r.logStarted(s)
 	active := &run{number: s.Run, gate: r.gate, slice: req.Slice, key: req.Key, started: now, deadline: s.Deadline}
 	if req.Slice != request.NoSlice {
 		active.ticket, _ = r.holder.Begin(now, key.Slice{App: req.App, ID: req.Slice})
--- /dev/null
+++ b/internal/daemon/routing_log.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/request"
+)
+
+// Each decision about a request leaves a line. The fields are made only if
+// the line will be written.
+
+func (r *routingDuty) logSent(to host.Session, req *request.Request) {
+	if !r.log.Enabled(event.Info) {
+		return
+	}
+	r.log.Event(event.RequestSent, "id", req.ID, "app", string(req.App), "slice", uint32(req.Slice),
+		"to", to, "epoch", req.Epoch, "attempt", req.Attempt)
+}
+
+func (r *routingDuty) logStarted(s *gate.Start) {
+	if !r.log.Enabled(event.Info) {
+		return
+	}
+	req := s.Request
+	r.log.Event(event.RequestStarted, "id", req.ID, "app", string(req.App), "slice", uint32(req.Slice),
+		"epoch", s.Epoch, "run", s.Run, "key", req.Key)
+}
+
+func (r *routingDuty) logRefused(a *request.Answer) {
+	if !r.log.Enabled(event.Info) {
+		return
+	}
+	r.log.Event(event.RequestRefused, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
+		"epoch", a.Epoch, "attempt", a.Attempt)
+}
+
+func (r *routingDuty) logAnswered(a *request.Answer) {
+	if !r.log.Enabled(event.Info) {
+		return
+	}
+	r.log.Event(event.RequestAnswered, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
+		"owner", a.Owner, "epoch", a.Epoch, "attempt", a.Attempt)
+}
