Write log lines from one list of fields

Cause: each line made a list of fields and the logger another. Change: the log duty uses one list for all lines.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -37,6 +37,8 @@
 	ring    *ring.Ring[line]
 	out     *bufio.Writer
 	logger  kitlog.Logger
+	host    any   // boxed once for all lines
+	fields  []any // of the line being written
 	stop    chan struct{}
 	done    sync.WaitGroup
 }
@@ -59,7 +61,8 @@
 		minimum: minimum,
 		ring:    ring.New[line]("log", ringSize, registry),
 		out:     out,
-		logger:  kitlog.With(kitlog.NewLogfmtLogger(out), "host", string(id)),
+		logger:  kitlog.NewLogfmtLogger(out),
+		host:    string(id),
 		stop:    make(chan struct{}),
 	}
 	l.done.Add(1)
@@ -126,8 +129,9 @@
 
 func (l *Log) write(item line) {
 	def, _ := event.Lookup(item.id)
-	fields := make([]any, 0, 8+len(item.fields))
-	fields = append(fields, "ts", item.at.UTC().Format(time.RFC3339Nano), "event", uint16(item.id), "name", def.Name, "level", def.Level.String())
+	fields := append(l.fields[:0], "host", l.host, "ts", item.at.UTC().Format(time.RFC3339Nano), "event", uint16(item.id), "name", def.Name, "level", def.Level.String())
 	fields = append(fields, item.fields...)
 	l.logger.Log(fields...)
+	clear(fields)
+	l.fields = fields
 }
