Encode frames in buffers that are used again

Cause: a frame grew its buffer step by step. Change: frames are encoded in pooled buffers and copied once at their size.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/binary"
 	"strconv"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -42,6 +43,8 @@
 	// for what goes around it.
 	MaxPayloadBytes = 4 << 20
 	lengthBytes     = 4
+	// maxKeptBytes bounds the memory of a buffer that is kept for later.
+	maxKeptBytes = 64 << 10
 )
 
 const (
@@ -78,19 +81,31 @@
 	return mode
 }
 
+// buffers are used again, so that a frame takes one allocation of its size.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func putBuffer(buf *bytes.Buffer) {
+	if buf.Cap() > maxKeptBytes {
+		return
+	}
+	buf.Reset()
+	buffers.Put(buf)
+}
+
 // Encode returns a whole frame. It fails if the message exceeds
 // MaxPayloadBytes.
 func Encode(kind Kind, message any) ([]byte, error) {
-	var buf bytes.Buffer
-	buf.Write(make([]byte, HeaderBytes))
-	if err := encoder.MarshalToBuffer(message, &buf); err != nil {
+	buf := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(buf)
+	if err := encoder.MarshalToBuffer(message, buf); err != nil {
 		return nil, &result.Error{Code: result.BadFrame, Detail: "the message does not encode", Cause: err}
 	}
-	frame := buf.Bytes()
-	size := len(frame) - HeaderBytes
+	size := buf.Len()
 	if size > MaxPayloadBytes {
 		return nil, &result.Error{Code: result.TooLarge, Detail: "a message of " + strconv.Itoa(size) + " bytes"}
 	}
+	frame := make([]byte, HeaderBytes+size)
+	copy(frame[HeaderBytes:], buf.Bytes())
 	binary.BigEndian.PutUint32(frame, uint32(size))
 	frame[lengthBytes] = byte(kind)
 	return frame, nil
