Look out for callers that hang up with one ticker for all

Cause: each request had a ticker of its own. Change: one goroutine checks the connections of all requests that wait.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,19 +67,20 @@
 
 // Server is the callers' HTTP interface.
 type Server struct {
-	router Router
-	ids    *idSource
-	calls  atomic.Uint64
-	drains atomic.Bool
-	http   *fasthttp.Server
-	listen net.Listener
-	done   chan struct{}
+	router  Router
+	ids     *idSource
+	calls   atomic.Uint64
+	drains  atomic.Bool
+	waiting *waiting
+	http    *fasthttp.Server
+	listen  net.Listener
+	done    chan struct{}
 }
 
 // New returns a server that hands requests to the router. The seed starts the
 // ids that it makes for requests without one.
 func New(router Router, seed uint64) *Server {
-	s := &Server{router: router, ids: newIDSource(seed), done: make(chan struct{})}
+	s := &Server{router: router, ids: newIDSource(seed), waiting: newWaiting(), done: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "rhubarbring",
@@ -102,6 +103,7 @@
 	}
 	s.listen = listener
 	go s.serve(listener)
+	go s.waiting.watch(s.router.Gone, s.done)
 	return nil
 }
 
@@ -141,23 +143,12 @@
 	}
 }
 
-// await waits for the router's answer and looks out for a caller that hangs
-// up meanwhile.
+// await waits for the router's answer. Meanwhile the server looks out for a
+// caller that hangs up.
 func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) *request.Answer {
-	check := time.NewTicker(hangUpCheck)
-	defer check.Stop()
-	gone := false
-	for {
-		select {
-		case answer := <-submission.Reply:
-			return answer
-		case <-check.C:
-			if !gone && hungUp(ctx.Conn()) {
-				gone = true
-				s.router.Gone(submission.Caller)
-			}
-		}
-	}
+	s.waiting.add(submission.Caller, ctx.Conn())
+	defer s.waiting.remove(submission.Caller)
+	return <-submission.Reply
 }
 
 func (s *Server) respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -2,14 +2,11 @@
 
 import (
 	"bytes"
-	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/request"
@@ -202,24 +199,3 @@
 	}
 	return ms
 }
-
-// hungUp reports whether the other side has closed the connection: a peek
-// that finds its end. Bytes that wait, or none, mean that it is there.
-func hungUp(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && peekErr == nil || peekErr == unix.ECONNRESET
-		return true
-	})
-	return closed || err != nil
-}
