Write the frames that wait for a peer together

Cause: each frame was a task of the event loop and a write of its own. Change: frames that are sent while the loop is busy wait in the connection's outbox; one task writes them all by writev, at most 512 at once. The bound on what waits counts them too.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -20,7 +20,9 @@
 	conn      gnet.Conn
 	address   string // where the connection was opened to; empty if a peer opened it
 	hello     atomic.Pointer[wire.Hello]
-	waiting   atomic.Int64
+	outbox    outbox
+	buffered  atomic.Int64 // bytes that the kernel did not take yet
+	closed    bool         // belongs to the event loop
 	unplaced  unplaced
 }
 
@@ -49,26 +51,18 @@
 }
 
 // Send sends a frame on this connection. It returns PeerUnreachable if the
-// frame surely never left.
+// frame surely never left. Frames that are sent while the event loop is busy
+// go out together.
 func (c *Conn) Send(frame []byte) error {
-	if c.waiting.Load() > maxOutboundBytes {
+	if c.outbox.bytes.Load()+c.buffered.Load() > maxOutboundBytes {
 		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Detail: "too much waits for the peer"}
 	}
+	if err := c.outbox.add(c, frame); err != nil {
+		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Cause: err}
+	}
 	c.transport.bytesOut.Inc(int64(len(frame)))
 	c.transport.framesOut.Inc(1)
 	c.transport.crossings.count(c, frame)
-	err := c.conn.AsyncWrite(frame, c.written)
-	if err != nil {
-		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Cause: err}
-	}
-	return nil
-}
-
-// written runs on the event loop, where the buffer's fill can be read.
-func (c *Conn) written(conn gnet.Conn, err error) error {
-	if err == nil && conn != nil {
-		c.waiting.Store(int64(conn.OutboundBuffered()))
-	}
 	return nil
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -201,6 +201,7 @@
 	if !ok {
 		return gnet.None
 	}
+	conn.closed = true
 	e.t.linkTo(conn.address).lost(conn, err)
 	return gnet.None
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -207,6 +207,7 @@
 // OnClose is called by gnet when a connection that a peer opened ends.
 func (t *Transport) OnClose(c gnet.Conn, err error) gnet.Action {
 	if conn, ok := c.Context().(*Conn); ok {
+		conn.closed = true
 		t.handler.Lost(conn, err)
 	}
 	return gnet.None
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -43,12 +43,16 @@
 func TestFramesArriveOnTheConnectionInOrder(t *testing.T) {
 	_, from, e := startPeer(t, "first")
 	to, _, _ := startPeer(t, "second")
-	const frames = 500
-	for i := range frames {
-		_, err := from.Send(to, encoded(t, wire.KindRequest, &request.Request{Body: make([]byte, i)}), 0)
+	const frames = 3 * maxTogether
+	send := func(size int) {
+		_, err := from.Send(to, encoded(t, wire.KindRequest, &request.Request{Body: make([]byte, size)}), 0)
 		must.NoError(t, err)
 	}
-	last := 0
+	send(0) // Opens the connection.
+	last := <-e.answers
+	for i := range frames {
+		send(i + 1)
+	}
 	for range frames {
 		size := <-e.answers
 		must.Greater(t, last, size)
