Queue what is sent while a connection is still being opened

Cause: link.send returns the connection that is being opened, and the routing duty sends a cancel on it. peer.Conn then had no gnet connection yet: a nil pointer, and the daemon ended. It needs a peer whose dial hangs, as in a cut region, and a caller that hangs up or a deadline that passes meanwhile. Ruled out: losing the cancel, which would let the request run for nobody. Change: frames for an opening connection wait behind its first ones. Besides, for the tests of faults: connections to peers and the store are opened by a function that daemon.WithDial can replace, and Daemon.Close ends a daemon without any farewell.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/handover"
@@ -52,6 +53,7 @@
 	self     host.Session
 	log      *eventlog.Log
 	registry metrics.Registry
+	dial     peer.Dial
 	client   *storeclient.Client
 	fleet    *fleet
 
@@ -70,17 +72,31 @@
 	stopping  atomic.Bool
 }
 
+// Option changes how a daemon is made.
+type Option func(*Daemon)
+
+// WithDial makes a daemon open its connections to other daemons and to the
+// store by dial instead of by TCP directly.
+func WithDial(dial peer.Dial) Option {
+	return func(d *Daemon) { d.dial = dial }
+}
+
 // New returns a daemon that is not yet started.
-func New(s *settings.Daemon, log *eventlog.Log, registry metrics.Registry) *Daemon {
-	return &Daemon{
+func New(s *settings.Daemon, log *eventlog.Log, registry metrics.Registry, options ...Option) *Daemon {
+	d := &Daemon{
 		settings: s,
 		self:     host.Session{Host: s.Host, Incarnation: uint64(time.Now().UnixNano())},
 		log:      log,
 		registry: registry,
-		client:   storeclient.New(s.Store, storeTimeout).Scoped(s.Environment),
+		dial:     peer.DialTCP,
 		fleet:    newFleet(),
 		heard:    &heardZones{at: make(map[string]mono.Time), clock: bootclock.Now},
 	}
+	for _, option := range options {
+		option(d)
+	}
+	d.client = storeclient.NewDialing(s.Store, storeTimeout, fasthttp.DialFuncWithTimeout(d.dial)).Scoped(s.Environment)
+	return d
 }
 
 func (d *Daemon) place() host.Place {
@@ -92,7 +108,7 @@
 func (d *Daemon) Start() error {
 	hello := wire.Hello{Session: d.self, Zone: d.settings.Zone, Region: d.settings.Region}
 	d.provision()
-	peers, err := peer.Listen(d.settings.Peer, hello, &frames{d: d}, d.registry)
+	peers, err := peer.Listen(d.settings.Peer, hello, &frames{d: d}, d.dial, d.registry)
 	if err != nil {
 		return err
 	}
@@ -190,6 +206,14 @@
 	d.log.Event(event.Stopped)
 }
 
+// Close ends the daemon at once, as the end of its process would: nothing is
+// handed over, nobody is told, and callers' connections break.
+func (d *Daemon) Close() {
+	d.closeDuties()
+	d.entry.Close()
+	d.log.Event(event.Stopped)
+}
+
 func (d *Daemon) closeDuties() {
 	d.risk.close()
 	d.spread.close()
--- a/internal/daemon/risk_calls.go
+++ b/internal/daemon/risk_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -39,7 +40,12 @@
 }
 
 func newOutcomeCaller(d *Daemon) *outcomeCaller {
-	return &outcomeCaller{d: d, client: &http.Client{Timeout: callTimeout}}
+	transport := &http.Transport{
+		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+			return d.dial(address, callTimeout)
+		},
+	}
+	return &outcomeCaller{d: d, client: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // send sends a message on a goroutine of its own; a lost one is sent again by
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,12 +76,14 @@
 	http    *fasthttp.Server
 	listen  net.Listener
 	done    chan struct{}
+	conns   sync.Map // open connections, net.Conn
+	closed  chan struct{}
 }
 
 // New returns a server that hands requests to the router. The seed starts the
 // ids that it makes for requests without one.
 func New(router Router, seed uint64) *Server {
-	s := &Server{router: router, ids: newIDSource(seed), waiting: newWaiting(), done: make(chan struct{})}
+	s := &Server{router: router, ids: newIDSource(seed), waiting: newWaiting(), done: make(chan struct{}), closed: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "rhubarbring",
@@ -91,6 +94,7 @@
 		Concurrency:        maxConnections,
 		ErrorHandler:       refuseBadHTTP,
 		CloseOnShutdown:    true,
+		ConnState:          s.follow,
 	}
 	return s
 }
@@ -126,6 +130,28 @@
 	<-s.done
 }
 
+// Close ends the server at once: connections break, and what is in flight gets
+// no answer.
+func (s *Server) Close() {
+	close(s.closed)
+	_ = s.listen.Close()
+	s.conns.Range(func(conn, _ any) bool {
+		_ = conn.(net.Conn).Close()
+		return true
+	})
+	<-s.done
+}
+
+// follow keeps the set of open connections.
+func (s *Server) follow(conn net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		s.conns.Store(conn, nil)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		s.conns.Delete(conn)
+	}
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	submission, err := s.parse(ctx)
 	if err != nil {
@@ -148,7 +174,12 @@
 func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) *request.Answer {
 	s.waiting.add(submission.Caller, ctx.Conn())
 	defer s.waiting.remove(submission.Caller)
-	return <-submission.Reply
+	select {
+	case answer := <-submission.Reply:
+		return answer
+	case <-s.closed:
+		return &request.Answer{ID: submission.Request.ID, Code: result.OutcomeUnknown}
+	}
 }
 
 func (s *Server) respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -17,8 +17,9 @@
 // Conn is one connection between two daemons.
 type Conn struct {
 	transport *Transport
-	conn      gnet.Conn
-	address   string // where the connection was opened to; empty if a peer opened it
+	conn      gnet.Conn   // set before open is
+	open      atomic.Bool // what is sent before that waits in the link's queue
+	address   string      // where the connection was opened to; empty if a peer opened it
 	hello     atomic.Pointer[wire.Hello]
 	outbox    outbox
 	buffered  atomic.Int64 // bytes that the kernel did not take yet
@@ -52,8 +53,15 @@
 
 // Send sends a frame on this connection. It returns PeerUnreachable if the
 // frame surely never left. Frames that are sent while the event loop is busy
-// go out together.
+// go out together; while the connection is being opened, they wait in order.
 func (c *Conn) Send(frame []byte) error {
+	if c.open.Load() {
+		return c.write(frame)
+	}
+	return c.transport.linkTo(c.address).sendOn(c, frame)
+}
+
+func (c *Conn) write(frame []byte) error {
 	if c.outbox.bytes.Load()+c.buffered.Load() > maxOutboundBytes {
 		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Detail: "too much waits for the peer"}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"net"
 	"sync"
 	"time"
 
@@ -64,7 +63,7 @@
 	l.step(eventNeed)
 	switch l.state {
 	case stateOpen:
-		return l.conn, l.conn.Send(frame)
+		return l.conn, l.conn.write(frame)
 	case stateOpening:
 		return l.conn, l.enqueue(queued{frame: frame, tag: tag})
 	default:
@@ -72,6 +71,20 @@
 	}
 }
 
+// sendOn sends on a connection of this link that was not open a moment ago.
+func (l *link) sendOn(conn *Conn, frame []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case conn.open.Load():
+		return conn.write(frame)
+	case l.conn == conn && l.state == stateOpening:
+		return l.enqueue(queued{frame: frame})
+	default:
+		return &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "the connection could not be opened"}
+	}
+}
+
 func (l *link) enqueue(q queued) error {
 	if len(l.queue) >= maxQueued {
 		return &result.Error{Code: result.PeerUnreachable, Field: l.address, Detail: "too many messages wait for the connection"}
@@ -123,7 +136,7 @@
 }
 
 func (l *link) dial(conn *Conn) {
-	raw, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	raw, err := l.transport.dial(l.address, dialTimeout)
 	if err != nil {
 		l.event(eventLost)
 		return
@@ -145,14 +158,15 @@
 		_ = c.Close()
 		return
 	}
-	_ = conn.Send(l.transport.hello)
+	_ = conn.write(l.transport.hello)
 	waiting := l.queue
 	l.queue = nil
 	for _, q := range waiting {
-		if err := conn.Send(q.frame); err != nil {
+		if err := conn.write(q.frame); err != nil {
 			go l.transport.unsent([]queued{q})
 		}
 	}
+	conn.open.Store(true)
 }
 
 func (l *link) lost(conn *Conn, err error) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 package peer
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -44,6 +45,15 @@
 	Lost(conn *Conn, cause error)
 }
 
+// Dial opens a connection to an address, "IP:port", within a time. The
+// connection must be one of the operating system's.
+type Dial func(address string, within time.Duration) (net.Conn, error)
+
+// DialTCP is the Dial of a running daemon.
+func DialTCP(address string, within time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, within)
+}
+
 // Tag is the sender's own mark on a frame, given back by Unsent. Zero marks a
 // frame whose loss needs no report.
 type Tag uint64
@@ -52,6 +62,7 @@
 type Transport struct {
 	gnet.BuiltinEventEngine
 	handler Handler
+	dial    Dial
 	hello   []byte
 	client  *gnet.Client
 	engine  gnet.Engine
@@ -67,16 +78,17 @@
 	crossings *crossings
 }
 
-// Listen starts a transport that takes connections on address, "IP:port". It
-// opens each connection of its own with the hello message. It returns
+// Listen starts a transport that takes connections on address, "IP:port", and
+// opens its own by dial. It begins each with the hello message. It returns
 // AddressInUse if it can't listen.
-func Listen(address string, hello wire.Hello, handler Handler, registry metrics.Registry) (*Transport, error) {
+func Listen(address string, hello wire.Hello, handler Handler, dial Dial, registry metrics.Registry) (*Transport, error) {
 	frame, err := wire.Encode(wire.KindHello, hello)
 	if err != nil {
 		return nil, err
 	}
 	t := &Transport{
 		handler:   handler,
+		dial:      dial,
 		hello:     frame,
 		booted:    make(chan struct{}),
 		failed:    make(chan error, 1),
@@ -195,7 +207,9 @@
 
 // OnOpen is called by gnet for each connection that a peer opened.
 func (t *Transport) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	c.SetContext(&Conn{transport: t, conn: c})
+	conn := &Conn{transport: t, conn: c}
+	conn.open.Store(true)
+	c.SetContext(conn)
 	return nil, gnet.None
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,7 +34,7 @@
 	address := listener.Addr().String()
 	must.NoError(t, listener.Close())
 	e := &echo{answers: make(chan int, 1024)}
-	transport, err := Listen(address, wire.Hello{Session: host.Session{Host: name, Incarnation: 1}}, e, metrics.NewRegistry())
+	transport, err := Listen(address, wire.Hello{Session: host.Session{Host: name, Incarnation: 1}}, e, DialTCP, metrics.NewRegistry())
 	must.NoError(t, err)
 	t.Cleanup(transport.Close)
 	return address, transport, e
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -86,11 +86,18 @@
 // New returns a client of the store at address, "IP:port". Each call but a
 // watch ends within timeout.
 func New(address string, timeout time.Duration) *Client {
+	return NewDialing(address, timeout, nil)
+}
+
+// NewDialing is New with connections that dial opens; nil opens them as New
+// does.
+func NewDialing(address string, timeout time.Duration, dial fasthttp.DialFuncWithTimeout) *Client {
 	return &Client{
 		base:    "http://" + address + "/v1/",
 		timeout: timeout,
 		calls:   new(atomic.Int64),
 		http: &fasthttp.Client{
+			DialTimeout:               dial,
 			MaxConnsPerHost:           maxConnections,
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       maxResponse,
