Never tell not run of an idempotent request that may have run

Cause: the router sends an idempotent request again after a sending whose answer was lost. If the later sending was refused, the caller was told the refusal's not run, though the first may have run. Found with a target that is lost while its daemon lives: 2 false answers of some 1100 requests (go test ./internal/faulttest -run TargetLost). Ruled out: the gate; it answered each sending truly. Change: the router remembers the code of a sending in doubt, and tells that in place of a later not run. Before: TestARefusalAfterALostSendingIsUnknown would be told 205; the test of the lost target failed. After: both pass. Conclusion: a refusal is told as not run only if no sending may have run.

--- a/request/answer.go
+++ b/request/answer.go
@@ -54,6 +54,7 @@
 		}
 	case result.AnswerLost, result.OutcomeUnknown, result.LeaseLapsedAfter, result.PeerLost:
 		if c.req.Idempotent {
+			c.inDoubt = a.Code
 			r.again(now, c, out)
 			return
 		}
@@ -160,7 +161,7 @@
 
 // reply answers the caller, or records the outcome if the caller hung up.
 func (r *Router) reply(c *call, a *Answer, out *Actions) {
-	a.Code = FinalCode(c.req, a.Code)
+	a.Code = c.finalCode(a.Code)
 	a.RetryAfter = max(a.RetryAfter, r.retryAfter(c, a.Code))
 	if c.gone {
 		r.recordOrphan(c, a, out)
@@ -178,6 +179,15 @@
 	}
 }
 
+// finalCode is FinalCode for all sendings of a call: a refusal of the last one
+// is not told as "not run" if an earlier one may have run.
+func (c *call) finalCode(code result.Code) result.Code {
+	if c.inDoubt != 0 && code.Outcome() == result.NotRun {
+		return c.inDoubt
+	}
+	return FinalCode(c.req, code)
+}
+
 // recordOrphan keeps the outcome of a request whose caller hung up. In the
 // doubtful state the raise follows from the chart.
 func (r *Router) recordOrphan(c *call, a *Answer, out *Actions) {
--- a/request/life.go
+++ b/request/life.go
@@ -274,6 +274,7 @@
 		r.doubt(now, c, code, out)
 		return
 	}
+	c.inDoubt = code
 	c.lastCode = code
 	c.lastAfter = r.cfg.RetryAfter
 	r.again(now, c, out)
--- a/request/router.go
+++ b/request/router.go
@@ -164,6 +164,9 @@
 	// movedSince is when a gate first refused it for want of ownership; 0 if
 	// none did.
 	movedSince mono.Time
+	// inDoubt is the code of an earlier sending that may have run, or 0. Only
+	// an idempotent request is sent again after one.
+	inDoubt result.Code
 }
 
 // NewRouter returns a router without requests.
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -230,3 +230,35 @@
 		f.r.Tick(now, &f.out)
 	}
 }
+
+// An idempotent request is sent again after a sending whose outcome is open.
+// If that one is refused, the caller is not told "not run": the first may have
+// run.
+func TestARefusalAfterALostSendingIsUnknown(t *testing.T) {
+	lose := map[string]func(f *fixture){
+		"the target's answer": func(f *fixture) { f.answer(owner, result.AnswerLost, nil) },
+		"the connection": func(f *fixture) {
+			seq := f.out.Sends[0].Request.Seq
+			f.out.Reset()
+			f.r.ConnectionLost(2, seq, &f.out)
+		},
+	}
+	for name, lost := range lose {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(nil)
+			again := deposit(request.RepeatFirst)
+			again.Idempotent = true
+			f.submit(1, again)
+			lost(f)
+			for len(f.out.Sends) == 0 {
+				at, ok := f.r.NextTick()
+				must.True(t, ok)
+				f.r.Tick(at, &f.out)
+			}
+			f.answer(owner, result.TargetUnavailable, nil)
+			must.Eq(t, result.Unknown, f.replied(t).Outcome())
+			must.SliceEmpty(t, f.out.Raises)
+			must.Positive(t, f.out.Replies[0].Answer.RetryAfter)
+		})
+	}
+}
