Give the slices of a target that is gone to others

Cause: a target that stopped announcing itself was taken as gone by its gate only. The session's record still named it, so placement left its slices where they were, and every request for them was refused for as long as the daemon lived. Ruled out: the gate and placement; both act rightly on what they know. Change: the daemon takes the target out of its session's record after 3 s without an announcement, and logs target_gone; the next announcement puts it back. Daemon.Close breaks callers' connections first, and Daemon.Self names the session.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,6 +164,7 @@
 	d.routing.released = func(r handover.Release) { d.placement.push(ownRelease{r}) }
 	d.routing.reportLoad = func(r placement.LoadReport) { d.placement.push(ownLoad{r}) }
 	d.risk = newRiskDuty(d, seed, d.registry)
+	d.routing.targetGone = d.targetGone
 	d.routing.raise = d.raise
 	d.routing.settle = d.settle
 	d.placement.onPack = d.packWritten
@@ -173,6 +174,11 @@
 	d.spread.ring.Push(objectWritten{storeclient.Object{Name: name, Version: version, Value: value}})
 }
 
+// Self returns the daemon's session.
+func (d *Daemon) Self() host.Session {
+	return d.self
+}
+
 // Ended is sent the final state of the session when it is over although no
 // stop was asked for: it was recorded as lost. The process then goes on with a
 // new Daemon.
@@ -209,8 +215,8 @@
 // Close ends the daemon at once, as the end of its process would: nothing is
 // handed over, nobody is told, and callers' connections break.
 func (d *Daemon) Close() {
+	d.entry.Close() // First, so that no caller is told what nobody keeps.
 	d.closeDuties()
-	d.entry.Close()
 	d.log.Event(event.Stopped)
 }
 
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
@@ -31,6 +32,14 @@
 	return d.self.String(), nil
 }
 
+// targetGone takes the target out of the session's record, so that placement
+// gives its slices to others. The next announcement puts it back.
+func (d *Daemon) targetGone() {
+	d.log.Event(event.TargetGone, "after_ms", targetGoneAfter.Milliseconds())
+	d.announced.Store(nil)
+	d.lease.wait(targetChanged{})
+}
+
 // Ready implements control.Daemon.
 func (d *Daemon) Ready() error {
 	switch {
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -83,6 +83,8 @@
 	released func(handover.Release)
 	// reportLoad is told of the load on the target, for the leader.
 	reportLoad func(placement.LoadReport)
+	// targetGone is told that the target stopped announcing itself.
+	targetGone func()
 	// raise and settle take outcomes at risk.
 	raise  func(request.Risk)
 	settle func(request.Settlement)
@@ -296,6 +298,7 @@
 	if !t.gone && now.Sub(t.lastSeen) > targetGoneAfter {
 		t.gone = true
 		r.gate.TargetGone(now, &r.gateOut)
+		r.targetGone()
 	}
 	r.gate.Tick(now, wallMs(), &r.gateOut)
 }
