Keep fasthttp's own lines out of a daemon's output

Cause: the entry server wrote lines without an event number to standard error for each connection that a caller broke. Change: they are dropped; Close breaks connections before anything else is answered. Conclusion: the log has numbered events only.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,10 +95,18 @@
 		ErrorHandler:       refuseBadHTTP,
 		CloseOnShutdown:    true,
 		ConnState:          s.follow,
+		Logger:             quiet{},
 	}
 	return s
 }
 
+// quiet drops fasthttp's own lines about connections that callers broke: they
+// carry no event number.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 // Start listens on address. Its errors are those of listen.TCP.
 func (s *Server) Start(address string) error {
 	listener, err := listen.TCP("caller", address)
@@ -133,12 +141,12 @@
 // Close ends the server at once: connections break, and what is in flight gets
 // no answer.
 func (s *Server) Close() {
-	close(s.closed)
 	_ = s.listen.Close()
 	s.conns.Range(func(conn, _ any) bool {
 		_ = conn.(net.Conn).Close()
 		return true
 	})
+	close(s.closed)
 	<-s.done
 }
 
