Faults against real daemons in one process

Cause: the cores had random models, the shells had none of their own. Change: package faulttest runs nine daemons with a stand-in store, targets and callers, ends them without a farewell, cuts links, and judges by the trial's judge from callers' records and targets' journals only. Conclusion: see the tests' comments.

--- /dev/null
+++ b/internal/faulttest/load_test.go
@@ -0,0 +1,206 @@
+package faulttest
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/judge"
+	"github.com/rhubarbring/rhubarbring/internal/load"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/outcome"
+	"github.com/rhubarbring/rhubarbring/status"
+)
+
+const (
+	rate        = 150 // requests a second
+	graceMs     = 2000
+	maxInFlight = 1000
+)
+
+// traffic is callers at work.
+type traffic struct {
+	f       *fleet
+	records lockedBuffer
+	done    chan error
+}
+
+// load starts callers for a time, by the rules of the trial's callers.
+func (f *fleet) load(length time.Duration, to ...*node) *traffic {
+	if len(to) == 0 {
+		to = f.hosts
+	}
+	c := load.Config{
+		Seed: 1, RatePerSecond: rate, ForMs: length.Milliseconds(), RepeatUnknown: true, GraceMs: graceMs, MaxInFlight: maxInFlight,
+		Apps: []load.App{
+			{Name: "availability", Keys: 400, Weight: 4, DeadlineMs: 2000, BodyBytes: 32},
+			{Name: "booking", Keys: 400, Weight: 3, NonIdempotent: 0.7, DeadlineMs: 5000, BodyBytes: 64},
+			{Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 64},
+		},
+	}
+	for _, h := range to {
+		c.Daemons = append(c.Daemons, h.settings.Caller)
+	}
+	tr := &traffic{f: f, done: make(chan error, 1)}
+	go func() {
+		_, err := load.Run(c, &tr.records)
+		tr.done <- err
+	}()
+	return tr
+}
+
+// under waits until so many more requests have their last word.
+func (tr *traffic) under(requests int) {
+	had := tr.answered()
+	tr.f.eventually("requests are answered", func() bool { return tr.answered() >= had+requests })
+}
+
+func (tr *traffic) answered() int {
+	tr.records.mu.Lock()
+	defer tr.records.mu.Unlock()
+	return bytes.Count(tr.records.buf.Bytes(), []byte{'\n'})
+}
+
+// fault notes a fault for the judge; the function returned notes its end.
+func (f *fleet) fault(kind judge.FaultKind, h *node) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := len(f.faults)
+	now := int64(bootclock.Now())
+	f.faults = append(f.faults, judge.Fault{Kind: kind, Host: h.name(), BeginNs: now, EndNs: now})
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.faults[i].EndNs = int64(bootclock.Now())
+	}
+}
+
+// input waits for the callers and returns what they and the targets saw.
+func (f *fleet) input(all ...*traffic) judge.Input {
+	var in judge.Input
+	for _, tr := range all {
+		must.NoError(f.t, <-tr.done)
+		records, err := judge.ReadRecords(tr.records.reader())
+		must.NoError(f.t, err)
+		in.Records = append(in.Records, records...)
+	}
+	for _, h := range f.hosts {
+		in.Hosts = append(in.Hosts, judge.Host{
+			Name: h.name(), Zone: string(h.settings.Zone), App: h.app, Slots: slots, Caller: h.settings.Caller,
+		})
+		journal, err := judge.ReadJournal(h.target.journal.reader())
+		must.NoError(f.t, err)
+		in.Journal = append(in.Journal, journal...)
+	}
+	in.Kept = f.kept()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in.Faults = append(in.Faults, f.faults...)
+	return in
+}
+
+// kept returns the ids of the outcomes at risk that stand in the store.
+func (f *fleet) kept() []string {
+	var page storeclient.Page
+	f.eventually("the store answers", func() bool {
+		var err error
+		page, err = f.client.List(outcome.Kind, "", 1000)
+		return err == nil
+	})
+	var ids []string
+	for _, item := range page.Items {
+		batch, err := outcome.Decode(item.Value)
+		must.NoError(f.t, err)
+		for _, o := range batch.Outcomes {
+			ids = append(ids, o.ID)
+		}
+	}
+	return ids
+}
+
+// judge checks what must hold whatever fails.
+func (f *fleet) judge(in judge.Input) judge.Verdict {
+	f.t.Helper()
+	v := judge.Judge(in)
+	must.Positive(f.t, v.Done, must.Sprint("no request was done"))
+	must.Zero(f.t, v.TwoOwners, must.Sprint("runs under a second owner"))
+	f.none(in, "repeated", v.Repeated)
+	f.none(in, "told \"not run\" falsely", v.FalseNotRun)
+	f.none(in, "cut off at a planned stop", v.CutOff)
+	f.none(in, "lost", v.Lost)
+	return v
+}
+
+// none fails the test for each request of a list, with what was seen of it.
+func (f *fleet) none(in judge.Input, what string, ids []string) {
+	f.t.Helper()
+	for _, r := range in.Records {
+		if !slices.Contains(ids, r.ID) {
+			continue
+		}
+		f.t.Errorf("%s: %+v", what, r)
+		for _, run := range in.Journal {
+			if run.ID == r.ID {
+				f.t.Logf("its run: %+v", run)
+			}
+		}
+	}
+}
+
+// ask is one request of a test of its own.
+type ask struct {
+	app, key, id string
+	attempt      int
+	idempotent   bool
+	deadline     time.Duration
+}
+
+// send sends a request to one daemon and returns the answer's outcome, or ""
+// without one.
+func (h *node) send(a ask) string {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + h.settings.Caller + "/app/" + a.app + "/items")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set("Rhubarb-Key", a.key)
+	req.Header.Set("Rhubarb-Request-Id", a.id)
+	req.Header.Set("Rhubarb-Id-Time", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	req.Header.Set("Rhubarb-Attempt", strconv.Itoa(a.attempt))
+	req.Header.Set("Rhubarb-Deadline", strconv.FormatInt(a.deadline.Milliseconds(), 10))
+	req.Header.Set("Rhubarb-Idempotent", strconv.FormatBool(a.idempotent))
+	client := &fasthttp.Client{RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	defer client.CloseIdleConnections()
+	if client.DoTimeout(req, resp, a.deadline+graceMs*time.Millisecond) != nil {
+		return ""
+	}
+	return string(resp.Header.Peek("Rhubarb-Outcome"))
+}
+
+// explain says who owns a key, as a host knows it.
+func (h *node) explain(app, key string) status.Key {
+	k, err := h.live().Explain(app, key)
+	if err != nil {
+		return status.Key{}
+	}
+	return k.(status.Key)
+}
+
+// keysOf returns keys of an app that a host owns.
+func (f *fleet) keysOf(owner *node, count int) []string {
+	var keys []string
+	for i := 0; len(keys) < count && i < 10000; i++ {
+		key := "k" + strconv.Itoa(i)
+		if f.hosts[8].explain(owner.app, key).Owner.Host == owner.settings.Host {
+			keys = append(keys, key)
+		}
+	}
+	must.Len(f.t, count, keys)
+	return keys
+}
--- /dev/null
+++ b/internal/faulttest/store_test.go
@@ -0,0 +1,115 @@
+package faulttest
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/judge"
+	"github.com/rhubarbring/rhubarbring/internal/load"
+	"github.com/rhubarbring/rhubarbring/internal/storestand"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+const (
+	outage      = 10 * time.Second
+	servedAgain = 5 * time.Second
+)
+
+// doneBetween checks that all requests for keys of an owner that were asked
+// for within a time were done.
+func doneBetween(t *testing.T, records []load.Record, from, to int64, owned func(load.Record) bool) {
+	t.Helper()
+	n := 0
+	for _, r := range records {
+		if r.AskedNs < from || r.AskedNs > to || !owned(r) {
+			continue
+		}
+		n++
+		w, _ := r.Last()
+		must.Eq(t, result.Done.String(), w.Outcome, must.Sprintf("%+v", r))
+	}
+	must.Positive(t, n)
+}
+
+// The store is down, and a host is lost meanwhile. Owners that live go on
+// serving, the alarm names the lost session, and the lost host's keys are
+// served soon after the store is back.
+func TestStoreOutageWithHostLoss(t *testing.T) {
+	f := newFleet(t)
+	victim := f.hosts[0]
+	before := owners(f)
+	tr := f.load(outage + 4*time.Second)
+	tr.under(rate)
+	f.store.SetFault(storestand.Fault{Outage: true})
+	began := time.Now()
+	down := int64(bootclock.Now())
+	tr.under(rate / 2)
+	victim.kill()
+	f.eventually("the alarm names the lost session", func() bool {
+		return strings.Contains(strings.Join(f.alarms.all(), "\n"), "session "+victim.name()+"/")
+	})
+	f.eventually("the outage is over", func() bool { return time.Since(began) >= outage })
+	up := int64(bootclock.Now())
+	f.store.SetFault(storestand.Fault{})
+	key := ""
+	for name, owner := range before {
+		if owner == victim.settings.Host {
+			key = strings.TrimPrefix(name, victim.app+" ")
+			break
+		}
+	}
+	probe := ask{app: victim.app, key: key, id: "", attempt: 1, idempotent: true, deadline: time.Second}
+	took := f.eventually("the lost host's keys are served", func() bool {
+		return f.hosts[8].send(probe) == result.Done.String()
+	})
+	t.Logf("served again %s after the store was back", took)
+	must.LessEq(t, servedAgain, took)
+	in := f.input(tr)
+	in.Journal = withoutProbes(in)
+	f.judge(in)
+	doneBetween(t, in.Records, down, up, func(r load.Record) bool {
+		return r.Key != "" && before[r.App+" "+r.Key] != victim.settings.Host && !sentTo(r, victim)
+	})
+}
+
+// sentTo reports whether a sending of a request went to a host's daemon.
+func sentTo(r load.Record, h *node) bool {
+	return slices.ContainsFunc(r.Words, func(w load.Word) bool { return w.Daemon == h.settings.Caller })
+}
+
+// withoutProbes drops the runs that no caller of the load made.
+func withoutProbes(in judge.Input) (kept []journalRecord) {
+	known := map[string]bool{}
+	for _, r := range in.Records {
+		known[r.ID] = true
+	}
+	for _, r := range in.Journal {
+		if known[r.ID] {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// The store is slow, loses answers and applies writes late while a host is
+// lost and another is stopped and started.
+func TestStoreSlowAndUncertain(t *testing.T) {
+	f := newFleet(t)
+	tr := f.load(8 * time.Second)
+	tr.under(rate)
+	f.store.SetFault(storestand.Fault{SlowMs: 200, LoseAnswers: 0.3, LateWritesMs: 1500, LateFraction: 0.3})
+	f.hosts[0].kill()
+	f.hosts[3].stop()
+	f.hosts[3].restart()
+	f.eventually("the lost host's slices have new owners", func() bool {
+		return f.lostAndReplaced(f.hosts[0].live().Self(), f.hosts[8])
+	})
+	f.store.SetFault(storestand.Fault{})
+	f.eventually("the restarted host is ready", func() bool { return f.hosts[3].live().Ready() == nil })
+	f.judge(f.input(tr))
+}
