--- a/internal/daemon/pair_test.go
+++ b/internal/daemon/pair_test.go
@@ -64,7 +64,7 @@
 	d := New(&settings.Daemon{Host: name, Region: "pampa-norte", Zone: "pampa-norte-1", Environment: "trial", Peer: address, Store: "127.0.0.1:1", Seed: 1},
 		eventlog.New(p.logs[i], level, name, registry), registry)
 	d.provision()
-	peers, err := peer.Listen(address, wire.Hello{Session: d.self, Zone: d.settings.Zone, Region: d.settings.Region}, &frames{d: d}, registry)
+	peers, err := peer.Listen(address, wire.Hello{Session: d.self, Zone: d.settings.Zone, Region: d.settings.Region}, &frames{d: d}, peer.DialTCP, registry)
 	must.NoError(t, err)
 	d.peers, d.routing.peers = peers, peers
 	d.lease.heldUntil.Store(math.MaxInt64)
