Start the fleets of the fault tests with an even assignment

Cause: hosts that were known late owned little for a while, and moves to them went on during a test. In one run the lost host owned none of the keys, and the probe had no key to ask for. Change: the first document is written once all targets are known, and a test begins when each host owns its part. Conclusion: the tests begin from the same state each time.

--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -170,6 +170,9 @@
 	for _, h := range f.hosts {
 		h.start()
 	}
+	// Placement then meets all targets at once and has nothing to even out.
+	f.eventually("all targets are known", f.allTargetsKnown)
+	f.putDocument()
 	f.eventually("all daemons are ready", func() bool {
 		for _, h := range f.hosts {
 			if h.live().Ready() != nil {
@@ -178,10 +181,33 @@
 		}
 		return true
 	})
-	f.eventually("all slices are owned by hosts that live", func() bool { return f.unowned(f.hosts[0]) == 0 })
+	f.eventually("each host owns its part", func() bool {
+		for _, h := range f.hosts {
+			s := h.status().Slices
+			if s.Owned == 0 || s.Draining > 0 {
+				return false
+			}
+		}
+		return f.unowned(f.hosts[0]) == 0
+	})
 	return f
 }
 
+func (f *fleet) allTargetsKnown() bool {
+	for _, h := range f.hosts {
+		known := 0
+		for _, s := range h.status().Fleet {
+			if s.App != "" {
+				known++
+			}
+		}
+		if known != len(f.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fleet) startStore() {
 	f.storeAt = address(f.t)
 	f.store = storestand.New(storestand.Config{Seed: 1, History: storeHistory})
@@ -190,6 +216,10 @@
 	go func() { _ = f.store.Serve(ln) }()
 	f.net.name(f.storeAt, storeName)
 	f.client = storeclient.New(f.storeAt, callTimeout).Scoped(environment)
+}
+
+// putDocument writes the first document.
+func (f *fleet) putDocument() {
 	raw := f.document()
 	stored := document.Stored{Version: 1, Hash: document.HashOf(raw), Content: string(raw), Token: "first", Who: "test"}
 	value, err := stored.Encode()
--- a/internal/faulttest/store_test.go
+++ b/internal/faulttest/store_test.go
@@ -63,6 +63,7 @@
 			break
 		}
 	}
+	must.NotEq(t, "", key)
 	probe := ask{app: victim.app, key: key, id: "", attempt: 1, idempotent: true, deadline: time.Second}
 	took := f.eventually("the lost host's keys are served", func() bool {
 		return f.hosts[8].send(probe) == result.Done.String()
