Split the takeover's core by concept

Change: observations of records and reports of pending takeovers in files of their own; no change of behaviour.

--- a/takeover/core.go
+++ b/takeover/core.go
@@ -58,15 +58,6 @@
 	Timing  session.Timing
 }
 
-// observation is a record, as last seen, of a session that can be taken over
-// without seals: its lease is in the store, or it is an earlier life of this
-// daemon.
-type observation struct {
-	found   session.Versioned
-	since   mono.Time // When this version was first seen here.
-	earlier bool      // Whether it is an earlier life.
-}
-
 // Core runs the takeovers of a daemon. It is not safe for concurrent use. It
 // keeps an attempt for each silent session that names the daemon as a
 // witness, and an observation for each session with a lease in the store.
@@ -105,30 +96,6 @@
 	return len(c.attempts)
 }
 
-// Pending is a takeover under way.
-type Pending struct {
-	Session host.Session
-	Since   mono.Time
-	// Place is where the session stands, if its record was read.
-	Place host.Place
-	// Heard is when another witness last said that it hears the session;
-	// mono.Never if none did.
-	Heard mono.Time
-	// Reason is what the takeover waits for. If it is WitnessesSilent, the
-	// session may be cut off from here and serve on.
-	Reason Reason
-}
-
-// Pending returns the takeovers under way, in a fixed order.
-func (c *Core) Pending() []Pending {
-	var out []Pending
-	for _, s := range c.order() {
-		a := c.attempts[s]
-		out = append(out, Pending{Session: s, Since: a.began, Place: a.record.Record.Place, Heard: a.heard, Reason: a.reason()})
-	}
-	return out
-}
-
 // Tick says that time has passed. It is due at least every 50 ms.
 func (c *Core) Tick(now mono.Time) []Action {
 	if c.started == mono.Never {
@@ -397,68 +364,6 @@
 	a.due = now.Add(c.backoff(askEvery, askEveryMax, a.fails))
 }
 
-// watchRecords begins to take over leases in the store that were not renewed,
-// and earlier lives of this daemon.
-func (c *Core) watchRecords(now mono.Time) {
-	for _, s := range sorted(c.observed) {
-		o := c.observed[s]
-		if c.attempts[s] != nil || !c.ranOut(now, o) {
-			continue
-		}
-		a := c.begin(now, s)
-		a.byStore = true
-		a.record = o.found
-		if o.earlier {
-			c.take(now, a, "succeeded")
-			continue
-		}
-		c.take(now, a, "unchanged")
-	}
-}
-
-// ranOut reports whether no lease of an observed session can run any more. An
-// earlier life of this daemon was over when this one started, but what it
-// granted to its target runs on for the time of a lease.
-func (c *Core) ranOut(now mono.Time, o *observation) bool {
-	patience := c.cfg.Timing.Lease + c.cfg.Timing.Margin
-	if o.earlier {
-		return now.Sub(c.started) > patience
-	}
-	return now.Sub(o.since) > patience+c.jitter(turnDelay)
-}
-
-func (c *Core) observe(now mono.Time, v session.Versioned) {
-	s := v.Record.Session
-	o := c.observed[s]
-	if o != nil && v.Version <= o.found.Version {
-		return
-	}
-	own := session.Record{Session: c.cfg.Self, Machine: c.cfg.Machine, Peer: c.cfg.Peer}
-	earlier := own.Succeeds(&v.Record)
-	if s == c.cfg.Self || v.Record.State.Final() || !v.Record.StoreLeased() && !earlier {
-		delete(c.observed, s)
-		return
-	}
-	c.observed[s] = &observation{found: v, since: now, earlier: earlier}
-}
-
-func (c *Core) reportStart(a *attempt) {
-	if !a.started {
-		a.started = true
-		c.out.log(event.TakeoverStarted, a.session, "")
-	}
-}
-
-func (c *Core) reportStuck(now mono.Time, a *attempt) {
-	if a.told || a.over() || now.Sub(a.began) < stuckAfter || now.Sub(a.heard) < stuckAfter {
-		return
-	}
-	a.told = true
-	reason := a.reason()
-	c.out.log(event.TakeoverStuck, a.session, reason.String())
-	c.out.add(Stuck{Session: a.session, Place: a.record.Record.Place, Reason: reason})
-}
-
 func (c *Core) backoff(first, last time.Duration, fails int) time.Duration {
 	d := min(first<<min(fails-1, 16), last)
 	return d - c.jitter(d/2)
