--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -68,7 +68,7 @@
 	served := false
 	for i, s := range c.shelves {
 		served = c.serve(with, n, i) || served
-		if n.have[i] > s.revision {
+		if n.have[i] > s.known() {
 			c.ask(now, with, i)
 		}
 	}
--- a/spread/guards_test.go
+++ b/spread/guards_test.go
@@ -226,3 +226,25 @@
 	must.Eq(t, 20, upTo)
 	must.Len(t, 10, items)
 }
+
+// A daemon that was away while an object was deleted, and whose peers have
+// started anew since from a list without it, doesn't bring it back.
+func TestDeletedStaysDeleted(t *testing.T) {
+	f := newFleet(1, 1, 3)
+	f.store.write(theDoc, false)
+	f.store.writeSession(1, false)
+	f.run(10 * time.Second)
+	f.storeless = f.nodes[2]
+	f.nodes[2].cutUntil = f.now.Add(12 * time.Second)
+	f.store.writeSession(1, true)
+	f.run(time.Second)
+	for range 2 * rememberedChanges {
+		f.store.write(theDoc, false)
+	}
+	f.restart(f.nodes[0], time.Second)
+	f.restart(f.nodes[1], time.Second)
+	f.run(40 * time.Second)
+	must.SliceEmpty(t, f.faults)
+	must.Eq(t, 3, f.ready())
+	f.sameEverywhere(t, 1)
+}
--- a/spread/relay.go
+++ b/spread/relay.go
@@ -11,6 +11,10 @@
 
 var relayChart = charts.MustLoad("relay_watch")
 
+// peersFirst is how long a relay that starts waits for its peers before it
+// reads the store.
+const peersFirst = 1500 * time.Millisecond
+
 // firstWait is the wait of the first watch of each kind.
 const firstWait = time.Millisecond
 
@@ -40,7 +44,7 @@
 // members does, and the second if there is no fresh news of the store.
 func (c *Core) lead(now mono.Time) {
 	rank, ranked := c.tree.rank()
-	leads := rank == 0 && len(ranked) > 0
+	leads := rank == 0 && len(ranked) > 0 && c.askedPeers(now)
 	if rank == 1 && c.ready {
 		leads = c.relaySilent(now, ranked[0])
 	}
@@ -53,6 +57,14 @@
 	}
 }
 
+// askedPeers reports whether this daemon has caught up with its peers, or has
+// given them time. Peers know deletions that a list of the store leaves out, so
+// a relay that starts takes from them what it can.
+func (c *Core) askedPeers(now mono.Time) bool {
+	alone := len(c.tree.members) <= 1 && len(c.tree.others) == 0
+	return c.ready || alone || now.Sub(c.started) >= peersFirst
+}
+
 // relaySilent reports whether the zone's relay has not called itself one
 // lately.
 func (c *Core) relaySilent(now mono.Time, relay host.Session) bool {
@@ -87,7 +99,7 @@
 	kind := c.cfg.Kinds[i]
 	switch action {
 	case "watch":
-		c.do(Watch{Kind: kind, Revision: max(c.shelves[i].watched, c.shelves[i].revision), Wait: c.watchWait(i)})
+		c.do(Watch{Kind: kind, Revision: c.shelves[i].known(), Wait: c.watchWait(i)})
 	case "unwatch":
 		c.do(Unwatch{Kind: kind})
 	case "list_first":
@@ -154,8 +166,8 @@
 		c.follow(i, "page")
 		return
 	}
-	c.shelves[i].forgotten = max(c.shelves[i].forgotten, r.first)
-	c.advance(now, i, r.first)
+	c.shelves[i].listedTo(r.first)
+	c.pushAll(now, i)
 	c.follow(i, "listed")
 }
 
--- a/spread/shelf.go
+++ b/spread/shelf.go
@@ -46,6 +46,21 @@
 	return &shelf{kind: kind, differ: differ, objects: make(map[string]*entry)}
 }
 
+// known returns the revision up to which every change is known, whether or
+// not the kind has changed at it.
+func (s *shelf) known() uint64 {
+	return max(s.revision, s.watched)
+}
+
+// listedTo notes that this daemon has all objects as of a revision of the
+// store. Deletions before it are not known one by one, so the shelf's revision
+// moves to it: whoever is behind gets a snapshot.
+func (s *shelf) listedTo(revision uint64) {
+	s.watched = max(s.watched, revision)
+	s.revision = max(s.revision, revision)
+	s.forgotten = max(s.forgotten, revision)
+}
+
 // fit says how a received version relates to what is held.
 type fit uint8
 
@@ -64,7 +79,7 @@
 // object is known, so this one has been deleted.
 func (s *shelf) put(o Object) fit {
 	held := s.objects[o.Name]
-	if held == nil && o.Version <= s.revision {
+	if held == nil && o.Version <= s.known() {
 		return stale
 	}
 	if held != nil && o.Version <= held.object.Version && !s.anyVersion {
