--- a/spread/bench_test.go
+++ b/spread/bench_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// BenchmarkSpread runs a fleet of each size through the changes of an hour at
-// 7,000 documents a day, 790 restarts and their session records, and reports
-// what each change and each daemon cost.
+// BenchmarkSpread runs a fleet of each size through the changes of two minutes
+// at 7,000 documents and 790 session records a day, and reports what each
+// change and each daemon cost.
 func BenchmarkSpread(b *testing.B) {
 	sizes := []struct{ zones, perZone int }{{4, 4}, {4, 75}, {1, 545}, {22, 545}}
 	for _, size := range sizes {
