Forget ended sessions, report load by fleet size, see a region cut as a cut

Change: the leader deletes records that ended ten minutes ago and that no assignment names; reports are spaced so that 40 a second reach the leader, and a hot key is told within 15 s; a session that another witness hears does not ring, and silent sessions of a zone without news are a notice; the repeat of a request whose earlier sending has an outcome of its own does not ring. Conclusion: bounded by size; the pace at 12,000 hosts is worked out, not run.

--- a/assignment/map.go
+++ b/assignment/map.go
@@ -160,6 +160,26 @@
 	return p, version
 }
 
+// Sessions calls f for each session that is the owner or the next owner of a
+// slice, in no
+// particular order.
+func (m *Map) Sessions(f func(host.Session)) {
+	named := make([]bool, len(m.sessions.list))
+	for _, a := range m.apps {
+		for _, e := range a.entries {
+			named[e.owner], named[e.next] = true, true
+		}
+		for _, c := range a.carved {
+			named[c.owner], named[c.next] = true, true
+		}
+	}
+	for i, is := range named {
+		if is && i > 0 {
+			f(m.sessions.list[i])
+		}
+	}
+}
+
 // Total returns the number of regular slices of an app; 0 if the map does not
 // know the app.
 func (m *Map) Total(app key.App) uint32 {
--- a/cmd/rhubarb-scale/main.go
+++ b/cmd/rhubarb-scale/main.go
@@ -40,6 +40,7 @@
 	}
 	flags := command.Flags()
 	flags.IntSliceVar(&sizes, "daemons", []int{5, 50, 150}, "sizes of the fleets")
+	flags.IntVar(&cfg.Absent, "absent", 0, "further sessions in the store whose daemons do not run")
 	flags.IntVar(&cfg.BasePort, "base-port", defaultBasePort, "first port; three for each daemon are used")
 	flags.DurationVar(&cfg.Settle, "settle", defaultSettle, "time between readiness and the measurement")
 	flags.DurationVar(&cfg.For, "for", defaultFor, "length of the measurement")
--- a/event/session.go
+++ b/event/session.go
@@ -6,6 +6,7 @@
 	WitnessesChanged ID = 2002
 	SessionLost      ID = 2003
 	TargetGone       ID = 2004
+	SessionForgotten ID = 2004
 	TakeoverStarted  ID = 2010
 	TakeoverStuck    ID = 2011
 	TakeoverRecorded ID = 2012
@@ -17,6 +18,7 @@
 	{WitnessesChanged, "witnesses_changed", Info, "detail", "The session is to have these witnesses; none means a lease in the store."},
 	{SessionLost, "session_lost", Warn, "detail", "The daemon's own session was taken over, or its name was taken. It serves nothing and starts anew as a new session."},
 	{TargetGone, "target_gone", Warn, "after_ms", "The target beside the daemon stopped announcing itself. Its slices go to other targets."},
+	{SessionForgotten, "session_forgotten", Info, "session", "The record of a session that ended long ago was deleted from the store."},
 	{TakeoverStarted, "takeover_started", Info, "peer", "A session that this daemon is a witness of is silent."},
 	{TakeoverStuck, "takeover_stuck", Warn, "peer detail", "A silent session can't be taken over: the detail says what is missing. It goes on by itself."},
 	{TakeoverRecorded, "takeover_recorded", Info, "peer", "The store holds the session as lost; its slices may be assigned anew."},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,6 +168,12 @@
 	d.routing.raise = d.raise
 	d.routing.settle = d.settle
 	d.placement.onPack = d.packWritten
+	d.placement.named = d.namedSessions
+}
+
+func (d *Daemon) namedSessions() (named map[host.Session]bool, err error) {
+	err = d.ask(func(r *routingDuty, _ mono.Time) { named = r.named() })
+	return named, err
 }
 
 func (d *Daemon) packWritten(name string, version uint64, value []byte) {
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -52,7 +52,10 @@
 	// onPack is told of each pack that a write of this daemon put in place,
 	// so that new owners need not wait for the watch.
 	onPack func(name string, version uint64, value []byte)
-	values map[string][]byte // values of writes under way, by token
+	// named returns the sessions that the daemon's map of owners names.
+	named   func() (map[host.Session]bool, error)
+	sweeper sweeper
+	values  map[string][]byte // values of writes under way, by token
 	// leader and leads show the other duties who leads.
 	leader atomic.Pointer[placement.Leader]
 	leads  atomic.Bool
@@ -62,16 +65,17 @@
 
 func newPlacementDuty(d *Daemon, seed uint64, registry metrics.Registry) *placementDuty {
 	return &placementDuty{
-		self:   d.self,
-		fleet:  d.fleet,
-		peers:  d.peers,
-		store:  d.store,
-		client: d.client,
-		log:    d.log,
-		ring:   ring.New[placementWork]("placement", placementRingSize, registry),
-		core:   placement.New(placement.Config{Self: d.self, Seed: seed}),
-		values: make(map[string][]byte),
-		stop:   make(chan struct{}),
+		self:    d.self,
+		fleet:   d.fleet,
+		peers:   d.peers,
+		store:   d.store,
+		client:  d.client,
+		log:     d.log,
+		ring:    ring.New[placementWork]("placement", placementRingSize, registry),
+		core:    placement.New(placement.Config{Self: d.self, Seed: seed}),
+		values:  make(map[string][]byte),
+		sweeper: sweeper{final: make(map[host.Session]mono.Time)},
+		stop:    make(chan struct{}),
 	}
 }
 
@@ -105,7 +109,9 @@
 		case w := <-p.ring.Items():
 			w.placementWork(p, bootclock.Now())
 		case <-tick.C:
-			p.step(bootclock.Now(), placement.Tick{})
+			now := bootclock.Now()
+			p.step(now, placement.Tick{})
+			p.sweep(now)
 		case <-p.stop:
 			return
 		}
--- a/internal/daemon/risk_look.go
+++ b/internal/daemon/risk_look.go
@@ -1,18 +1,23 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/alarm"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/takeover"
 )
 
 // acknowledgedPoll is the time between two looks at whether a person has
 // acknowledged an alarm that rings here.
 const acknowledgedPoll = 10 * time.Second
 
+// heardLately is how recent news of a session or a zone must be to count.
+const heardLately = 5 * time.Second
+
 // found is a condition that holds now, and for how long it has.
 type found struct {
 	condition alarm.Condition
@@ -77,16 +82,32 @@
 	}
 	if pending := r.d.lease.pending.Load(); pending != nil {
 		for _, p := range *pending {
-			name := p.Session.String()
-			holds = append(holds, found{
-				condition: alarm.Condition{Kind: alarm.AssignmentAtRisk, Subject: name, Cause: "session " + name},
-				lasts:     now.Sub(p.Since),
-			})
+			holds = append(holds, r.silentSession(now, p)...)
 		}
 	}
 	return holds
 }
 
+// silentSession returns what a takeover under way puts at risk. A session that
+// another witness hears lives. One whose witnesses are silent too, in a zone
+// that nothing is heard of, is cut off from here and may serve on: that is a
+// place that can't be seen, not a session at risk.
+func (r *riskDuty) silentSession(now mono.Time, p takeover.Pending) []found {
+	if p.Heard != mono.Never && now.Sub(p.Heard) < heardLately {
+		return nil
+	}
+	name := p.Session.String()
+	f := found{
+		condition: alarm.Condition{Kind: alarm.AssignmentAtRisk, Subject: name, Cause: "session " + name},
+		lasts:     now.Sub(p.Since),
+	}
+	zone := string(p.Place.Zone)
+	if p.Reason == takeover.WitnessesSilent && !slices.Contains(r.d.heard.since(now, heardLately), zone) {
+		f.condition = alarm.Condition{Kind: alarm.CannotSee, Subject: "sessions in " + zone, Cause: "no news of " + zone}
+	}
+	return []found{f}
+}
+
 // fleetConditions are slices without an owner, and a document that is not in
 // force on every daemon of the zone.
 func (r *riskDuty) fleetConditions(now mono.Time) []found {
@@ -142,7 +163,7 @@
 		names = append(names, zone)
 	}
 	r.ringBell(now, alarm.Parts{Names: names})
-	for _, zone := range r.d.heard.since(now, alarmTick) {
+	for _, zone := range r.d.heard.since(now, 2*alarmTick) {
 		r.ringBell(now, alarm.Seen{Part: zone})
 	}
 }
@@ -164,7 +185,7 @@
 	defer h.mu.Unlock()
 	var zones []string
 	for zone, at := range h.at {
-		if now.Sub(at) <= 2*within {
+		if now.Sub(at) <= within {
 			zones = append(zones, zone)
 		}
 	}
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -47,7 +47,13 @@
 	forgetEvery = time.Second
 	// reportEvery is the time between two reports of load, and reportedKeys
 	// the hottest keys named in each.
-	reportEvery  = 5 * time.Second
+	reportEvery = 5 * time.Second
+	// reportsPerSecond bounds what reaches the leader: at 130 bytes a report
+	// some 5 KB a second.
+	reportsPerSecond = 40
+	// hotKeyEvery is the time between two looks for a key that is too hot to
+	// wait for the next report.
+	hotKeyEvery  = 15 * time.Second
 	reportedKeys = 8
 )
 
@@ -103,6 +109,7 @@
 	meter      *loadmeter.Meter
 	reports    uint64
 	nextReport mono.Time
+	nextHotKey mono.Time
 	nextForget mono.Time
 	ready      atomic.Bool
 	idle       atomic.Bool
@@ -135,6 +142,7 @@
 	client   *targetclient.Client
 	lastSeen mono.Time
 	load     float32 // as the target says itself
+	slots    int
 	gone     bool
 }
 
@@ -257,10 +265,11 @@
 
 // report tells the leader every so often how busy the target is.
 func (r *routingDuty) report(now mono.Time) {
-	if r.gate == nil || now.Before(r.nextReport) {
+	if r.gate == nil || now.Before(r.nextReport) && !r.hasHotKey(now) {
 		return
 	}
-	r.nextReport = now.Add(reportEvery)
+	r.nextHotKey = now.Add(hotKeyEvery)
+	r.nextReport = now.Add(reportInterval(len(r.fleet.sessions.Load().records)))
 	r.reports++
 	slices, keys := r.meter.Take(now, reportedKeys)
 	r.reportLoad(placement.LoadReport{
@@ -273,6 +282,28 @@
 	})
 }
 
+// hasHotKey reports whether a key may have to be carved out: its load is at
+// half the document's bound. It looks every hotKeyEvery.
+func (r *routingDuty) hasHotKey(now mono.Time) bool {
+	if now.Before(r.nextHotKey) {
+		return false
+	}
+	r.nextHotKey = now.Add(hotKeyEvery)
+	app, ok := r.fleet.app(r.target.app)
+	if !ok || app.HotKeys == nil {
+		return false
+	}
+	bound := app.HotKeys.Share * float64(r.target.slots) / 2
+	return float64(r.meter.Hottest(now)) > bound
+}
+
+// reportInterval is the time between two reports in a fleet of so many
+// daemons: the leader takes no more than reportsPerSecond.
+func reportInterval(daemons int) time.Duration {
+	spread := time.Duration(daemons) * time.Second / reportsPerSecond
+	return max(reportEvery, spread)
+}
+
 // forgetSent drops sendings whose late answers are no longer waited for.
 func (r *routingDuty) forgetSent(now mono.Time) {
 	if now.Before(r.nextForget) {
@@ -467,7 +498,12 @@
 	r.logStarted(s)
 	active := &run{number: s.Run, gate: r.gate, slice: req.Slice, key: req.Key, started: now, deadline: s.Deadline}
 	if req.Slice != request.NoSlice {
-		active.ticket, _ = r.holder.Begin(now, key.Slice{App: req.App, ID: req.Slice})
+		ticket, verdict := r.holder.Begin(now, key.Slice{App: req.App, ID: req.Slice})
+		if !verdict.Admitted() {
+			r.gate.TargetRefused(now, s.Run, verdict.Code, &r.gateOut)
+			return
+		}
+		active.ticket = ticket
 	}
 	call := targetclient.Call{
 		Run:      s.Run,
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -235,6 +235,7 @@
 	r.target.lastSeen = now
 	r.target.gone = false
 	r.target.load = float32(a.Load)
+	r.target.slots = a.Slots
 	r.gate.Announced(now, gate.Announcement{
 		Slots:        a.Slots,
 		Connections:  a.Connections,
--- /dev/null
+++ b/internal/daemon/sweep_test.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// Only records that ended long ago and that no assignment names are deleted.
+func TestSweepKeepsWhatMayStillBeAskedFor(t *testing.T) {
+	record := func(id string, state session.State) session.Versioned {
+		return session.Versioned{Version: 1, Record: session.Record{Session: host.Session{Host: host.ID(id), Incarnation: 1}, State: state}}
+	}
+	records := map[host.Session]session.Versioned{}
+	for _, v := range []session.Versioned{record("live", session.Live), record("named", session.Lost), record("old", session.Left)} {
+		records[v.Record.Session] = v
+	}
+	named := map[host.Session]bool{{Host: "named", Incarnation: 1}: true}
+	w := sweeper{final: make(map[host.Session]mono.Time)}
+	start := mono.Time(time.Hour)
+	must.SliceEmpty(t, w.due(start, records, named))
+	must.SliceEmpty(t, w.due(start.Add(session.DeleteAfter-1), records, named))
+	due := w.due(start.Add(session.DeleteAfter), records, named)
+	must.SliceLen(t, 1, due)
+	must.Eq(t, host.ID("old"), due[0].Record.Session.Host)
+	delete(records, due[0].Record.Session)
+	must.SliceEmpty(t, w.due(start.Add(session.DeleteAfter), records, named))
+	must.MapLen(t, 1, w.final)
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -26,6 +26,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/storestand"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/session"
 )
 
 const (
@@ -53,6 +54,10 @@
 	For    time.Duration
 	// Patience bounds the wait for readiness.
 	Patience time.Duration
+	// Absent is the number of further sessions that stand in the store as
+	// live but whose daemons do not run: they give the daemons that do the
+	// state of a large fleet.
+	Absent int
 	// Document is the document in force, for the environment "trial".
 	Document []byte
 	// Seed starts the daemons' random numbers.
@@ -142,8 +147,55 @@
 	if err != nil {
 		return err
 	}
-	_, err = storeclient.New(f.storeAt, storeTimeout).Put(document.Kind, environment, 0, raw)
-	return err
+	client := storeclient.New(f.storeAt, storeTimeout)
+	if _, err := client.Put(document.Kind, environment, 0, raw); err != nil {
+		return err
+	}
+	return f.recordAbsent(client.Scoped(environment))
+}
+
+// recordAbsent writes the records of sessions whose daemons do not run. Each
+// names three others of them as its witnesses, so that nobody takes it over.
+func (f *fleet) recordAbsent(client *storeclient.Client) error {
+	for i := range f.cfg.Absent {
+		r := f.absentRecord(i)
+		raw, err := r.Encode()
+		if err != nil {
+			return err
+		}
+		if _, err := client.Put(session.Kind, session.Name(r.Session), 0, raw); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) absentRecord(i int) session.Record {
+	region := f.doc.Regions[i%len(f.doc.Regions)]
+	witnesses := make([]host.Session, 0, session.WitnessCount)
+	for w := 1; w <= session.WitnessCount; w++ {
+		witnesses = append(witnesses, absentSession((i+w)%f.cfg.Absent))
+	}
+	return session.Record{
+		Token:      "absent#" + strconv.Itoa(i),
+		Session:    absentSession(i),
+		Place:      host.Place{Region: region.Name, Zone: region.Zones[i/len(f.doc.Regions)%len(region.Zones)]},
+		Peer:       address(1),
+		Control:    address(1),
+		Caller:     address(1),
+		State:      session.Live,
+		Generation: 1,
+		Witnesses:  witnesses,
+		Target: &session.Target{
+			App: f.doc.Apps[i%len(f.doc.Apps)].Name, Address: address(1), Slots: slots, Connections: connections, ChecksGrants: true,
+		},
+	}
+}
+
+// Names of absent sessions come after those of the daemons that run, which
+// are therefore the relays of their zones.
+func absentSession(i int) host.Session {
+	return host.Session{Host: host.ID(fmt.Sprintf("z%05d", i)), Incarnation: 1}
 }
 
 func (f *fleet) startDaemons() error {
--- a/loadmeter/loadmeter.go
+++ b/loadmeter/loadmeter.go
@@ -68,6 +68,20 @@
 	return least
 }
 
+// Hottest returns the mean number of busy slots that the hottest key caused
+// since the last Take.
+func (m *Meter) Hottest(now mono.Time) float32 {
+	span := now.Sub(m.since)
+	if span <= 0 {
+		return 0
+	}
+	var most time.Duration
+	for _, busy := range m.keys {
+		most = max(most, busy)
+	}
+	return share(most, span)
+}
+
 // Take returns the mean number of busy slots that each slice, and each of up
 // to maxKeys keys, caused since the last call, and starts anew. Slices are in
 // ascending order, keys by descending load.
--- /dev/null
+++ b/loadmeter/loadmeter_test.go
@@ -0,0 +1,45 @@
+package loadmeter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/loadmeter"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+// A key that causes much of the load is reported whatever else is asked for,
+// and its load is never understated.
+func TestHeavyKeyIsNeverMissed(t *testing.T) {
+	start := mono.Time(time.Hour)
+	m := loadmeter.New(start)
+	for i := range 10_000 {
+		m.Add(1, fmt.Sprint("light", i), time.Millisecond)
+		if i%10 == 0 {
+			m.Add(2, "heavy", 10*time.Millisecond)
+		}
+	}
+	end := start.Add(10 * time.Second)
+	must.Greater(t, float32(0.99), m.Hottest(end))
+	slices, keys := m.Take(end, 3)
+	must.SliceLen(t, 2, slices)
+	must.Eq(t, float32(1), slices[0].Busy)
+	must.Eq(t, float32(1), slices[1].Busy)
+	must.SliceLen(t, 3, keys)
+	must.Eq(t, "heavy", keys[0].Key)
+	must.GreaterEq(t, float32(1), keys[0].Busy)
+}
+
+func TestTakeStartsAnew(t *testing.T) {
+	m := loadmeter.New(1)
+	m.Add(1, "k", time.Second)
+	_, keys := m.Take(mono.Time(time.Second), 8)
+	must.SliceLen(t, 1, keys)
+	slices, keys := m.Take(mono.Time(2*time.Second), 8)
+	must.SliceEmpty(t, slices)
+	must.SliceEmpty(t, keys)
+	must.Zero(t, m.Hottest(mono.Time(3*time.Second)))
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -65,10 +65,10 @@
 }
 
 // AtRisk reports whether a request's result is an outcome at risk: it may not
-// be repeated, and it is unknown or late. A refusal of a repeat whose first
-// attempt still runs is not: that attempt has an outcome of its own.
+// be repeated, and it is unknown or late. The refusal of a repeat is not: the
+// earlier sending, in flight or over, has an outcome of its own.
 func AtRisk(idempotent bool, code result.Code) bool {
-	if idempotent || code == result.DuplicateInFlight {
+	if idempotent || code == result.DuplicateInFlight || code == result.RepeatRefused {
 		return false
 	}
 	o := code.Outcome()
