Refuse and save before a daemon ends whose session is over

Cause: a daemon that froze, and whose session was recorded as lost meanwhile, closed its address at once when it returned. Requests that waited unread in its sockets got no answer. Those that it still sent to other daemons were dropped there, since the session was known to be over, and their callers waited for the whole deadline. Outcomes at risk that it met then were gone with its memory, 0.7 s later. Ruled out: the keeper of outcomes and the gates; both did as they should. Change: such a daemon refuses what arrives as draining, gives up what it sent, keeps its address open for 300 ms more, and waits up to 5 s for its outcomes to stand in the store; a planned stop waits for them too. Conclusion: what a frozen daemon is asked for is refused, and what it tells is kept.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,13 @@
 	drainPatience = 40 * time.Second
 	// leavePatience bounds the record of the end in the store.
 	leavePatience = 5 * time.Second
-	stopPoll      = 20 * time.Millisecond
+	// abandonGrace is how long a daemon whose session ended goes on refusing
+	// requests before it closes its address.
+	abandonGrace = 300 * time.Millisecond
+	// savePatience bounds the wait for outcomes at risk to stand in the store
+	// before a daemon ends. Copies of them are on other hosts.
+	savePatience = 5 * time.Second
+	stopPoll     = 20 * time.Millisecond
 )
 
 // Daemon is one life of a daemon: one session.
@@ -70,6 +76,7 @@
 
 	announced atomic.Pointer[session.Target]
 	stopping  atomic.Bool
+	over      atomic.Bool // the session ended by itself
 }
 
 // Option changes how a daemon is made.
@@ -205,15 +212,23 @@
 	time.Sleep(2 * request.DefaultConfig().AckEvery) // The last answers are acknowledged to their gates.
 	d.lease.wait(leaveSession{})
 	d.await(leavePatience, func() bool { return len(d.lease.ended) > 0 })
+	d.await(savePatience, d.risk.saved)
 	d.closeDuties()
 	d.log.Event(event.Stopped)
 }
 
 // Abandon ends a daemon whose session is over already: it owns nothing any
-// more. Requests in flight are answered first.
+// more, and other daemons take nothing of it. What arrives is refused, also
+// what waited unread while the process was paused. What was sent is answered,
+// and outcomes at risk are saved, before the daemon ends.
 func (d *Daemon) Abandon() {
 	d.log.Event(event.Stopping, "reason", "session ended")
+	d.over.Store(true)
+	d.entry.Drain()
+	d.routing.ring.Wait(sessionEnded{session: d.self}, d.routing.stop)
+	time.Sleep(abandonGrace)
 	d.entry.Stop()
+	d.await(savePatience, d.risk.saved)
 	d.closeDuties()
 	d.log.Event(event.Stopped)
 }
@@ -265,6 +280,10 @@
 
 // Submit implements entry.Router.
 func (d *Daemon) Submit(s entry.Submission) bool {
+	if d.over.Load() {
+		s.Reply <- &request.Answer{ID: s.Request.ID, Code: request.FinalCode(s.Request, result.Draining), Owner: string(d.self.Host)}
+		return true
+	}
 	return d.routing.ring.PushBelow(submissionLimit, submitted{s})
 }
 
--- a/internal/daemon/risk_duty.go
+++ b/internal/daemon/risk_duty.go
@@ -113,6 +113,11 @@
 	r.open.Store(int64(len(r.keeper.Unsaved())))
 }
 
+// saved reports whether all outcomes at risk that were met stand in the store.
+func (r *riskDuty) saved() bool {
+	return len(r.ring.Items()) == 0 && r.open.Load() == 0
+}
+
 func (r *riskDuty) save(a outcome.Save) {
 	r.d.store.ask(storeCall{
 		op: opPut, kind: outcome.Kind, name: a.Name, value: a.Value,
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -97,6 +97,7 @@
 
 	replies map[request.Caller]chan *request.Answer
 	sent    map[uint64]sending
+	over    bool // the daemon's session ended
 	origins map[host.Session]*peer.Conn
 	merged  map[key.Slice]int64 // when a carved-out key last returned, milliseconds since 1970
 	history history
@@ -386,7 +387,7 @@
 		return
 	}
 	address := r.fleet.peerAddress(s.To)
-	if address == "" {
+	if address == "" || r.over {
 		r.router.SendFailed(now, req.Seq, result.PeerUnreachable, &r.out)
 		return
 	}
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -279,6 +279,7 @@
 func (w sessionEnded) routingWork(r *routingDuty, now mono.Time) {
 	if w.session == r.self {
 		r.holder.EndSession()
+		r.giveUpSent(now)
 		if r.gate != nil {
 			r.gate.OwnershipChanged(now, &r.gateOut)
 		}
@@ -297,6 +298,16 @@
 	return append(slices.Clone(r.retired), r.gate)
 }
 
+// giveUpSent ends the wait for other daemons' answers: they drop what a
+// session sends that they know to be over.
+func (r *routingDuty) giveUpSent(now mono.Time) {
+	r.over = true
+	for seq := range r.sent {
+		delete(r.sent, seq)
+		r.router.ConnectionLost(now, seq, &r.out)
+	}
+}
+
 func (stopRequested) routingWork(r *routingDuty, now mono.Time) {
 	r.holder.Stop(now)
 }
