--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 LAYOUT ?= rayuela
 
-.PHONY: all build test bench bench-path lint fmt docs ci trial clean
+.PHONY: all build test bench bench-path lint fmt docs ci trial faults clean
 
 all: build
 
@@ -38,5 +38,9 @@
 trial: build
 	SEED=$(SEED) LAYOUT=$(LAYOUT) bash scripts/trial.sh
 
+# A trial with frozen daemons, a slow store and a restart of everything.
+faults: build
+	SEED=$(SEED) LAYOUT=$(LAYOUT) bash scripts/faults.sh
+
 clean:
-	rm -rf bin trial
+	rm -rf bin trial trial-faults
--- a/cmd/rhubarb-trial/calls.go
+++ b/cmd/rhubarb-trial/calls.go
@@ -70,6 +70,25 @@
 	}
 }
 
+func getCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "get URL",
+		Short: "Write the body of an answer with status 200",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			status, body, err := fasthttp.GetTimeout(nil, args[0], callTimeout)
+			if err != nil {
+				return err
+			}
+			if status != fasthttp.StatusOK {
+				return fmt.Errorf("%s: status %d: %s", args[0], status, body)
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), string(body))
+			return nil
+		},
+	}
+}
+
 func postCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "post URL BODY",
--- a/cmd/rhubarb-trial/main.go
+++ b/cmd/rhubarb-trial/main.go
@@ -19,6 +19,6 @@
 		Use:   "rhubarb-trial",
 		Short: "Prepare and judge a trial",
 	}
-	cmd.AddCommand(settingsCommand(), waitCommand(), postCommand(), uploadCommand(), markCommand(), keptCommand(), judgeCommand(), reportCommand())
+	cmd.AddCommand(settingsCommand(), waitCommand(), getCommand(), postCommand(), uploadCommand(), markCommand(), keptCommand(), judgeCommand(), reportCommand())
 	return cmd
 }
