Tell beside the bench's figures how late sleeps end

Cause: the tails at half load differ from run to run with the machine's other work, and nothing in the output said by how much.

--- a/cmd/rhubarb-bench/main.go
+++ b/cmd/rhubarb-bench/main.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultBasePort = 27000
+	defaultBasePort = 31000
 	defaultPhase    = 400 * time.Millisecond
 	defaultRounds   = 3
 )
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -108,15 +108,23 @@
 	writeMachine(out, "before")
 	defer writeMachine(out, "\nafter")
 	for _, connections := range cfg.Connections {
-		full := measure(cfg, ways, connections, 0)
-		writeTable(out, fmt.Sprintf("%d connections, full load", connections), full)
+		full := cfg.table(out, ways, connections, 0, "full load")
 		rate := halfLoad(full)
-		half := measure(cfg, ways, connections, rate)
-		writeTable(out, fmt.Sprintf("%d connections, half load (%.0f requests/s on each way)", connections, rate), half)
+		cfg.table(out, ways, connections, rate, fmt.Sprintf("half load (%.0f requests/s on each way)", rate))
 	}
 	return nil
 }
 
+// table measures all ways at one load and writes what was measured.
+func (cfg Config) table(out io.Writer, ways []Way, connections int, rate float64, load string) []*Sample {
+	p := startProbe()
+	samples := measure(cfg, ways, connections, rate)
+	late := p.end()
+	writeTable(out, fmt.Sprintf("%d connections, %s", connections, load), samples)
+	fmt.Fprintf(out, "\nSleeps of %s in the callers' process ended late by p50 %.3f ms, p99 %.3f ms.\n", probeSleep, quantileMs(late, p50), quantileMs(late, p99))
+	return samples
+}
+
 // provision starts what the ways need. The function returned ends it, also
 // after an error.
 func provision(cfg Config) ([]Way, func(), error) {
