A host's newer session does not end its earlier one

Cause: placement took a session as lost as soon as its host had a newer one. That held while a host had a single record; since each session has a record of its own, the earlier one may be paused and still hold its lease: two owners. Found by reading package placement against package session; ruled out that the takeover or the witnesses depend on it. Change: only a session's own record ends it; the random model now starts a new session while the earlier one lives, and a test names the case. Also: the first owners wait while a live session's target has not announced itself.

--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -98,7 +98,8 @@
 	case 4, 5:
 		rs := w.records[h.self.Host]
 		last := rs[len(rs)-1].record.State
-		if last == session.Lost || last == session.Left {
+		// Now and then a host gets a new session while its earlier one lives.
+		if last.Final() || w.pick(4) == 0 {
 			w.start(h.self.Host, w.pick(2) == 0)
 		}
 	}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -63,22 +63,47 @@
 
 // fleet is what the records say of all sessions.
 type fleet struct {
-	hosts      map[host.ID]*hostInfo
+	hosts      map[host.ID]*hostInfo      // The newest session of each host.
+	older      map[host.Session]*hostInfo // Earlier ones not recorded as ended.
 	departures map[host.Session]departure
 	listed     bool
 	generation uint64 // Rises with each change.
 }
 
 func newFleet() fleet {
-	return fleet{hosts: make(map[host.ID]*hostInfo), departures: make(map[host.Session]departure)}
+	return fleet{hosts: make(map[host.ID]*hostInfo), older: make(map[host.Session]*hostInfo), departures: make(map[host.Session]departure)}
 }
 
-// seen takes a record over unless a later version is known.
+// seen takes a record over unless a later version is known. Each session has a
+// record of its own: that a host has a newer session says nothing of an
+// earlier one, which may be paused and still hold its lease.
 func (f *fleet) seen(now mono.Time, r session.Record, version uint64) {
-	old := f.hosts[r.Session.Host]
+	newest := f.hosts[r.Session.Host]
+	old := f.known(r.Session)
 	if old != nil && version <= old.version {
 		return
 	}
+	h := f.info(now, r, version)
+	if old != nil {
+		h.since = old.since
+	}
+	if h.status().gone() {
+		f.depart(h.session, departure{seen: now, left: h.state == session.Left, checks: h.checks})
+	}
+	switch {
+	case newest == nil || r.Session.Incarnation >= newest.session.Incarnation:
+		f.setNewest(newest, h)
+	case h.status().gone():
+		delete(f.older, h.session)
+	default:
+		f.older[h.session] = h
+	}
+	if old == nil || old.differs(h) {
+		f.generation++
+	}
+}
+
+func (f *fleet) info(now mono.Time, r session.Record, version uint64) *hostInfo {
 	h := &hostInfo{session: r.Session, state: r.State, place: r.Place, version: version, since: now}
 	if !f.listed {
 		h.since = mono.Never
@@ -86,19 +111,24 @@
 	if r.Target != nil {
 		h.app, h.slots, h.checks = r.Target.App, r.Target.Slots, r.Target.ChecksGrants
 	}
-	if old != nil && old.session == r.Session {
-		h.since = old.since
-	}
-	if old != nil && old.session != r.Session {
-		f.depart(old.session, departure{seen: now, left: old.state == session.Left, checks: old.checks})
-	}
-	if h.status().gone() {
-		f.depart(h.session, departure{seen: now, left: h.state == session.Left, checks: h.checks})
+	return h
+}
+
+// setNewest makes a session its host's newest and keeps the one before unless
+// it has ended.
+func (f *fleet) setNewest(before, h *hostInfo) {
+	if before != nil && before.session != h.session && !before.status().gone() {
+		f.older[before.session] = before
 	}
-	f.hosts[r.Session.Host] = h
-	if old == nil || old.differs(h) {
-		f.generation++
+	f.hosts[h.session.Host] = h
+}
+
+// known returns what the records say of a session, or nil.
+func (f *fleet) known(s host.Session) *hostInfo {
+	if h := f.hosts[s.Host]; h != nil && h.session == s {
+		return h
 	}
+	return f.older[s]
 }
 
 // differs reports whether the change of a record concerns placement.
@@ -112,24 +142,23 @@
 	}
 }
 
-// status returns what is known of a session. A session of an earlier
-// incarnation than the host's record is lost unless it was seen to leave:
-// a record is replaced only after its session is recorded lost or left.
+// status returns what the records say of a session. Only its own record can
+// say that it has ended.
 func (f *fleet) status(s host.Session) status {
 	if s.IsNobody() {
 		return statusNobody
 	}
-	h := f.hosts[s.Host]
-	if h == nil || s.Incarnation > h.session.Incarnation {
-		return statusUnknown
-	}
-	if s == h.session {
+	if h := f.known(s); h != nil {
 		return h.status()
 	}
-	if f.departures[s].left {
+	d, gone := f.departures[s]
+	switch {
+	case gone && d.left:
 		return statusLeft
+	case gone:
+		return statusLost
 	}
-	return statusLost
+	return statusUnknown
 }
 
 // mayReassign reports whether the slices of a session that is gone may be
@@ -158,6 +187,17 @@
 	return out
 }
 
+// awaitsTargets reports whether a live session's target has not announced
+// itself yet.
+func (f *fleet) awaitsTargets() bool {
+	for _, h := range f.hosts {
+		if h.state == session.Live && h.slots == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *hostInfo) serves(app key.App) bool {
 	return h.state == session.Live && h.app == app && h.slots > 0
 }
@@ -169,13 +209,14 @@
 }
 
 // departureMemory is how long a departure is remembered after the host has a
-// newer session. Forgetting one is safe: its slices, if any are left, wait anew.
-const departureMemory = time.Hour
+// newer session. A session that is forgotten and still named by a pack would
+// count as living; its slices are given away long before.
+const departureMemory = 7 * 24 * time.Hour
 
 // forget drops old departures of sessions that a newer one replaced.
 func (f *fleet) forget(now mono.Time) {
 	for s, d := range f.departures {
-		if now.Sub(d.seen) > departureMemory && f.hosts[s.Host].session != s {
+		if now.Sub(d.seen) > departureMemory && f.known(s) == nil {
 			delete(f.departures, s)
 		}
 	}
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -31,6 +31,8 @@
 	busy    map[string]float64 // True load of each key, in slots.
 	targets map[host.Session]float32
 	noise   func() float64 // Factor on each slice's load in a report; nil for none.
+	// noRelease keeps owners from releasing what they are asked for.
+	noRelease bool
 }
 
 func newTrialFleet(hosts, slots int, app App, policy Policy) *trialFleet {
@@ -86,7 +88,7 @@
 	f.moves = append(f.moves, a.Moves...)
 	f.step(Written{Kind: a.Kind, Name: a.Name, Token: a.Token, Version: f.rev})
 	for _, m := range a.Moves {
-		if m.Next != host.Nobody && m.Next != m.To {
+		if !f.noRelease && m.Next != host.Nobody && m.Next != m.To {
 			f.step(Released{Release: handover.Release{From: m.To, App: f.app.Name, ID: m.Slice.ID, Epoch: m.Epoch}})
 		}
 	}
--- a/placement/leader_test.go
+++ b/placement/leader_test.go
@@ -97,6 +97,7 @@
 		c := New(Config{Self: self})
 		c.Step(1, SessionSeen{Record: session.Record{Session: self, State: session.Live}, Version: uint64(i + 2)})
 		c.Step(1, SessionSeen{Record: session.Record{Session: host.Session{Host: "d0", Incarnation: 2}, State: session.Live}, Version: 2})
+		c.Step(1, SessionSeen{Record: session.Record{Session: old, State: session.Lost}, Version: 1})
 		cores = append(cores, c)
 	}
 	leader, version, won := Leader{Session: old, Term: 1}, uint64(1), mono.Time(0)
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -150,10 +150,15 @@
 	}
 }
 
+// tellRecords tells a leader the newest record of each session.
 func (w *world) tellRecords(l *modelLeader) {
 	for _, id := range slices.Sorted(maps.Keys(w.records)) {
-		r := w.records[id][len(w.records[id])-1]
-		w.feed(l, SessionSeen{Record: r.record, Version: r.version})
+		for i, r := range w.records[id] {
+			newer := func(o recorded) bool { return o.record.Session == r.record.Session }
+			if !slices.ContainsFunc(w.records[id][i+1:], newer) {
+				w.feed(l, SessionSeen{Record: r.record, Version: r.version})
+			}
+		}
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,8 +69,8 @@
 	DefaultClaimStep       = 300 * time.Millisecond
 	DefaultReadRetry       = time.Second
 	DefaultBalanceInterval = 5 * time.Second
-	DefaultStartWait       = time.Second
-	DefaultStartWaitMax    = 5 * time.Second
+	DefaultStartWait       = 2 * time.Second
+	DefaultStartWaitMax    = 6 * time.Second
 	DefaultWarmUp          = 30 * time.Second
 	DefaultSettle          = 60 * time.Second
 	DefaultReportAge       = 30 * time.Second
--- a/placement/round.go
+++ b/placement/round.go
@@ -124,7 +124,10 @@
 
 // gathering reports whether the app's hosts are still coming one by one.
 func (r *round) gathering() bool {
-	calm := r.now.Sub(r.a.grewAt) >= r.c.cfg.StartWait
+	if r.c.cfg.StartWait < 0 {
+		return false
+	}
+	calm := r.now.Sub(r.a.grewAt) >= r.c.cfg.StartWait && !r.c.fleet.awaitsTargets()
 	return !calm && r.now.Sub(r.a.hostsSince) < r.c.cfg.StartWaitMax
 }
 
--- a/placement/start_test.go
+++ b/placement/start_test.go
@@ -39,3 +39,30 @@
 	must.MapLen(t, 4, owned)
 	must.Eq(t, 10, owned[trialHost(3)])
 }
+
+// That a host has a newer session does not end the earlier one: it may be
+// paused and still hold its lease. Its slices stay until its own record ends.
+func TestNewerSessionDoesNotEndTheEarlier(t *testing.T) {
+	app := App{Name: "a", Slices: 8, MaxMoves: 4}
+	f := newTrialFleet(2, 4, app, nil)
+	earlier := trialHost(1)
+	newer := host.Session{Host: earlier.Host, Incarnation: earlier.Incarnation + 1}
+	f.moves = nil
+	f.noRelease = true
+	f.state(newer, session.Live)
+	f.settle()
+	f.now = f.now.Add(DefaultBalanceInterval)
+	f.settle()
+	for _, m := range f.moves {
+		must.False(t, m.From == earlier && m.ChangesOwner())
+	}
+	f.state(earlier, session.Lost)
+	f.settle()
+	granted := 0
+	for _, m := range f.moves {
+		if m.From == earlier && m.ChangesOwner() {
+			granted++
+		}
+	}
+	must.Eq(t, 4, granted)
+}
