Collect garbage less often for shorter tails

Cause: the added p99 of two hops with 130 connections at half load was 4 to 21 ms; gctrace showed pauses of up to 3.6 ms. The heap was not measured.

--- a/cmd/rhubarbd/main.go
+++ b/cmd/rhubarbd/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,6 +24,9 @@
 	exitFailed   = 1
 	exitSettings = 2
 	logMode      = 0o644
+	// gcPercent trades heap for shorter tails: while the collector marks, it
+	// takes processors from requests. GOGC in the environment overrides it.
+	gcPercent = 400
 )
 
 func main() {
@@ -54,6 +58,9 @@
 }
 
 func run(path string) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
