Planned stop with long requests at the target

Cause: without the wait for what was admitted the test passed, since the requests were short. Change: they take 900 ms in the mean when the stop comes. Conclusion: the test needs its guard.

--- a/internal/faulttest/stop_test.go
+++ b/internal/faulttest/stop_test.go
@@ -10,11 +10,14 @@
 )
 
 // A planned stop under load cuts nothing off, and every request is done: the
-// slices are served by their next owners.
+// slices are served by their next owners. Its guard is that the daemon stays
+// until what it admitted is over.
 func TestPlannedStopUnderLoad(t *testing.T) {
 	f := newFleet(t)
 	tr := f.load(6 * time.Second)
 	tr.under(rate)
+	f.hosts[0].target.slow(900)
+	f.eventually("requests run at the target", func() bool { return f.hosts[0].target.Busy() >= slots })
 	f.hosts[0].stop()
 	in := f.input(tr)
 	v := f.judge(in)
