Keep a host cut off while others serve its keys

Cause: the cut was healed as soon as others owned the keys, so that a daemon without a lease check passed. Change: callers go on for two seconds before. Conclusion: the test needs its guard.

--- a/internal/faulttest/cut_test.go
+++ b/internal/faulttest/cut_test.go
@@ -93,11 +93,12 @@
 		}
 	}
 	old := victim.status().Session
-	tr := f.load(9 * time.Second)
+	tr := f.load(11 * time.Second)
 	tr.under(rate)
 	f.net.set(true, []string{victim.name()}, append(rest, storeName))
 	f.eventually("others own its keys", func() bool { return f.lostAndReplaced(old, f.hosts[8]) })
 	must.Eq(t, old, victim.live().Self())
+	tr.under(2 * rate) // Callers still reach it, and it must refuse by its lease.
 	f.net.set(false, []string{victim.name()}, append(rest, storeName))
 	f.eventually("it is back as a new session", func() bool {
 		s := victim.status()
