--- a/internal/faulttest/cut_test.go
+++ b/internal/faulttest/cut_test.go
@@ -53,7 +53,7 @@
 	before := owners(f)
 	main, mainNames := f.region("mainland")
 	isle, isleNames := f.region("islands")
-	key := f.keysOf(isle[0], 1)[0]
+	key := f.keyOf(isle[0])
 	atMain := f.load(10*time.Second, main...)
 	atMain.under(1)
 	atIsle := f.load(10*time.Second, isle...)
--- a/internal/faulttest/kill_test.go
+++ b/internal/faulttest/kill_test.go
@@ -1,6 +1,8 @@
 package faulttest
 
 import (
+	"bytes"
+	"io"
 	"slices"
 	"strconv"
 	"testing"
@@ -35,6 +37,23 @@
 	x.Set(b)
 }
 
+// endless is longer than any deadline, in milliseconds.
+const endless = 200000
+
+// inHand sends a request that must not repeat and waits until a target runs
+// it, and will not end it. The channel tells what the caller was told.
+func (f *fleet) inHand(h *node) (ask, <-chan string) {
+	a := ask{app: h.app, key: f.keyOf(h), id: "in-hand-" + h.name(), attempt: 1, deadline: 5 * time.Second}
+	h.target.slow(endless)
+	told := make(chan string, 1)
+	go func() { told <- f.hosts[8].send(a) }()
+	f.eventually("the request runs", func() bool {
+		raw, err := io.ReadAll(h.target.journal.reader())
+		return err == nil && bytes.Contains(raw, []byte(a.id))
+	})
+	return a, told
+}
+
 func owners(f *fleet) map[string]host.ID {
 	all := map[string]host.ID{}
 	for _, app := range []string{"booking", "availability"} {
@@ -55,9 +74,9 @@
 	before := owners(f)
 	tr := f.load(8 * time.Second)
 	tr.under(rate)
-	victim.target.slow(800)
-	f.eventually("requests run at the target", func() bool { return victim.target.Busy() >= slots })
+	a, answer := f.inHand(victim)
 	victim.kill()
+	must.Eq(t, result.Unknown.String(), <-answer)
 	served := f.eventually("its slices have new owners", func() bool { return f.lostAndReplaced(victim.live().Self(), f.hosts[8]) })
 	t.Logf("owned again after %s", served)
 	for name, owner := range owners(f) {
@@ -67,9 +86,7 @@
 	}
 	in := f.input(tr)
 	f.judge(in)
-	told := atRisk(in.Records)
-	must.Positive(t, len(told), must.Sprint("outcomes told as not known"))
-	f.stand(told)
+	f.stand(append(atRisk(in.Records), a.id))
 	f.eventually("the alarm rang", func() bool { return len(f.alarms.all()) > 0 })
 }
 
@@ -91,7 +108,7 @@
 func TestRepeatAtAnotherDaemon(t *testing.T) {
 	f := newFleet(t)
 	owner, entry, other := f.hosts[0], f.hosts[3], f.hosts[8]
-	key := f.keysOf(owner, 1)[0]
+	key := f.keyOf(owner)
 	owner.target.slow(700)
 	first := make(chan string, 1)
 	a := ask{app: owner.app, key: key, id: "repeated-1", attempt: 1, deadline: 5 * time.Second}
--- a/internal/faulttest/load_test.go
+++ b/internal/faulttest/load_test.go
@@ -192,15 +192,14 @@
 	return k.(status.Key)
 }
 
-// keysOf returns keys of an app that a host owns.
-func (f *fleet) keysOf(owner *node, count int) []string {
-	var keys []string
-	for i := 0; len(keys) < count && i < 10000; i++ {
+// keyOf returns a key that a host owns.
+func (f *fleet) keyOf(owner *node) string {
+	for i := range 10000 {
 		key := "k" + strconv.Itoa(i)
 		if f.hosts[8].explain(owner.app, key).Owner.Host == owner.settings.Host {
-			keys = append(keys, key)
+			return key
 		}
 	}
-	must.Len(f.t, count, keys)
-	return keys
+	f.t.Fatalf("%s owns no key", owner.name())
+	return ""
 }
--- a/internal/faulttest/target_faults_test.go
+++ b/internal/faulttest/target_faults_test.go
@@ -43,22 +43,20 @@
 func TestTargetLostUnderLoad(t *testing.T) {
 	f := newFleet(t)
 	h := f.hosts[0]
-	key := f.keysOf(h, 1)[0]
+	key := f.keyOf(h)
 	tr := f.load(8 * time.Second)
 	tr.under(rate)
-	h.target.slow(800)
-	f.eventually("requests run at the target", func() bool { return h.target.Busy() >= slots })
+	a, answer := f.inHand(h)
 	f.fault(judge.Kill, h)
 	h.target.close()
+	must.Eq(t, result.Unknown.String(), <-answer)
 	f.eventually("its keys are served", func() bool {
 		return f.hosts[8].send(ask{app: h.app, key: key, attempt: 1, idempotent: true, deadline: time.Second}) == result.Done.String()
 	})
 	in := f.input(tr)
 	in.Journal = withoutProbes(in)
 	f.judge(in)
-	told := atRisk(in.Records)
-	must.Positive(t, len(told))
-	f.stand(told)
+	f.stand(append(atRisk(in.Records), a.id))
 }
 
 // Targets of both kinds freeze: they answer only after the callers' deadline.
