Measure a daemon's state; keep less of each session record

Cause: nobody had measured what a daemon keeps of a large fleet. Change: BenchmarkState feeds a daemon the records and assignments of 1,000 to 12,000 hosts; the directory drops writer tokens and witness lists.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -56,7 +56,7 @@
 	var newer []session.Versioned
 	for _, v := range records {
 		if v.Version > next[v.Record.Session].Version {
-			next[v.Record.Session] = v
+			next[v.Record.Session] = slim(v)
 			newer = append(newer, v)
 		}
 	}
@@ -67,6 +67,14 @@
 	return newer
 }
 
+// slim drops what the directory is never asked for, so that it takes less
+// memory: the lease duty gets the records whole.
+func slim(v session.Versioned) session.Versioned {
+	v.Record.Token = ""
+	v.Record.Witnesses = nil
+	return v
+}
+
 // peerAddress returns the address that a session takes frames on, or "".
 func (f *fleet) peerAddress(s host.Session) string {
 	if v, ok := f.sessions.Load().records[s]; ok {
--- /dev/null
+++ b/internal/daemon/state_bench_test.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/spread"
+)
+
+const (
+	benchZones         = 22
+	benchSlicesPerHost = 16
+)
+
+// BenchmarkState measures the heap that a follower keeps of a fleet: session
+// records, assignments and the map of owners, after a list from the store.
+func BenchmarkState(b *testing.B) {
+	for _, hosts := range []int{1000, 4000, 12000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(stateMiB(b, hosts), "MiB")
+			}
+		})
+	}
+}
+
+func stateMiB(b *testing.B, hosts int) float64 {
+	registry := metrics.NewRegistry()
+	s := &settings.Daemon{Host: "bench", Region: "r0", Zone: "z0", Environment: "trial", Store: "127.0.0.1:1"}
+	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
+	defer log.Close()
+	d := New(s, log, registry)
+	d.provision()
+	before := benchHeap()
+	now := bootclock.Now()
+	d.spread.step(now, spread.Members{All: d.spread.members()})
+	d.spread.step(now, spread.Tick{})
+	feed(d, session.Kind, benchSessions(b, hosts))
+	feed(d, assignment.Kind, benchPacks(b, hosts))
+	feed(d, document.Kind, nil)
+	feed(d, placement.LeaderKind, nil)
+	drainDuties(d)
+	must.MapLen(b, hosts, d.fleet.sessions.Load().records)
+	must.Eq(b, uint32(hosts*benchSlicesPerHost), d.routing.owners.Total("catalogue"))
+	used := (float64(benchHeap()) - float64(before)) / (1 << 20)
+	runtime.KeepAlive(d)
+	return used
+}
+
+// feed lets the spread duty read a kind as the relay would.
+func feed(d *Daemon, kind spread.Kind, objects []spread.Object) {
+	now := bootclock.Now()
+	d.spread.step(now, spread.Watched{Kind: kind, TooOld: true})
+	d.spread.step(now, spread.Listed{Kind: kind, Revision: 1 << 20, Objects: objects})
+	d.spread.step(now, spread.Watched{Kind: kind, Revision: 1 << 20})
+}
+
+// drainDuties does what the spread duty handed to the others.
+func drainDuties(d *Daemon) {
+	now := bootclock.Now()
+	for d.routing.ring.Len() > 0 {
+		(<-d.routing.ring.Items()).routingWork(d.routing, now)
+	}
+	for d.placement.ring.Len() > 0 {
+		(<-d.placement.ring.Items()).placementWork(d.placement, now)
+	}
+	for d.lease.ring.Len() > 0 {
+		<-d.lease.ring.Items() // Its core would start a session; its member list is counted in package session.
+	}
+}
+
+func benchSession(i int) host.Session {
+	return host.Session{Host: host.ID(fmt.Sprintf("host-%05d", i)), Incarnation: 1796354728498495000 + uint64(i)}
+}
+
+func benchSessions(b *testing.B, hosts int) []spread.Object {
+	var out []spread.Object
+	for i := range hosts {
+		zone := i % benchZones
+		r := session.Record{
+			Token: "token", Session: benchSession(i), State: session.Live, Generation: 1,
+			Place: host.Place{Region: host.Region(fmt.Sprint("r", zone%6)), Zone: host.Zone(fmt.Sprint("z", zone))},
+			Peer:  "10.100.100.100:21001", Control: "10.100.100.100:22001", Caller: "10.100.100.100:23001",
+			Target: &session.Target{App: "catalogue", Address: "10.100.100.100:24001", Slots: 12, Connections: 130, ChecksGrants: true},
+		}
+		for w := 1; w <= session.WitnessCount; w++ {
+			r.Witnesses = append(r.Witnesses, benchSession((i+w)%hosts))
+		}
+		raw, err := r.Encode()
+		must.NoError(b, err)
+		out = append(out, spread.Object{Name: session.Name(r.Session), Version: uint64(i + 1), Value: raw})
+	}
+	return out
+}
+
+func benchPacks(b *testing.B, hosts int) []spread.Object {
+	var out []spread.Object
+	total := uint32(hosts * benchSlicesPerHost)
+	for first := key.SliceID(0); uint32(first) < total; first += assignment.PackSlices {
+		p := assignment.NewPack("catalogue", total, first)
+		for i := range p.Len() {
+			id := first + key.SliceID(i)
+			must.True(b, p.Set(id, assignment.Slice{Owner: benchSession(int(id) % hosts), Epoch: 1}))
+		}
+		raw, err := p.Encode()
+		must.NoError(b, err)
+		out = append(out, spread.Object{Name: assignment.Name("catalogue", first), Version: uint64(1<<19) + uint64(first) + 1, Value: raw})
+	}
+	return out
+}
+
+func benchHeap() uint64 {
+	runtime.GC()
+	runtime.GC() // What finalizers held goes with the second.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
