--- a/internal/daemon/state_bench_test.go
+++ b/internal/daemon/state_bench_test.go
@@ -39,27 +39,57 @@
 	}
 }
 
-func stateMiB(b *testing.B, hosts int) float64 {
+// BenchmarkSessionChange measures what one changed session record costs each
+// daemon of a fleet.
+func BenchmarkSessionChange(b *testing.B) {
+	for _, hosts := range []int{1000, 4000, 12000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			d := benchDaemon(b)
+			sessions := benchSessions(b, hosts)
+			load(b, d, hosts, sessions)
+			revision := uint64(1 << 20)
+			for b.Loop() {
+				revision++
+				o := sessions[int(revision)%hosts]
+				o.Version = revision
+				d.spread.step(bootclock.Now(), spread.Watched{Kind: session.Kind, Revision: revision, Objects: []spread.Object{o}})
+				drainDuties(d)
+			}
+		})
+	}
+}
+
+func benchDaemon(b *testing.B) *Daemon {
 	registry := metrics.NewRegistry()
 	s := &settings.Daemon{Host: "bench", Region: "r0", Zone: "z0", Environment: "trial", Store: "127.0.0.1:1"}
 	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
-	defer log.Close()
+	b.Cleanup(log.Close)
 	d := New(s, log, registry)
 	d.provision()
+	return d
+}
+
+func stateMiB(b *testing.B, hosts int) float64 {
+	d := benchDaemon(b)
 	before := benchHeap()
+	load(b, d, hosts, benchSessions(b, hosts))
+	used := (float64(benchHeap()) - float64(before)) / (1 << 20)
+	runtime.KeepAlive(d)
+	return used
+}
+
+// load gives a daemon the state of a fleet, as a list from the store does.
+func load(b *testing.B, d *Daemon, hosts int, sessions []spread.Object) {
 	now := bootclock.Now()
 	d.spread.step(now, spread.Members{All: d.spread.members()})
 	d.spread.step(now, spread.Tick{})
-	feed(d, session.Kind, benchSessions(b, hosts))
+	feed(d, session.Kind, sessions)
 	feed(d, assignment.Kind, benchPacks(b, hosts))
 	feed(d, document.Kind, nil)
 	feed(d, placement.LeaderKind, nil)
 	drainDuties(d)
 	must.MapLen(b, hosts, d.fleet.sessions.Load().records)
 	must.Eq(b, uint32(hosts*benchSlicesPerHost), d.routing.owners.Total("catalogue"))
-	used := (float64(benchHeap()) - float64(before)) / (1 << 20)
-	runtime.KeepAlive(d)
-	return used
 }
 
 // feed lets the spread duty read a kind as the relay would.
