--- /dev/null
+++ b/internal/daemon/routing_report.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/placement"
+)
+
+// report tells the leader every so often how busy the target is.
+func (r *routingDuty) report(now mono.Time) {
+	if r.gate == nil || now.Before(r.nextReport) && !r.hasHotKey(now) {
+		return
+	}
+	r.nextHotKey = now.Add(hotKeyEvery)
+	r.nextReport = now.Add(reportInterval(len(r.fleet.sessions.Load().records)))
+	r.reports++
+	slices, keys := r.meter.Take(now, reportedKeys)
+	r.reportLoad(placement.LoadReport{
+		From:     r.self,
+		App:      r.target.app,
+		Sequence: r.reports,
+		Target:   r.target.load,
+		Slices:   slices,
+		Keys:     keys,
+	})
+}
+
+// hasHotKey reports whether a key may have to be carved out: its load is at
+// half the document's bound. It looks every hotKeyEvery.
+func (r *routingDuty) hasHotKey(now mono.Time) bool {
+	if now.Before(r.nextHotKey) {
+		return false
+	}
+	r.nextHotKey = now.Add(hotKeyEvery)
+	app, ok := r.fleet.app(r.target.app)
+	if !ok || app.HotKeys == nil {
+		return false
+	}
+	bound := app.HotKeys.Share * float64(r.target.slots) / 2
+	return float64(r.meter.Hottest(now)) > bound
+}
+
+// reportInterval is the time between two reports in a fleet of so many
+// daemons: the leader takes no more than reportsPerSecond.
+func reportInterval(daemons int) time.Duration {
+	spread := time.Duration(daemons) * time.Second / reportsPerSecond
+	return max(reportEvery, spread)
+}
--- /dev/null
+++ b/internal/daemon/spread_adopt.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"encoding/json"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/spread"
+)
+
+// source says whom the daemon caught up with.
+func (s *spreadDuty) source() string {
+	if s.core.IsRelay() {
+		return "store"
+	}
+	return "peers"
+}
+
+func (s *spreadDuty) adopt(a spread.Adopt) {
+	var err error
+	switch a.Key.Kind {
+	case document.Kind:
+		err = s.adoptDocument(a.Object)
+	case session.Kind:
+		err = s.adoptSession(a.Object)
+	case assignment.Kind:
+		err = s.adoptPack(a.Object)
+	case placement.LeaderKind:
+		err = s.adoptLeader(a)
+	}
+	if err != nil {
+		s.d.log.Event(event.BadObject, "object", string(a.Key.Kind)+"/"+a.Key.Name, "cause", err.Error())
+	}
+}
+
+func (s *spreadDuty) adoptDocument(o spread.Object) error {
+	if o.Deleted {
+		return nil
+	}
+	stored, err := document.DecodeStored(o.Value)
+	if err != nil {
+		return err
+	}
+	doc, err := stored.Document()
+	if err != nil {
+		s.d.log.Event(event.DocumentRefused, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "cause", err.Error())
+		return nil
+	}
+	if !doc.Serves(s.d.settings.Environment) {
+		s.d.log.Event(event.DocumentElsewhere, "environment", s.d.settings.Environment, "version", stored.Version, "names", doc.Environment+" "+doc.Trial)
+		return nil
+	}
+	if !s.d.fleet.adopt(stored, doc) {
+		return nil
+	}
+	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
+	s.d.placement.wait(appsChanged{apps: placementApps(stored, doc)})
+	return nil
+}
+
+func (s *spreadDuty) adoptSession(o spread.Object) error {
+	if o.Deleted {
+		if id, ok := session.ParseName(o.Name); ok {
+			s.adopted.deleted = append(s.adopted.deleted, id)
+		}
+		return nil
+	}
+	record, err := session.Decode(o.Value)
+	if err != nil {
+		return err
+	}
+	s.adopted.records = append(s.adopted.records, session.Versioned{Version: o.Version, Record: record})
+	return nil
+}
+
+func (s *spreadDuty) adoptPack(o spread.Object) error {
+	if o.Deleted {
+		return nil
+	}
+	pack, err := assignment.Decode(o.Value)
+	if err != nil {
+		return err
+	}
+	s.adopted.packs = append(s.adopted.packs, packVersion{pack: pack, version: o.Version})
+	return nil
+}
+
+func (s *spreadDuty) adoptLeader(a spread.Adopt) error {
+	if a.Key.Name != placement.LeaderName || a.Object.Deleted {
+		return nil
+	}
+	var leader placement.Leader
+	if err := json.Unmarshal(a.Object.Value, &leader); err != nil {
+		return err
+	}
+	s.d.placement.wait(leaderChanged{leader: leader, version: a.Object.Version})
+	return nil
+}
+
+// handOver gives what a step adopted to the duties that depend on it.
+func (s *spreadDuty) handOver(now mono.Time) {
+	a := s.adopted
+	s.adopted = adoption{}
+	if len(a.records)+len(a.deleted) > 0 {
+		s.sessionsChanged(now, a)
+	}
+	if len(a.packs) == 0 {
+		return
+	}
+	s.d.routing.ring.Wait(packsSeen{packs: a.packs}, s.stop)
+	for _, p := range a.packs {
+		s.d.placement.wait(packChanged{pack: p})
+	}
+}
+
+func (s *spreadDuty) sessionsChanged(now mono.Time, a adoption) {
+	newer := s.d.fleet.put(a.records, a.deleted)
+	s.d.lease.wait(recordsSeen{records: newer, deleted: a.deleted})
+	s.d.placement.wait(sessionsChanged{records: newer})
+	s.d.routing.ring.Wait(gatesChanged{}, s.stop)
+	s.d.risk.ring.Push(fleetChanged{})
+	for _, v := range newer {
+		if v.Record.State.Final() {
+			s.d.routing.ring.Wait(sessionEnded{session: v.Record.Session}, s.stop)
+		}
+	}
+	s.step(now, spread.Members{All: s.members()})
+}
+
+// placementApps returns what placement needs to know of a document's apps.
+func placementApps(stored *document.Stored, doc *document.Document) []placement.App {
+	apps := make([]placement.App, 0, len(doc.Apps))
+	for _, a := range doc.Apps {
+		app := placement.App{
+			Name:         a.Name,
+			Slices:       slicesOf(a),
+			DividedByKey: a.DividedByKey,
+			MaxDeadline:  stored.LongestDeadline(a),
+			Weights:      placement.Weights{Imbalance: a.Weights.Imbalance, Churn: a.Weights.Churn, Unavailable: a.Weights.Unavailable},
+			MaxMoves:     a.MaxMovesPerRound,
+		}
+		if a.HotKeys != nil {
+			app.HotKeys = placement.HotKeys{Share: a.HotKeys.Share, Expiry: a.HotKeys.Expiry.Std(), Maximum: a.HotKeys.Maximum}
+		}
+		apps = append(apps, app)
+	}
+	return apps
+}
--- /dev/null
+++ b/internal/daemon/spread_work.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"github.com/rhubarbring/rhubarbring/internal/peer"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/spread"
+)
+
+// spreadWork is something for the spread duty to do.
+type spreadWork interface {
+	spreadWork(s *spreadDuty, now mono.Time)
+}
+
+// What the spread duty is handed.
+type (
+	spreadReceived struct {
+		conn    *peer.Conn
+		message spread.Message
+	}
+	watchDone struct {
+		watch   spread.Watch
+		number  uint64
+		changes storeclient.Changes
+		err     error
+	}
+	listDone struct {
+		list spread.List
+		page storeclient.Page
+		err  error
+	}
+	// objectWritten is an object that this daemon itself wrote.
+	objectWritten struct{ object storeclient.Object }
+)
+
+func (w spreadReceived) spreadWork(s *spreadDuty, now mono.Time) {
+	from := w.conn.Session()
+	if from.IsNobody() {
+		return
+	}
+	if s.d.fleet.peerAddress(from) == "" {
+		s.strangers[from] = w.conn
+	} else {
+		delete(s.strangers, from)
+	}
+	s.step(now, spread.Received{From: from, Message: w.message})
+}
+
+func (w watchDone) spreadWork(s *spreadDuty, now mono.Time) {
+	if s.watches[w.watch.Kind] != w.number {
+		return
+	}
+	if w.err != nil {
+		s.storeFailed(now, w.watch.Kind, w.err)
+		return
+	}
+	s.step(now, spread.Watched{Kind: w.watch.Kind, Revision: w.changes.Revision, Objects: objects(w.changes.Events)})
+}
+
+func (s *spreadDuty) storeFailed(now mono.Time, kind spread.Kind, err error) {
+	if storeclient.IsTooOld(err) {
+		s.step(now, spread.Watched{Kind: kind, TooOld: true})
+		return
+	}
+	s.step(now, spread.StoreFailed{Kind: kind})
+}
+
+func (w listDone) spreadWork(s *spreadDuty, now mono.Time) {
+	if w.err != nil {
+		s.step(now, spread.StoreFailed{Kind: w.list.Kind})
+		return
+	}
+	s.step(now, spread.Listed{
+		Kind:     w.list.Kind,
+		After:    w.list.After,
+		Revision: w.page.Revision,
+		Objects:  objects(w.page.Items),
+		Next:     w.page.Next,
+	})
+}
+
+// A pack that this daemon wrote concerns its own slices at once; the others
+// hear of it through the store's watch.
+func (w objectWritten) spreadWork(s *spreadDuty, now mono.Time) {
+	if err := s.adoptPack(spread.Object{Name: w.object.Name, Version: w.object.Version, Value: w.object.Value}); err == nil {
+		s.handOver(now)
+	}
+}
+
+func objects(items []storeclient.Object) []spread.Object {
+	out := make([]spread.Object, 0, len(items))
+	for _, o := range items {
+		out = append(out, spread.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: o.Value})
+	}
+	return out
+}
