List sessions and declare one lost from the command line

Cause: a session whose witnesses are lost with it stays without a successor until an operator declares it lost, and no command did so. GET /status names the sessions that a daemon hears as their witness (heard).

--- a/cmd/rhubarb/rhubarb_test.go
+++ b/cmd/rhubarb/rhubarb_test.go
@@ -35,6 +35,7 @@
 	client  *storeclient.Client
 	lag     map[host.ID]uint64
 	control map[host.ID]string
+	heard   []host.Session // By every daemon.
 }
 
 func listen(t *testing.T) net.Listener {
@@ -78,6 +79,7 @@
 
 func (s *site) answer(ctx *fasthttp.RequestCtx, environment string, record session.Record) {
 	d := status.Daemon{Session: record.Session, Place: record.Place, Document: status.Document{Environment: environment}, StoreReachable: true}
+	d.Heard = s.heard
 	d.Fleet = []status.Session{{Session: record.Session, Place: record.Place, State: session.Live, Control: record.Control}}
 	if object, err := s.client.Get(document.Kind, environment); err == nil {
 		stored, err := document.DecodeStored(object.Value)
@@ -232,7 +234,7 @@
 // Every command explains itself.
 func TestHelp(t *testing.T) {
 	s := newSite(t)
-	for _, name := range []string{"validate", "plan", "apply", "promote", "rollback", "history", "document", "status", "explain", "outcomes", "alarms"} {
+	for _, name := range []string{"validate", "plan", "apply", "promote", "rollback", "history", "document", "status", "explain", "outcomes", "alarms", "sessions"} {
 		s.expect(cli.ExitOK, "Usage:", name, "--help")
 	}
 	s.expect(cli.ExitSettings, "--help", "status", "--nonsense")
--- a/internal/daemon/lease_duty.go
+++ b/internal/daemon/lease_duty.go
@@ -47,6 +47,7 @@
 	heldUntil atomic.Int64
 	recorded  atomic.Pointer[session.Versioned]
 	pending   atomic.Pointer[[]takeover.Pending]
+	heard     atomic.Pointer[[]host.Session]
 	ended     chan session.State
 	stop      chan struct{}
 	done      sync.WaitGroup
@@ -110,6 +111,7 @@
 			l.step(now, session.Tick{})
 			l.doTakeover(l.takeover.Tick(now))
 			l.publishPending()
+			l.publishHeard(now)
 		case <-l.stop:
 			return
 		}
@@ -138,6 +140,12 @@
 	l.pending.Store(&pending)
 }
 
+// publishHeard shows the sessions that this witness hears.
+func (l *leaseDuty) publishHeard(now mono.Time) {
+	heard := l.witness.Heard(now)
+	l.heard.Store(&heard)
+}
+
 func (l *leaseDuty) step(now mono.Time, ev session.Event) {
 	l.doSession(l.session.Step(now, ev))
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -64,6 +64,7 @@
 		Lease:          d.leaseStatus(),
 		Document:       d.documentStatus(),
 		Fleet:          d.fleetStatus(),
+		Heard:          []host.Session{},
 		Relay:          d.spread.relay.Load(),
 		OpenOutcomes:   int(d.risk.open.Load()),
 		Alarms:         []string{},
@@ -71,6 +72,9 @@
 	if lines := d.risk.ringing.Load(); lines != nil {
 		s.Alarms = *lines
 	}
+	if heard := d.lease.heard.Load(); heard != nil {
+		s.Heard = *heard
+	}
 	if err := d.Ready(); err != nil {
 		s.Ready = err.Error()
 	}
--- /dev/null
+++ b/internal/operator/sessions.go
@@ -0,0 +1,209 @@
+package operator
+
+import (
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/takeover"
+)
+
+const (
+	// declarePatience bounds the tries to find out what became of a
+	// declaration.
+	declarePatience = 20 * time.Second
+	declarePause    = 50 * time.Millisecond
+)
+
+// Declaration asks to record a session as lost.
+type Declaration struct {
+	Environment string
+	Session     host.Session
+	Who         string
+	Why         string
+	// Daemon is the control address of a daemon of the fleet that is asked
+	// too whether it hears the session; empty asks none.
+	Daemon string
+}
+
+// Sessions returns the session records of an environment, by name.
+func (o *Operator) Sessions(environment string) ([]session.Versioned, error) {
+	list := []session.Versioned{}
+	err := each(o.store.Scoped(environment), session.Kind, func(object storeclient.Object) error {
+		v, err := versioned(object)
+		if err == nil {
+			list = append(list, v)
+		}
+		return err
+	})
+	return list, err
+}
+
+// DeclareLost records a session as lost, on the word of a person that its
+// host is destroyed. It returns the record as written. It refuses a session
+// that is not live or draining, and one that answers or that a daemon hears:
+// of those it asks the session itself, its witnesses and Declaration.Daemon.
+// The write is conditional on the record that was read before they were
+// asked: if that has changed, the error is StoreConflict and nothing was
+// written. StoreDoubt means that the write may have landed or may yet land.
+func (o *Operator) DeclareLost(d Declaration) (session.Versioned, error) {
+	store := o.store.Scoped(d.Environment)
+	v, err := readSession(store, d.Session)
+	if err != nil {
+		return v, err
+	}
+	if s := v.Record.State; s != session.Live && s != session.Draining {
+		return v, refused(d.Session, "the record says "+string(s)+": its keys are free already", "nothing is left to declare; see rhubarb sessions list")
+	}
+	if err := o.refuseHeard(store, d, &v.Record); err != nil {
+		return v, err
+	}
+	put := takeover.Declare(v, rand.Text())
+	put.Record.Declared = &session.Declared{Who: d.Who, Why: d.Why, UnixMs: time.Now().UnixMilli()}
+	return declare(store, put)
+}
+
+func readSession(store *storeclient.Client, s host.Session) (session.Versioned, error) {
+	object, err := store.Get(session.Kind, session.Name(s))
+	if isCode(err, result.StoreNotFound) {
+		return session.Versioned{}, &result.Error{Code: result.StoreNotFound, Field: s.String(), Detail: "no such session stands in the store", Remedy: "take one of rhubarb sessions list"}
+	}
+	if err != nil {
+		return session.Versioned{}, err
+	}
+	return versioned(object)
+}
+
+func versioned(object storeclient.Object) (session.Versioned, error) {
+	record, err := session.Decode(object.Value)
+	return session.Versioned{Version: object.Version, Record: record}, err
+}
+
+func refused(s host.Session, detail, remedy string) error {
+	return &result.Error{Code: result.NotAllowed, Field: s.String(), Detail: detail, Remedy: remedy}
+}
+
+// refuseHeard asks who may know better whether the session lives. Of those
+// only Declaration.Daemon must answer: the others may be lost with it.
+func (o *Operator) refuseHeard(store *storeclient.Client, d Declaration, r *session.Record) error {
+	asked := []Host{{Session: r.Session, Control: r.Control}}
+	for _, w := range r.Witnesses {
+		v, err := readSession(store, w)
+		if isCode(err, result.StoreNotFound) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		asked = append(asked, Host{Session: w, Control: v.Record.Control})
+	}
+	if d.Daemon != "" {
+		asked = append(asked, Host{Control: d.Daemon})
+	}
+	o.askAll(asked)
+	for _, h := range asked {
+		if err := judge(d, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// judge refuses the declaration by what one daemon answered.
+func judge(d Declaration, h Host) error {
+	const remedy = "leave it: it is served, or its witnesses end it by themselves"
+	named := d.Daemon != "" && h.Control == d.Daemon
+	switch {
+	case h.Status == nil && named:
+		return h.Err
+	case h.Status == nil:
+		return nil
+	case h.Status.Session == d.Session:
+		return refused(d.Session, "its daemon answers at "+h.Control, remedy)
+	case slices.Contains(h.Status.Heard, d.Session):
+		return refused(d.Session, "the daemon "+h.Status.Session.String()+" hears it", remedy)
+	case named && h.Status.Document.Environment != d.Environment:
+		return &result.Error{Code: result.BadSettings, Field: "--daemon", Detail: "it is a daemon of " + h.Status.Document.Environment, Remedy: "name one of " + d.Environment}
+	}
+	return nil
+}
+
+// declare takes the write to a known outcome, if patience lasts.
+func declare(store *storeclient.Client, put session.Put) (session.Versioned, error) {
+	started := bootclock.Now()
+	w := session.NewWriter(session.DefaultTiming(), mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0)))
+	actions := w.Start(started, put)
+	for {
+		var outcome session.Outcome
+		if len(actions) > 0 {
+			outcome, actions = declareStep(store, w, actions[0])
+		}
+		switch {
+		case outcome == session.Landed:
+			return session.Versioned{Version: w.Version, Record: put.Record}, nil
+		case outcome == session.Moved:
+			return w.Found, moved(put.Record.Session, w.Found)
+		case bootclock.Now().Sub(started) > declarePatience:
+			return session.Versioned{}, undecided(w, put.Record.Session)
+		case len(actions) == 0:
+			time.Sleep(declarePause)
+			actions = w.Tick(bootclock.Now())
+		}
+	}
+}
+
+// declareStep makes the one call that the writer asks for.
+func declareStep(store *storeclient.Client, w *session.Writer, action session.Action) (session.Outcome, []session.Action) {
+	switch a := action.(type) {
+	case session.Put:
+		return w.PutResult(bootclock.Now(), putRecord(store, a))
+	case session.Get:
+		return w.GetResult(bootclock.Now(), getRecord(store, a))
+	}
+	return session.Undecided, nil
+}
+
+func putRecord(store *storeclient.Client, a session.Put) session.PutResult {
+	r := session.PutResult{Token: a.Record.Token, Code: result.StoreUnavailable}
+	value, err := a.Record.Encode()
+	if err != nil {
+		return r
+	}
+	r.Version, err = store.Put(session.Kind, session.Name(a.Record.Session), a.IfVersion, value)
+	r.Code = storeclient.CodeOf(err)
+	return r
+}
+
+func getRecord(store *storeclient.Client, a session.Get) session.GetResult {
+	r := session.GetResult{Session: a.Session}
+	object, err := store.Get(session.Kind, session.Name(a.Session))
+	if r.Code = storeclient.CodeOf(err); err != nil {
+		return r
+	}
+	if r.Found, err = versioned(object); err != nil {
+		r.Code = result.StoreUnavailable
+	}
+	return r
+}
+
+func moved(s host.Session, found session.Versioned) error {
+	detail := "its record is gone from the store"
+	if found.Version != 0 {
+		detail = fmt.Sprintf("its record changed meanwhile and says %s at version %d", found.Record.State, found.Version)
+	}
+	return &result.Error{Code: result.StoreConflict, Field: s.String(), Detail: "not declared: " + detail, Remedy: "a live or draining session that writes may run: look again with rhubarb sessions list before another try"}
+}
+
+func undecided(w *session.Writer, s host.Session) error {
+	if w.Unsent() {
+		return &result.Error{Code: result.StoreUnavailable, Field: s.String(), Detail: "not declared: the store can't be reached", Remedy: "run it again when the store is back"}
+	}
+	return &result.Error{Code: result.StoreDoubt, Field: s.String(), Detail: "the declaration may stand or may yet take effect", Remedy: "see rhubarb sessions list; if it does not stand, run it again"}
+}
--- a/session/record.go
+++ b/session/record.go
@@ -82,6 +82,16 @@
 	Renewals uint64 `json:"renewals,omitempty"`
 	// Target is the target beside the daemon; nil until one announces itself.
 	Target *Target `json:"target,omitempty"`
+	// Declared says who declared the session lost; nil if it lives, or if its
+	// witnesses ended it.
+	Declared *Declared `json:"declared,omitempty"`
+}
+
+// Declared is a person's word that the host of a session is destroyed.
+type Declared struct {
+	Who    string `json:"who"`
+	Why    string `json:"why"`
+	UnixMs int64  `json:"unix_ms"`
 }
 
 // Name returns the object name of a session's record: "host.incarnation".
--- a/status/status.go
+++ b/status/status.go
@@ -24,6 +24,9 @@
 	Document Document `json:"document"`
 	// Fleet counts the sessions that the daemon knows.
 	Fleet []Session `json:"fleet"`
+	// Heard are the sessions that renewed their lease here, as one of their
+	// witnesses, within the time of a lease.
+	Heard []host.Session `json:"heard"`
 	// Placement says who leads.
 	Placement Placement `json:"placement"`
 	// Slices counts the slices here.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -178,6 +178,19 @@
 	return out
 }
 
+// Heard returns the sessions that have renewed within the time of a lease,
+// whether or not this witness sealed them: they run.
+func (c *Core) Heard(now mono.Time) []host.Session {
+	out := make([]host.Session, 0, len(c.entries))
+	for _, e := range c.entries {
+		if now.Before(e.until) {
+			out = append(out, e.session)
+		}
+	}
+	slices.SortFunc(out, compare)
+	return out
+}
+
 // IsSilent reports whether Silent would return the session.
 func (c *Core) IsSilent(now mono.Time, s host.Session) bool {
 	e := c.entries[s]
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -126,3 +126,16 @@
 	must.False(t, w.IsSilent(start.Add(lease-1), holder))
 	must.True(t, w.IsSilent(start.Add(lease), holder))
 }
+
+// A session is heard for the time of a lease after its renewal, sealed or not.
+func TestHeard(t *testing.T) {
+	w := witness.New(self, lease)
+	must.SliceEmpty(t, w.Heard(start))
+	w.Renew(start, renew(1, 1))
+	must.Eq(t, []host.Session{holder}, w.Heard(start.Add(lease-1)))
+	must.SliceEmpty(t, w.Heard(start.Add(lease)))
+	_, ok := w.Seal(start.Add(lease), holder)
+	must.True(t, ok)
+	w.Renew(start.Add(lease), renew(2, 1))
+	must.Eq(t, []host.Session{holder}, w.Heard(start.Add(lease)))
+}
