Let the store stand be closed before it serves

Cause: Close before Serve found no listener to close, and Serve then went on for ever; a second Close panicked. Change: Server notes its listeners under a lock; Serve after Close closes its listener and returns, Close ends a Serve that has not yet come to accept, and may be called again. Conclusion: against the earlier code TestCloseBeforeServe panics and TestCloseBesideServe runs into its timeout; both pass now under -race.

--- a/internal/storestand/server.go
+++ b/internal/storestand/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -36,6 +37,11 @@
 	calls   *counters
 	http    *fasthttp.Server
 	closing chan struct{}
+	// listening guards listeners and closed: either Serve registers its
+	// listener before Close and Close ends it, or Serve sees that it is closed.
+	listening sync.Mutex
+	listeners []net.Listener
+	closed    bool
 }
 
 // New returns a server that holds no objects.
@@ -56,15 +62,62 @@
 	return s
 }
 
-// Serve answers calls until Close.
+// Serve answers calls until Close. After Close it closes the listener and
+// returns at once.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(ln)
+	if !s.register(ln) {
+		return ln.Close()
+	}
+	err := s.http.Serve(ln)
+	if s.isClosed() {
+		return nil
+	}
+	return err
 }
 
-// Close ends waiting watches and stops serving.
+// Close ends waiting watches and stops serving. It may be called before,
+// beside or after Serve, and more than once.
 func (s *Server) Close() error {
+	listeners, first := s.end()
+	if !first {
+		return nil
+	}
 	close(s.closing)
-	return s.http.Shutdown()
+	for _, ln := range listeners {
+		if err := ln.Close(); err != nil {
+			return err
+		}
+	}
+	if err := s.http.Shutdown(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+func (s *Server) register(ln net.Listener) bool {
+	s.listening.Lock()
+	defer s.listening.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners = append(s.listeners, ln)
+	return true
+}
+
+// end marks the server as closed. It returns the listeners that serve, and
+// whether this was the first time.
+func (s *Server) end() ([]net.Listener, bool) {
+	s.listening.Lock()
+	defer s.listening.Unlock()
+	first := !s.closed
+	s.closed = true
+	return s.listeners, first
+}
+
+func (s *Server) isClosed() bool {
+	s.listening.Lock()
+	defer s.listening.Unlock()
+	return s.closed
 }
 
 // SetFault puts a fault in force, in place of the one before. Watches that
--- a/internal/storestand/server_test.go
+++ b/internal/storestand/server_test.go
@@ -204,3 +204,28 @@
 	c.expect(400, "", "POST", "/stand/fault", "", `{"slow_ms":"x"}`)
 	c.expect(404, "", "GET", path, "", "")
 }
+
+// Close ends Serve in whichever order they come, and frees the address.
+func TestCloseBeforeServe(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := storestand.New(storestand.Config{Seed: 1, History: 10})
+	must.NoError(t, server.Close())
+	must.NoError(t, server.Close())
+	must.NoError(t, server.Serve(ln))
+	again, err := net.Listen("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	must.NoError(t, again.Close())
+}
+
+func TestCloseBesideServe(t *testing.T) {
+	for range 50 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		server := storestand.New(storestand.Config{Seed: 1, History: 10})
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(ln) }()
+		must.NoError(t, server.Close())
+		must.NoError(t, <-done)
+	}
+}
