Read the answer about unowned slices once; more connections to the store

Cause: a question to the routing duty that timed out could still write what its asker read, and the alarm then took unowned slices as healed; eight connections to the store were fewer than a busy relay's calls. Both found by reading. Change: the answer comes by a channel and the last one counts; 24 connections. Figures: go test -race ./internal/daemon ./internal/faulttest ./internal/peer ./internal/ring ./internal/eventlog passes (45 s for the real daemons).

--- a/internal/daemon/risk_duty.go
+++ b/internal/daemon/risk_duty.go
@@ -40,12 +40,14 @@
 	caller  *outcomeCaller
 	started map[alarm.Condition]bool // conditions that were told as begun
 	polled  mono.Time
-	open    atomic.Int64
-	ringing atomic.Pointer[[]string]
-	rang    metrics.Counter
-	met     metrics.Counter
-	stop    chan struct{}
-	done    sync.WaitGroup
+	// lastUnowned are the slices without an owner by the last answer.
+	lastUnowned []found
+	open        atomic.Int64
+	ringing     atomic.Pointer[[]string]
+	rang        metrics.Counter
+	met         metrics.Counter
+	stop        chan struct{}
+	done        sync.WaitGroup
 }
 
 func newRiskDuty(d *Daemon, seed uint64, registry metrics.Registry) *riskDuty {
--- a/internal/daemon/risk_look.go
+++ b/internal/daemon/risk_look.go
@@ -111,8 +111,7 @@
 // fleetConditions are slices without an owner, and a document that is not in
 // force on every daemon of the zone.
 func (r *riskDuty) fleetConditions(now mono.Time) []found {
-	var holds []found
-	_ = r.d.ask(func(routing *routingDuty, _ mono.Time) { holds = routing.unownedSlices() })
+	holds := r.unowned()
 	if lag := r.d.spread.documentLag(now); lag > 0 {
 		zone := string(r.d.settings.Zone)
 		holds = append(holds, found{
@@ -123,6 +122,17 @@
 	return holds
 }
 
+// unowned asks the routing duty for slices without an owner. If it is too busy
+// to answer in time, what it said last still counts.
+func (r *riskDuty) unowned() []found {
+	answer := make(chan []found, 1)
+	err := r.d.ask(func(routing *routingDuty, _ mono.Time) { answer <- routing.unownedSlices() })
+	if err == nil {
+		r.lastUnowned = <-answer
+	}
+	return slices.Clone(r.lastUnowned)
+}
+
 // unownedSlices returns the slices whose owner is recorded lost or left, or
 // that never had one.
 func (r *routingDuty) unownedSlices() []found {
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -22,9 +22,11 @@
 	headerVersion   = "Version"
 	headerIfVersion = "If-Version"
 	watchGrace      = 2 * time.Second
-	maxConnections  = 8
-	maxResponse     = 16 << 20 // bytes; a list page holds several objects
-	detailBytes     = 200
+	// maxConnections leaves room beside four watches and three workers for
+	// the calls that duties make on goroutines of their own.
+	maxConnections = 24
+	maxResponse    = 16 << 20 // bytes; a list page holds several objects
+	detailBytes    = 200
 )
 
 // Object is an object of the store.
