Record a zone's document as in force only when all its daemons are heard

Cause: the relay's view counts daemons that it hears. A live daemon that it did not hear was left out, and the zone was recorded as having the document. Change: the record waits until the view counts as many daemons as the zone has live or draining sessions, this daemon's included. Conclusion: TestForceWaitsForWhoIsNotHeard fails without the comparison, and without either condition of the count.

--- a/internal/daemon/zone_force.go
+++ b/internal/daemon/zone_force.go
@@ -72,7 +72,22 @@
 	if s.zone.recorded == inForce.stored.Version && s.zone.hosts == view.Hosts {
 		return
 	}
-	s.recordForce(inForce.stored, view.Hosts)
+	if view.Hosts == s.zoneMembers() {
+		s.recordForce(inForce.stored, view.Hosts)
+	}
+}
+
+// zoneMembers counts the zone's sessions that are live or draining, this
+// daemon's among them. A view counts only daemons that are heard: one that is
+// not may lack the document.
+func (s *spreadDuty) zoneMembers() int {
+	n := 1
+	for id, v := range s.d.fleet.sessions.Load().records {
+		if id != s.d.self && v.Record.Place.Zone == s.d.settings.Zone && !v.Record.State.Final() {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *spreadDuty) recordForce(stored *document.Stored, hosts int) {
