--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,9 @@
 	m := make(map[ID]Def)
 	for _, g := range groups {
 		for _, d := range g {
+			if other, taken := m[d.ID]; taken {
+				panic("event: " + d.Name + " and " + other.Name + " have the same number")
+			}
 			m[d.ID] = d
 		}
 	}
--- a/event/session.go
+++ b/event/session.go
@@ -6,7 +6,7 @@
 	WitnessesChanged ID = 2002
 	SessionLost      ID = 2003
 	TargetGone       ID = 2004
-	SessionForgotten ID = 2004
+	SessionForgotten ID = 2005
 	TakeoverStarted  ID = 2010
 	TakeoverStuck    ID = 2011
 	TakeoverRecorded ID = 2012
--- a/internal/daemon/risk_duty.go
+++ b/internal/daemon/risk_duty.go
@@ -44,6 +44,7 @@
 	lastUnowned []found
 	open        atomic.Int64
 	ringing     atomic.Pointer[[]string]
+	gauges      riskGauges
 	rang        metrics.Counter
 	met         metrics.Counter
 	stop        chan struct{}
@@ -64,6 +65,7 @@
 		alarm:   alarm.New(bell),
 		caller:  newOutcomeCaller(d),
 		started: make(map[alarm.Condition]bool),
+		gauges:  newRiskGauges(registry),
 		rang:    metrics.GetOrRegisterCounter("alarm.rang", registry),
 		met:     metrics.GetOrRegisterCounter("outcomes.met", registry),
 		stop:    make(chan struct{}),
--- a/internal/daemon/risk_look.go
+++ b/internal/daemon/risk_look.go
@@ -36,7 +36,10 @@
 	if r.d.spread.relay.Load() {
 		holds = append(holds, r.fleetConditions(now)...)
 		r.see(now)
+	} else {
+		r.lastUnowned = nil
 	}
+	r.updateGauges(now)
 	r.tell(now, holds)
 	r.ringBell(now, alarm.Tick{})
 	r.pollAcknowledged(now)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,7 +87,7 @@
 	if errors.As(err, &wrongType) {
 		return bad(wrongType.Field, "a "+wrongType.Value+" stands where a "+wrongType.Type.String()+" is due", "correct the value")
 	}
-	return &result.Error{Code: result.BadSettings, Cause: err, Remedy: "correct the file; README lists the fields"}
+	return &result.Error{Code: result.BadSettings, Cause: err, Remedy: "correct the file; docs/SETTINGS.md lists the fields"}
 }
 
 func (d *Daemon) check() error {
--- a/placement/core.go
+++ b/placement/core.go
@@ -44,7 +44,7 @@
 // New returns a Core that follows and knows nothing.
 func New(cfg Config) *Core {
 	cfg.fill()
-	return &Core{cfg: cfg, packChart: charts.MustLoad("placement-pack"), lead: newLeadership(), fleet: newFleet()}
+	return &Core{cfg: cfg, packChart: charts.MustLoad("placement_pack"), lead: newLeadership(), fleet: newFleet()}
 }
 
 func (cfg *Config) fill() {
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -27,7 +27,7 @@
 	doSettle chart.Action = "settle"
 )
 
-// packInfo is one pack as the leader knows it, by the chart "placement-pack".
+// packInfo is one pack as the leader knows it, by the chart "placement_pack".
 type packInfo struct {
 	first   key.SliceID
 	state   chart.State
