--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # What daemons add to the way of a request; docs/MEASUREMENTS.md.
 bench-path: build
-	bin/rhubarb-bench
+	bash scripts/bench-path.sh
 
 lint:
 	$(LINT) run ./...
--- a/cmd/rhubarb-bench/main.go
+++ b/cmd/rhubarb-bench/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"os"
-	"path/filepath"
-	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -21,17 +19,22 @@
 
 func main() {
 	cfg := bench.Config{}
+	plan := false
 	command := &cobra.Command{
 		Use:   "rhubarb-bench",
 		Short: "Measure what daemons add to the way of a request",
-		Long:  "Starts pairs of daemons on loopback addresses and calls a target directly, by its owner's daemon and\nby another daemon, in turn in one run. Prints a table for each number of connections and each load.",
+		Long:  "Calls a target directly, by its owner's daemon and by another daemon, in turn in one run, and prints a\ntable for each number of connections and each load. scripts/bench-path.sh starts the daemons that\n--plan lists, then runs this again without --plan and with the same flags.",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			cfg.Dir = filepath.Join(os.TempDir(), "rhubarb-bench-"+strconv.Itoa(os.Getpid()))
+			if plan {
+				return bench.Plan(cfg, c.OutOrStdout())
+			}
 			return bench.Run(cfg, c.OutOrStdout())
 		},
 	}
 	flags := command.Flags()
+	flags.BoolVar(&plan, "plan", false, "write the daemons' settings to --dir and list the commands that start them")
+	flags.StringVar(&cfg.Dir, "dir", ".", "directory of settings, logs and process ids")
 	flags.StringSliceVar(&cfg.Daemons, "daemon", []string{"bin/rhubarbd"}, "binaries of the daemon to compare")
 	flags.IntVar(&cfg.BasePort, "base-port", defaultBasePort, "first port; ten for each binary and log level are used")
 	flags.StringSliceVar(&cfg.Levels, "levels", []string{"info", "warn"}, "log levels to compare")
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -1,8 +1,8 @@
 // Package bench measures the way of a request side by side in one run: from a
 // caller straight to a target, by one daemon (the entry daemon owns the key)
 // and by two (the entry daemon and the owner's). Callers, targets and stores
-// stand in this process; the daemons are processes of their own, so that
-// their processor time can be told apart.
+// stand in this process; the daemons are processes of their own, started by
+// scripts/bench-path.sh, so that their processor time can be told apart.
 package bench
 
 import (
@@ -39,7 +39,7 @@
 	// Profiles is the first port of profiles, one for each daemon; 0 serves
 	// none.
 	Profiles int
-	// Dir is where settings and logs go; it is removed at the end.
+	// Dir is where settings, logs and the daemons' process ids are.
 	Dir string
 }
 
@@ -73,7 +73,6 @@
 const (
 	maxLatency        = int64(10 * time.Second)
 	significantDigits = 3
-	dirMode           = 0o755
 )
 
 func newSample(w Way, connections int, rate float64) *Sample {
@@ -94,12 +93,31 @@
 	return float64(s.Done) / s.Processor.Seconds()
 }
 
-// Run measures and writes the tables to out.
-func Run(cfg Config, out io.Writer) error {
-	if err := os.MkdirAll(cfg.Dir, dirMode); err != nil {
-		return err
+// Plan writes the settings of all daemons to Dir, and to out a line for each:
+// the file for its process id, a tab, and the command that starts it.
+func Plan(cfg Config, out io.Writer) error {
+	return cfg.each(func(binary, level string, port int) error {
+		return newStand(cfg, binary, level, port).plan(out)
+	})
+}
+
+// each calls f for each pair of daemons with its first port, until an error.
+func (cfg Config) each(f func(binary, level string, port int) error) error {
+	port := cfg.BasePort
+	for _, binary := range cfg.Daemons {
+		for _, level := range cfg.Levels {
+			if err := f(binary, level, port); err != nil {
+				return err
+			}
+			port += portsEach
+		}
 	}
-	defer func() { _ = os.RemoveAll(cfg.Dir) }()
+	return nil
+}
+
+// Run measures and writes the tables to out. The daemons run already, as Plan
+// said.
+func Run(cfg Config, out io.Writer) error {
 	ways, closeAll, err := provision(cfg)
 	defer closeAll()
 	if err != nil {
@@ -135,25 +153,24 @@
 		}
 	}
 	var ways []Way
-	for _, binary := range cfg.Daemons {
-		for _, level := range cfg.Levels {
-			s, err := startStand(cfg, binary, level, cfg.BasePort+len(stands)*portsEach)
-			stands = append(stands, s)
-			if err != nil {
-				return nil, closeAll, err
-			}
-			if len(ways) == 0 {
-				ways = append(ways, Way{Name: "direct", route: s.direct()})
-			}
-			one, two, err := s.routes()
-			if err != nil {
-				return nil, closeAll, err
-			}
-			name := filepath.Base(binary)
-			ways = append(ways, Way{Name: "1 hop", Level: level, Daemon: name, route: one}, Way{Name: "2 hops", Level: level, Daemon: name, route: two})
+	err := cfg.each(func(binary, level string, port int) error {
+		s, err := startStand(cfg, binary, level, port)
+		stands = append(stands, s)
+		if err != nil {
+			return err
 		}
-	}
-	return ways, closeAll, nil
+		if len(ways) == 0 {
+			ways = append(ways, Way{Name: "direct", route: s.direct()})
+		}
+		one, two, err := s.routes()
+		if err != nil {
+			return err
+		}
+		name := filepath.Base(binary)
+		ways = append(ways, Way{Name: "1 hop", Level: level, Daemon: name, route: one}, Way{Name: "2 hops", Level: level, Daemon: name, route: two})
+		return nil
+	})
+	return ways, closeAll, err
 }
 
 // halfLoad is half of the rate that the slowest way carried.
--- a/internal/bench/stand.go
+++ b/internal/bench/stand.go
@@ -4,12 +4,11 @@
 	_ "embed" // The document of the bench.
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,7 +37,6 @@
 	announceEvery = time.Second
 	readyPatience = 20 * time.Second
 	readyPoll     = 50 * time.Millisecond
-	stopPatience  = 5 * time.Second
 	keysTried     = 1000
 	fileMode      = 0o644
 	clockTicks    = 100 // of processor time a second, in /proc
@@ -56,13 +54,17 @@
 	level   string
 	port    int
 	store   *storestand.Server
-	daemons []*exec.Cmd
+	daemons []int // process ids, as their files say
 	targets []*fasthttp.Server
 	stop    chan struct{}
 }
 
+func newStand(cfg Config, binary, level string, port int) *stand {
+	return &stand{cfg: cfg, binary: binary, level: level, port: port, stop: make(chan struct{})}
+}
+
 func startStand(cfg Config, binary, level string, port int) (*stand, error) {
-	s := &stand{cfg: cfg, binary: binary, level: level, port: port, stop: make(chan struct{})}
+	s := newStand(cfg, binary, level, port)
 	if err := s.startStore(); err != nil {
 		return s, err
 	}
@@ -70,7 +72,7 @@
 		if err := s.startTarget(i); err != nil {
 			return s, err
 		}
-		if err := s.startDaemon(i); err != nil {
+		if err := s.findDaemon(i); err != nil {
 			return s, err
 		}
 	}
@@ -157,8 +159,12 @@
 	_ = fasthttp.DoTimeout(req, resp, storeTimeout)
 }
 
-func (s *stand) startDaemon(i int) error {
-	file := func(kind string) string { return filepath.Join(s.cfg.Dir, s.host(i)+kind) }
+// file returns the path of a daemon's file of a kind.
+func (s *stand) file(i int, kind string) string {
+	return filepath.Join(s.cfg.Dir, s.host(i)+kind)
+}
+
+func (s *stand) settings(i int) settings.Daemon {
 	d := settings.Daemon{
 		Host:        host.ID(s.host(i)),
 		Region:      "here",
@@ -168,26 +174,42 @@
 		Control:     s.control(i),
 		Caller:      s.caller(i),
 		Store:       address(s.port),
-		Log:         settings.Log{File: file(".log"), Level: s.level},
+		Log:         settings.Log{File: s.file(i, ".log"), Level: s.level},
 		Seed:        s.cfg.Seed + uint64(i),
 	}
 	if s.cfg.Profiles > 0 {
 		d.DebugAddress = address(s.cfg.Profiles + s.port - s.cfg.BasePort + i)
 	}
-	raw, err := json.Marshal(d)
-	if err != nil {
-		return err
+	return d
+}
+
+// plan writes the daemons' settings and, for each, a line with the file that
+// its process id is to be put in and the command that starts it.
+func (s *stand) plan(out io.Writer) error {
+	for i := range daemons {
+		raw, err := json.Marshal(s.settings(i))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(s.file(i, ".json"), raw, fileMode); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s\t%s --settings %s\n", s.file(i, ".pid"), s.binary, s.file(i, ".json"))
 	}
-	if err := os.WriteFile(file(".json"), raw, fileMode); err != nil {
+	return nil
+}
+
+// findDaemon reads the process id of a daemon that was started by the plan.
+func (s *stand) findDaemon(i int) error {
+	raw, err := os.ReadFile(s.file(i, ".pid"))
+	if err != nil {
 		return err
 	}
-	process := exec.Command(s.binary, "--settings", file(".json"))
-	process.Stderr = os.Stderr
-	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := process.Start(); err != nil {
+	id, err := strconv.Atoi(strings.TrimSpace(string(raw)))
+	if err != nil {
 		return err
 	}
-	s.daemons = append(s.daemons, process)
+	s.daemons = append(s.daemons, id)
 	return nil
 }
 
@@ -216,15 +238,11 @@
 // routes returns the ways over the owner's daemon alone and over the other
 // one, with the same key.
 func (s *stand) routes() (one, two route, err error) {
-	var ids []int
-	for _, d := range s.daemons {
-		ids = append(ids, d.Process.Pid)
-	}
 	path := "/app/" + app + "/items"
 	client := newClient(s.caller(0), 1)
 	defer client.CloseIdleConnections()
 	for i := range keysTried {
-		one = route{address: s.caller(0), path: path, key: "k" + strconv.Itoa(i), daemons: ids}
+		one = route{address: s.caller(0), path: path, key: "k" + strconv.Itoa(i), daemons: s.daemons}
 		if owner, ok := send(client, one); ok && owner == s.host(0) {
 			two = one
 			two.address = s.caller(1)
@@ -236,14 +254,6 @@
 
 func (s *stand) close() {
 	close(s.stop)
-	for _, d := range s.daemons {
-		_ = d.Process.Signal(syscall.SIGTERM)
-	}
-	for _, d := range s.daemons {
-		late := time.AfterFunc(stopPatience, func() { _ = d.Process.Kill() })
-		_ = d.Wait()
-		late.Stop()
-	}
 	for _, t := range s.targets {
 		_ = t.Shutdown()
 	}
