Read the store before a release; plan soon after it

Cause: a slice that its owner released for a move had no owner until the store took the leader's next write. The watch told the owner up to 0.5 s late, and the leader planned up to 0.1 s later. Change: the owner reads the pack from the store before it gives the slice up; the leader plans 5 ms after a release or the end of a session.

--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -27,7 +27,10 @@
 const (
 	placementRingSize = 4096
 	placementTick     = 100 * time.Millisecond
-	syncPage          = 500
+	// earlyTick is how soon a round follows a release or the end of a
+	// session: slices wait for it. What comes meanwhile shares the round.
+	earlyTick = 5 * time.Millisecond
+	syncPage  = 500
 	// syncRetry is the pause before a sync that failed is tried again.
 	syncRetry = time.Second
 )
@@ -55,6 +58,7 @@
 	// named returns the sessions that the daemon's map of owners names.
 	named   func() (map[host.Session]bool, error)
 	sweeper sweeper
+	early   bool              // An early tick is under way.
 	values  map[string][]byte // values of writes under way, by token
 	// leader and leads show the other duties who leads.
 	leader atomic.Pointer[placement.Leader]
@@ -353,6 +357,9 @@
 func (w sessionsChanged) placementWork(p *placementDuty, now mono.Time) {
 	for _, v := range w.records {
 		p.step(now, placement.SessionSeen{Record: v.Record, Version: v.Version})
+		if v.Record.State != session.Live {
+			p.hasten()
+		}
 	}
 }
 
@@ -372,6 +379,24 @@
 
 func (w releaseReceived) placementWork(p *placementDuty, now mono.Time) {
 	p.step(now, placement.Released{Release: w.release})
+	p.hasten()
+}
+
+// hasten lets a round follow soon if this daemon leads.
+func (p *placementDuty) hasten() {
+	if p.early || !p.core.Leads() {
+		return
+	}
+	p.early = true
+	time.AfterFunc(earlyTick, func() { p.wait(tickDue{}) })
+}
+
+// tickDue is the time for an early tick.
+type tickDue struct{}
+
+func (tickDue) placementWork(p *placementDuty, now mono.Time) {
+	p.early = false
+	p.step(now, placement.Tick{})
 }
 
 func (w loadReceived) placementWork(p *placementDuty, now mono.Time) {
@@ -380,6 +405,7 @@
 
 func (w ownRelease) placementWork(p *placementDuty, now mono.Time) {
 	p.tell(now, wire.KindReleased, w.release, placement.Released{Release: w.release})
+	p.hasten()
 }
 
 func (w ownLoad) placementWork(p *placementDuty, now mono.Time) {
--- /dev/null
+++ b/internal/daemon/routing_confirm_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"io"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// While the store can't be read a slice is not released for a move: nobody
+// else could be made its owner. Once it can, the slice is released.
+func TestNoReleaseWhileTheStoreIsDown(t *testing.T) {
+	s := &settings.Daemon{Host: "h1", Region: "r", Zone: "z", Environment: "trial", Store: "127.0.0.1:1"}
+	registry := metrics.NewRegistry()
+	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
+	defer log.Close()
+	d := New(s, log, registry)
+	d.provision()
+	r := d.routing
+	var released []handover.Release
+	r.released = func(rel handover.Release) { released = append(released, rel) }
+	now := bootclock.Now()
+	r.holder.SetLease(now + mono.Time(1<<40))
+	slice := key.Slice{App: "catalogue", ID: 0}
+	pack := assignment.NewPack("catalogue", 1, 0)
+	see := func(version uint64, next host.Session) []byte {
+		must.True(t, pack.Set(0, assignment.Slice{Owner: d.self, Epoch: 1, Next: next}))
+		raw, err := pack.Encode()
+		must.NoError(t, err)
+		seen, err := assignment.Decode(raw)
+		must.NoError(t, err)
+		packsSeen{packs: []packVersion{{pack: seen, version: version}}}.routingWork(r, now)
+		return raw
+	}
+	see(1, host.Nobody)
+	must.True(t, r.holder.Admits(now, slice).Admitted())
+	raw := see(2, host.Session{Host: "h2", Incarnation: 1})
+	must.True(t, r.holder.Admits(now, slice).Admitted())
+	name := assignment.Name("catalogue", 0)
+	packRead{name: name, answer: storeAnswer{code: result.StoreUnavailable}}.routingWork(r, now)
+	must.True(t, r.holder.Admits(now, slice).Admitted())
+	must.SliceEmpty(t, released)
+	object := storeclient.Object{Version: 2, Value: raw}
+	packRead{name: name, answer: storeAnswer{code: result.OK, object: object}}.routingWork(r, now)
+	must.False(t, r.holder.Admits(now, slice).Admitted())
+	must.SliceLen(t, 1, released)
+	close(r.stop) // Ends the retry's wait.
+}
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -67,6 +67,7 @@
 	place  host.Place
 	fleet  *fleet
 	peers  *peer.Transport
+	store  *storeDuty
 	log    *eventlog.Log
 	lease  func() mono.Time
 	ring   *ring.Ring[routingWork]
@@ -96,8 +97,11 @@
 	sent    map[uint64]sending
 	over    bool // the daemon's session ended
 	origins map[host.Session]*peer.Conn
-	merged  map[key.Slice]int64 // when a carved-out key last returned, milliseconds since 1970
-	history history
+	// unconfirmed are changes that ask for a release, by the pack that is
+	// being read from the store.
+	unconfirmed map[string][]assignment.Change
+	merged      map[key.Slice]int64 // when a carved-out key last returned, milliseconds since 1970
+	history     history
 	// out and gateOut collect what the cores ask for; doing and gateDoing
 	// are being done. Their memory is used again.
 	out, doing         request.Actions
@@ -153,21 +157,23 @@
 
 func newRoutingDuty(d *Daemon, cfg request.Config, hold handover.Config, registry metrics.Registry) *routingDuty {
 	r := &routingDuty{
-		self:    d.self,
-		place:   d.place(),
-		fleet:   d.fleet,
-		peers:   d.peers,
-		log:     d.log,
-		lease:   d.lease.lease,
-		ring:    ring.New[routingWork]("routing", routingRingSize, registry),
-		holder:  handover.New(hold),
-		owners:  assignment.NewMap(),
-		replies: make(map[request.Caller]chan *request.Answer),
-		sent:    make(map[uint64]sending),
-		origins: make(map[host.Session]*peer.Conn),
-		merged:  make(map[key.Slice]int64),
-		meter:   loadmeter.New(bootclock.Now()),
-		stop:    make(chan struct{}),
+		self:        d.self,
+		place:       d.place(),
+		fleet:       d.fleet,
+		peers:       d.peers,
+		store:       d.store,
+		log:         d.log,
+		lease:       d.lease.lease,
+		ring:        ring.New[routingWork]("routing", routingRingSize, registry),
+		holder:      handover.New(hold),
+		owners:      assignment.NewMap(),
+		replies:     make(map[request.Caller]chan *request.Answer),
+		sent:        make(map[uint64]sending),
+		origins:     make(map[host.Session]*peer.Conn),
+		merged:      make(map[key.Slice]int64),
+		unconfirmed: make(map[string][]assignment.Change),
+		meter:       loadmeter.New(bootclock.Now()),
+		stop:        make(chan struct{}),
 	}
 	cfg.Self = d.self
 	cfg.Map = r
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -224,6 +224,10 @@
 		r.merged[key.Slice{App: c.Slice.App, ID: c.Parent}] = wallMs()
 	}
 	r.history.add(wallMs(), c)
+	if r.leadsAway(c) {
+		r.confirm(c)
+		return
+	}
 	r.doHolder(now, r.holder.Seen(now, c))
 }
 
