Log every event of the catalogue; wait for acknowledgements, not for a time

A stop asks the router whether all is acknowledged; one function asks the routing duty for a value where three did.

--- a/event/event_test.go
+++ b/event/event_test.go
@@ -31,3 +31,33 @@
 	}
 	must.Eq(t, want, rows)
 }
+
+// Every event of the catalogue is logged somewhere: a page that tells an
+// operator to look for one must not mislead.
+func TestEachEventIsLogged(t *testing.T) {
+	var code strings.Builder
+	for _, dir := range []string{"../internal/daemon", "../internal/eventlog", "../session", "../takeover"} {
+		entries, err := os.ReadDir(dir)
+		must.NoError(t, err)
+		for _, e := range entries {
+			if !strings.HasSuffix(e.Name(), ".go") || strings.HasSuffix(e.Name(), "_test.go") {
+				continue
+			}
+			raw, err := os.ReadFile(dir + "/" + e.Name())
+			must.NoError(t, err)
+			code.Write(raw)
+		}
+	}
+	for _, d := range event.All() {
+		must.StrContains(t, code.String(), "event."+identifier(d.Name), must.Sprint(d.Name))
+	}
+}
+
+// identifier returns the Go name of an event: "ring_full" is RingFull.
+func identifier(name string) string {
+	var b strings.Builder
+	for part := range strings.SplitSeq(name, "_") {
+		b.WriteString(strings.ToUpper(part[:1]) + part[1:])
+	}
+	return b.String()
+}
--- a/event/process.go
+++ b/event/process.go
@@ -5,7 +5,6 @@
 	Started         ID = 1000
 	Stopping        ID = 1001
 	Stopped         ID = 1002
-	PeerConnected   ID = 1010
 	PeerClosed      ID = 1011
 	BadFrame        ID = 1012
 	RingFull        ID = 1020
@@ -19,7 +18,6 @@
 	{Started, "started", Info, "host zone incarnation", "The daemon started and has a session."},
 	{Stopping, "stopping", Info, "reason", "A planned stop began; nothing in flight is cut off."},
 	{Stopped, "stopped", Info, "", "The daemon ended."},
-	{PeerConnected, "peer_connected", Debug, "peer", "A connection to another daemon was opened."},
 	{PeerClosed, "peer_closed", Info, "peer cause", "A connection to another daemon closed; requests sent over it and not answered end as unknown."},
 	{BadFrame, "bad_frame", Warn, "peer cause", "A peer sent bytes that do not decode; its connection was closed."},
 	{RingFull, "ring_full", Warn, "ring count", "A ring between two duties was full; the item was refused and counted."},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,8 @@
 	// drainPatience bounds the handover of a planned stop. What is not handed
 	// over by then is taken over like that of a lost session.
 	drainPatience = 40 * time.Second
+	// ackPatience bounds the wait for the last acknowledgements.
+	ackPatience = time.Second
 	// leavePatience bounds the record of the end in the store.
 	leavePatience = 5 * time.Second
 	// abandonGrace is how long a daemon whose session ended goes on refusing
@@ -178,9 +180,8 @@
 	d.placement.named = d.namedSessions
 }
 
-func (d *Daemon) namedSessions() (named map[host.Session]bool, err error) {
-	err = d.ask(func(r *routingDuty, _ mono.Time) { named = r.named() })
-	return named, err
+func (d *Daemon) namedSessions() (map[host.Session]bool, error) {
+	return inquire(d, func(r *routingDuty, _ mono.Time) map[host.Session]bool { return r.named() })
 }
 
 func (d *Daemon) packWritten(name string, version uint64, value []byte) {
@@ -209,9 +210,12 @@
 	d.routing.ring.Wait(stopRequested{}, d.routing.stop)
 	d.await(drainPatience, d.routing.idle.Load)
 	d.entry.Stop()
-	time.Sleep(2 * request.DefaultConfig().AckEvery) // The last answers are acknowledged to their gates.
+	d.await(ackPatience, d.acknowledged)
 	d.lease.wait(leaveSession{})
-	d.await(leavePatience, func() bool { return len(d.lease.ended) > 0 })
+	d.await(leavePatience, d.left)
+	if d.left() && d.routing.idle.Load() {
+		d.log.Event(event.PlannedStopDone, "released", d.routing.stopOwned.Load())
+	}
 	d.await(savePatience, d.risk.saved)
 	d.closeDuties()
 	d.log.Event(event.Stopped)
@@ -252,6 +256,18 @@
 	d.peers.Close()
 }
 
+// acknowledged reports whether the gates know that their last answers reached
+// the callers.
+func (d *Daemon) acknowledged() bool {
+	done, err := inquire(d, func(r *routingDuty, _ mono.Time) bool { return r.router.Acknowledged() })
+	return err == nil && done
+}
+
+// left reports whether the session is over.
+func (d *Daemon) left() bool {
+	return len(d.lease.ended) > 0
+}
+
 // await waits for a condition, at most for the time given.
 func (d *Daemon) await(patience time.Duration, done func() bool) {
 	until := time.Now().Add(patience)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -164,6 +164,17 @@
 	return &result.Error{Code: result.RingFull, Detail: "the daemon is too busy to answer", Remedy: "ask again"}
 }
 
+// inquire asks the routing duty for a value. A question that times out may
+// still be answered, to nobody.
+func inquire[T any](d *Daemon, question func(*routingDuty, mono.Time) T) (T, error) {
+	answer := make(chan T, 1)
+	if err := d.ask(func(r *routingDuty, now mono.Time) { answer <- question(r, now) }); err != nil {
+		var none T
+		return none, err
+	}
+	return <-answer, nil
+}
+
 // asked is an operator's question to the routing duty.
 type asked struct {
 	question func(*routingDuty, mono.Time)
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -297,8 +297,10 @@
 			p.onPack(name, version, value)
 		}
 	case result.StoreConflict:
+		p.log.Event(event.PackRefused, "name", name)
 		p.step(now, placement.Refused{Kind: kind, Name: name, Token: token})
 	default:
+		p.log.Event(event.PackDoubtful, "name", name, "token", token)
 		p.step(now, placement.Doubtful{Kind: kind, Name: name, Token: token})
 	}
 }
--- a/internal/daemon/risk_duty.go
+++ b/internal/daemon/risk_duty.go
@@ -48,6 +48,7 @@
 	open        atomic.Int64
 	ringing     atomic.Pointer[[]string]
 	gauges      riskGauges
+	refused     map[string]int64 // by ring, at the last look
 	rang        metrics.Counter
 	met         metrics.Counter
 	stop        chan struct{}
@@ -69,6 +70,7 @@
 		caller:  newOutcomeCaller(d),
 		started: make(map[alarm.Condition]bool),
 		gauges:  newRiskGauges(registry),
+		refused: make(map[string]int64),
 		rang:    metrics.GetOrRegisterCounter("alarm.rang", registry),
 		met:     metrics.GetOrRegisterCounter("outcomes.met", registry),
 		stop:    make(chan struct{}),
@@ -115,6 +117,8 @@
 			r.caller.send(a.To, a.Message)
 		case outcome.Overflow:
 			r.logOutcome(event.OutcomeUnkept, a.Outcome)
+		case outcome.Inherited:
+			r.d.log.Event(event.OutcomesInherited, "batch", a.Name, "count", a.Count, "from", a.From.String())
 		}
 	}
 	r.open.Store(int64(len(r.keeper.Unsaved())))
--- a/internal/daemon/risk_gauges.go
+++ b/internal/daemon/risk_gauges.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
@@ -26,6 +27,24 @@
 	}
 }
 
+// counted is a ring with its count of refused items.
+type counted interface {
+	Name() string
+	Refused() int64
+}
+
+// reportRings logs each ring that refused items since the last look.
+func (r *riskDuty) reportRings() {
+	d := r.d
+	for _, c := range []counted{d.routing.ring, d.lease.ring, d.placement.ring, d.spread.ring, d.store.ring, r.ring} {
+		refused := c.Refused()
+		if fresh := refused - r.refused[c.Name()]; fresh > 0 {
+			d.log.Event(event.RingFull, "ring", c.Name(), "count", fresh)
+		}
+		r.refused[c.Name()] = refused
+	}
+}
+
 func (r *riskDuty) updateGauges(now mono.Time) {
 	g := &r.gauges
 	if r.d.lease.recorded.Load() != nil {
--- a/internal/daemon/risk_look.go
+++ b/internal/daemon/risk_look.go
@@ -28,6 +28,7 @@
 // Only the relay of an availability zone looks at what concerns the fleet;
 // each daemon looks at its own session and those that it is a witness of.
 func (r *riskDuty) look(now mono.Time) {
+	r.reportRings()
 	if r.d.fleet.document.Load() == nil {
 		return // Without a document there are neither bounds nor slices.
 	}
@@ -128,10 +129,9 @@
 // unowned asks the routing duty for slices without an owner. If it is too busy
 // to answer in time, what it said last still counts.
 func (r *riskDuty) unowned() []found {
-	answer := make(chan []found, 1)
-	err := r.d.ask(func(routing *routingDuty, _ mono.Time) { answer <- routing.unownedSlices() })
+	holds, err := inquire(r.d, func(routing *routingDuty, _ mono.Time) []found { return routing.unownedSlices() })
 	if err == nil {
-		r.lastUnowned = <-answer
+		r.lastUnowned = holds
 	}
 	return slices.Clone(r.lastUnowned)
 }
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -62,20 +62,26 @@
 	r.logSent(s.To, req)
 	frame, err := wire.Encode(wire.KindRequest, req)
 	if err != nil {
-		r.router.SendFailed(now, req.Seq, result.TooLarge, &r.out)
+		r.sendFailed(now, s, result.TooLarge, err.Error())
 		return
 	}
 	address := r.fleet.peerAddress(s.To)
 	if address == "" || r.over {
-		r.router.SendFailed(now, req.Seq, result.PeerUnreachable, &r.out)
+		r.sendFailed(now, s, result.PeerUnreachable, "no address of the session is known, or the own session is over")
 		return
 	}
 	conn, err := r.peers.Send(address, frame, peer.Tag(req.Seq))
 	if err != nil {
-		r.router.SendFailed(now, req.Seq, result.PeerUnreachable, &r.out)
+		r.sendFailed(now, s, result.PeerUnreachable, err.Error())
 		return
 	}
-	r.sent[req.Seq] = sending{to: s.To, conn: conn, at: now}
+	r.sent[req.Seq] = sending{id: req.ID, to: s.To, conn: conn, at: now}
+}
+
+// sendFailed tells the router that a request never left this process.
+func (r *routingDuty) sendFailed(now mono.Time, s request.Send, code result.Code, cause string) {
+	r.log.Event(event.SendFailed, "id", s.Request.ID, "to", s.To.String(), "cause", cause)
+	r.router.SendFailed(now, s.Request.Seq, code, &r.out)
 }
 
 func (r *routingDuty) cancel(now mono.Time, c request.SendCancel) {
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -113,8 +113,10 @@
 	nextReport mono.Time
 	nextHotKey mono.Time
 	nextForget mono.Time
-	ready      atomic.Bool
-	idle       atomic.Bool
+	// stopOwned is how many slices were owned when a planned stop began.
+	stopOwned atomic.Int64
+	ready     atomic.Bool
+	idle      atomic.Bool
 
 	stop chan struct{}
 	done sync.WaitGroup
@@ -122,6 +124,7 @@
 
 // sending is a request that went to another daemon and is not answered yet.
 type sending struct {
+	id   string
 	to   host.Session
 	conn *peer.Conn
 	at   mono.Time
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -115,7 +115,9 @@
 }
 
 func (w sendUnsent) routingWork(r *routingDuty, now mono.Time) {
+	s := r.sent[w.seq]
 	delete(r.sent, w.seq)
+	r.log.Event(event.SendFailed, "id", s.id, "to", s.to.String(), "cause", "no connection could be opened")
 	r.router.SendFailed(now, w.seq, result.PeerUnreachable, &r.out)
 }
 
@@ -313,6 +315,9 @@
 }
 
 func (stopRequested) routingWork(r *routingDuty, now mono.Time) {
+	owned := r.holder.Counts().Owned
+	r.stopOwned.Store(int64(owned))
+	r.log.Event(event.PlannedStopBegan, "owned", owned)
 	r.holder.Stop(now)
 }
 
--- a/outcome/copies.go
+++ b/outcome/copies.go
@@ -54,6 +54,7 @@
 // inherit makes this daemon the one that saves the batch. The name is still
 // the lost daemon's, so a write that it had in flight does no harm.
 func (k *Keeper) inherit(now mono.Time, b *batch) {
+	k.do(Inherited{Name: b.Name, Count: len(b.Outcomes), From: b.from})
 	b.from = k.cfg.Self
 	b.pause = k.cfg.Retry
 	k.follow(now, b, "close")
--- a/outcome/message.go
+++ b/outcome/message.go
@@ -77,7 +77,7 @@
 func (Received) event() {}
 func (SaveDone) event() {}
 
-// Action is what a Keeper does: Save, Send or Overflow.
+// Action is what a Keeper does: Save, Send, Overflow or Inherited.
 type Action interface{ action() }
 
 // Save writes a batch to the store on condition that it doesn't exist there.
@@ -96,9 +96,17 @@
 // only counted. The shell logs it whole.
 type Overflow struct{ Outcome Outcome }
 
-func (Save) action()     {}
-func (Send) action()     {}
-func (Overflow) action() {}
+// Inherited says that this daemon saves the batch of one that was lost.
+type Inherited struct {
+	Name  string
+	Count int
+	From  host.Session
+}
+
+func (Save) action()      {}
+func (Send) action()      {}
+func (Overflow) action()  {}
+func (Inherited) action() {}
 
 // Config sets up a Keeper.
 type Config struct {
--- a/request/ack.go
+++ b/request/ack.go
@@ -24,6 +24,12 @@
 	r.acks = append(r.acks, pendingAck{to: c.to, seq: c.req.Seq})
 }
 
+// Acknowledged reports whether every answer that was handed to its caller is
+// acknowledged to its gate.
+func (r *Router) Acknowledged() bool {
+	return len(r.acks) == 0
+}
+
 // sendAcks acknowledges what was answered since the last time, in one message
 // for each gate.
 func (r *Router) sendAcks(now mono.Time, out *Actions) {
