--- a/assignment/map.go
+++ b/assignment/map.go
@@ -13,6 +13,7 @@
 type Map struct {
 	sessions sessionTable
 	apps     map[key.App]*appMap
+	numbers  map[key.App]uint32 // Of the apps whose keys are numbers.
 }
 
 // Change is one slice whose assignment differs between two versions of a
@@ -32,7 +33,18 @@
 
 // NewMap returns an empty map.
 func NewMap() *Map {
-	return &Map{sessions: newSessionTable(), apps: make(map[key.App]*appMap)}
+	return &Map{sessions: newSessionTable(), apps: make(map[key.App]*appMap), numbers: make(map[key.App]uint32)}
+}
+
+// DivideByNumber says that the keys of an app are numbers below the one given,
+// and that its slices are ranges of them; 0 says that keys are hashed. All
+// daemons must agree on it.
+func (m *Map) DivideByNumber(app key.App, numbers uint32) {
+	if numbers == 0 {
+		delete(m.numbers, app)
+		return
+	}
+	m.numbers[app] = numbers
 }
 
 // Locate returns the slice that a key belongs to: its carve-out if it has
@@ -43,6 +55,9 @@
 	if a == nil {
 		return key.Slice{}, false
 	}
+	if numbers, ok := m.numbers[app]; ok {
+		return key.SliceOfNumber(app, k, numbers, a.total)
+	}
 	return key.Slice{App: app, ID: a.locate(app, k)}, true
 }
 
--- a/balance/sim_test.go
+++ b/balance/sim_test.go
@@ -216,7 +216,7 @@
 			}
 			delete(v.live, run)
 			var out gate.Actions
-			v.gate.TargetAnswered(s.now, run, 200, "", []byte(answerTxt), &out)
+			v.gate.TargetAnswered(s.now, run, gate.TargetAnswer{Status: 200, Body: []byte(answerTxt)}, &out)
 			s.doGate(v, &out)
 		})
 	}
--- a/document/check.go
+++ b/document/check.go
@@ -31,6 +31,7 @@
 	c.regions()
 	c.links()
 	c.apps()
+	c.routes()
 	c.alarm()
 	return c.problems
 }
@@ -135,6 +136,12 @@
 	if !a.DividedByKey && a.Slices != 0 {
 		c.add(at+".slices", "an app that is not divided by key has no slices", "remove slices, or set divided_by_key to true")
 	}
+	if a.KeyNumbers != 0 && a.KeyNumbers < a.Slices {
+		c.add(at+".key_numbers", fmt.Sprintf("there are more slices, %d", a.Slices), "write at least the number of slices, or lower that")
+	}
+	if a.KeyNumbers != 0 && a.HotKeys != nil {
+		c.add(at+".hot_keys", "keys that are numbers are not carved out", "remove hot_keys, or take more slices")
+	}
 	if !a.DividedByKey && a.HotKeys != nil {
 		c.add(at+".hot_keys", "an app that is not divided by key has no hot keys", "remove hot_keys, or set divided_by_key to true")
 	}
--- a/document/document.go
+++ b/document/document.go
@@ -28,6 +28,9 @@
 	Links []Link `json:"links"`
 	// Apps lists the applications.
 	Apps []App `json:"apps"`
+	// Routes lead requests to apps by host name and path, for callers that
+	// don't name the app.
+	Routes []Route `json:"routes,omitempty"`
 	// Alarm says when the alarm rings and whom it calls.
 	Alarm Alarm `json:"alarm"`
 }
@@ -61,6 +64,15 @@
 	DividedByKey bool `json:"divided_by_key"`
 	// Slices counts the slices of an app divided by key; otherwise 0.
 	Slices uint32 `json:"slices,omitempty"`
+	// KeyNumbers says that keys are whole numbers below it, and that slices are
+	// ranges of them; 0 if keys are texts that are hashed.
+	KeyNumbers uint32 `json:"key_numbers,omitempty"`
+	// FreshIDs says that no request id is ever used twice, also not by a
+	// repeat, so that no gate needs to remember ids.
+	FreshIDs bool `json:"fresh_ids,omitempty"`
+	// TargetConnections bounds the connections to a target that does not
+	// announce a bound itself; 0 sets none.
+	TargetConnections int `json:"target_connections,omitempty"`
 	// Deadline says how long callers wait.
 	Deadline Deadline `json:"deadline"`
 	// TargetsCheckGrants says that the targets are expected to check the
--- /dev/null
+++ b/document/route.go
@@ -0,0 +1,71 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rhubarbring/rhubarbring/key"
+)
+
+// Route leads the requests for a host name and a path prefix to apps.
+type Route struct {
+	// Name is unique among the routes.
+	Name string `json:"name"`
+	// Host is the host name that requests name.
+	Host string `json:"host"`
+	// PathPrefix begins the paths of the route's requests. It begins and ends
+	// with a slash; the longest one that fits a path wins.
+	PathPrefix string `json:"path_prefix"`
+	// Idempotent says that the requests may be run more than once.
+	Idempotent bool `json:"idempotent"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout Duration `json:"timeout"`
+	// Priority ranks the route's requests; 0 is the highest.
+	Priority int `json:"priority"`
+	// MaxAttempts bounds the targets that one request may be sent to.
+	MaxAttempts int `json:"max_attempts"`
+	// Split lists the apps that the requests go to, with their weights.
+	Split []Share `json:"split"`
+}
+
+// Share is one app of a route.
+type Share struct {
+	// App is the app's name.
+	App key.App `json:"app"`
+	// Weight is the app's part of the sum of the route's weights.
+	Weight int `json:"weight"`
+}
+
+func (c *checker) routes() {
+	names := make(map[string]int)
+	places := make(map[[2]string]int)
+	apps := make(map[key.App]bool)
+	for _, a := range c.doc.Apps {
+		apps[a.Name] = true
+	}
+	for i, r := range c.doc.Routes {
+		at := fmt.Sprintf("routes[%d]", i)
+		if first, twice := names[r.Name]; twice && r.Name != "" {
+			c.add(at+".name", fmt.Sprintf("routes[%d] has the same name", first), "give each route a name of its own")
+		}
+		names[r.Name] = i
+		place := [2]string{r.Host, r.PathPrefix}
+		if first, twice := places[place]; twice && r.Host != "" {
+			c.add(at+".path_prefix", fmt.Sprintf("routes[%d] has the same host and prefix", first), "give each route a prefix of its own")
+		}
+		places[place] = i
+		c.route(at, r, apps)
+	}
+}
+
+func (c *checker) route(at string, r Route, apps map[key.App]bool) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		c.add(at+".path_prefix", "it does not begin and end with a slash", `write a prefix such as "/book/"`)
+	}
+	c.duration(at+".timeout", r.Timeout, MinDeadline, MaxDeadline)
+	for j, s := range r.Split {
+		if !apps[s.App] {
+			c.add(fmt.Sprintf("%s.split[%d].app", at, j), "no app has this name", "name one of the apps")
+		}
+	}
+}
--- a/event/placement.go
+++ b/event/placement.go
@@ -19,6 +19,10 @@
 	SliceOverruled   ID = 3034
 	PlannedStopBegan ID = 3040
 	PlannedStopDone  ID = 3041
+	GrantAnswered    ID = 3050
+	GrantRenewed     ID = 3051
+	GrantRefused     ID = 3052
+	ReleaseAnswered  ID = 3053
 )
 
 var placementEvents = []Def{
@@ -39,4 +43,8 @@
 	{SliceOverruled, "slice_overruled", Warn, "slice epoch newest", "A pack names another owner of a slice not released here: this session was recorded lost."},
 	{PlannedStopBegan, "planned_stop_began", Info, "owned", "This daemon stops and hands its slices over."},
 	{PlannedStopDone, "planned_stop_done", Info, "released", "Every slice is released; the session is recorded as left."},
+	{GrantAnswered, "grant_answered", Info, "app first last epoch hold_ms token answer", "The target was asked to hold slices for a time, and answered or not."},
+	{GrantRenewed, "grant_renewed", Debug, "app first last epoch hold_ms token answer", "The target holds slices for a further time."},
+	{GrantRefused, "grant_refused", Warn, "slice epoch", "The target knows a higher epoch of the slice; it is given up and assigned anew."},
+	{ReleaseAnswered, "release_answered", Info, "app first last epoch answer", "The target was asked to give slices up, and answered or not."},
 }
--- a/event/session.go
+++ b/event/session.go
@@ -7,6 +7,7 @@
 	SessionLost      ID = 2003
 	TargetGone       ID = 2004
 	SessionForgotten ID = 2005
+	TargetLife       ID = 2006
 	TakeoverStarted  ID = 2010
 	TakeoverStuck    ID = 2011
 	TakeoverRecorded ID = 2012
@@ -19,6 +20,7 @@
 	{SessionLost, "session_lost", Warn, "detail", "The daemon's own session was taken over, or its name was taken. It serves nothing and starts anew as a new session."},
 	{TargetGone, "target_gone", Warn, "after_ms", "The target beside the daemon stopped announcing itself. Its slices go to other targets."},
 	{SessionForgotten, "session_forgotten", Info, "session", "The record of a session that ended long ago was deleted from the store."},
+	{TargetLife, "target_life", Info, "app address target instance", "The target beside the daemon announced itself for the first time since its start."},
 	{TakeoverStarted, "takeover_started", Info, "peer", "A session that this daemon is a witness of is silent."},
 	{TakeoverStuck, "takeover_stuck", Warn, "peer detail", "A silent session can't be taken over: the detail says what is missing. It goes on by itself."},
 	{TakeoverRecorded, "takeover_recorded", Info, "peer", "The store holds the session as lost; its slices may be assigned anew."},
--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -26,7 +26,7 @@
 		g.refuseArrival(o, r, code, adm, g.adviceFor(code), out)
 		return
 	}
-	if !r.Idempotent && !g.guards.noMemory && g.known(nowMs, o, r, adm, out) {
+	if remembered(r) && !g.guards.noMemory && g.known(nowMs, o, r, adm, out) {
 		return
 	}
 	if code, after := g.capacity(now, r); code != result.OK {
@@ -58,7 +58,7 @@
 		return result.NotOwner, Admission{}
 	}
 	if r.Slice == request.NoSlice {
-		if !r.Idempotent {
+		if remembered(r) {
 			return result.BadRequest, Admission{}
 		}
 		return result.OK, Admission{}
@@ -79,6 +79,12 @@
 	return result.OK, adm
 }
 
+// remembered reports whether the gate remembers the request's id: a repeat of
+// it may come.
+func remembered(r *request.Request) bool {
+	return !r.Idempotent && !r.FreshID
+}
+
 // known answers a request whose id was let in before, or of which the gate
 // can't know whether it was. It returns false if the request may run.
 func (g *Gate) known(nowMs int64, o origin, r *request.Request, adm Admission, out *Actions) bool {
@@ -200,7 +206,7 @@
 // accept lets a request in: it starts now or waits for a slot.
 func (g *Gate) accept(now mono.Time, nowMs int64, o origin, r *request.Request, adm Admission, out *Actions) {
 	var slot idmemory.Slot
-	if !r.Idempotent {
+	if remembered(r) {
 		var room bool
 		slot, room = g.memory.Begin(key.Slice{App: r.App, ID: r.Slice}, r, nowMs)
 		if !room {
--- a/gate/bench_test.go
+++ b/gate/bench_test.go
@@ -41,7 +41,7 @@
 		r := &request.Request{ID: ids[i%len(ids)], App: "pay", Epoch: 1, Attempt: 1, Seq: uint64(i + 1), Idempotent: idempotent, Repeat: request.RepeatFirst, Budget: time.Second, AcceptedMs: nowMs}
 		out.Reset()
 		g.Arrive(now, nowMs, from, r, &out)
-		g.TargetAnswered(now, out.Starts[0].Run, 200, "", nil, &out)
+		g.TargetAnswered(now, out.Starts[0].Run, TargetAnswer{Status: 200}, &out)
 		g.Acked(from, request.Ack{Seqs: []uint64{r.Seq}})
 		g.Tick(now, nowMs, &out)
 	}
--- a/gate/modeltarget_test.go
+++ b/gate/modeltarget_test.go
@@ -66,7 +66,7 @@
 	}
 	var out Actions
 	s := w.sites[i]
-	s.gate.TargetAnswered(w.now, r.start.Run, 200, "", []byte("did "+string(r.start.Request.Body)), &out)
+	s.gate.TargetAnswered(w.now, r.start.Run, TargetAnswer{Status: 200, Body: []byte("did " + string(r.start.Request.Body))}, &out)
 	lapsed := r.start.Epoch != 0 && !w.checks && w.now >= s.lease
 	for _, a := range out.Answers {
 		if lapsed && a.Answer.Code == result.OK {
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -115,7 +115,7 @@
 	b.arrive(benchStart+2001*ms, request.Normal, patient)
 	must.Eq(t, result.Draining, b.code(t))
 	b.out.Reset()
-	b.g.TargetAnswered(benchStart+3000*ms, 1, 200, "", nil, &b.out)
+	b.g.TargetAnswered(benchStart+3000*ms, 1, TargetAnswer{Status: 200}, &b.out)
 	must.Eq(t, result.OK, b.code(t))
 	must.SliceEmpty(t, b.out.Starts)
 	must.True(t, b.g.Idle())
@@ -131,7 +131,7 @@
 	var order []request.Class
 	for run := uint64(1); run <= 23; run++ {
 		b.out.Reset()
-		b.g.TargetAnswered(benchStart, run, 200, "", nil, &b.out)
+		b.g.TargetAnswered(benchStart, run, TargetAnswer{Status: 200}, &b.out)
 		for _, s := range b.out.Starts {
 			order = append(order, s.Request.Class)
 		}
@@ -147,7 +147,7 @@
 func TestRefusesEarlyWhatCanNotBeDoneInTime(t *testing.T) {
 	b := warmBench(1)
 	b.arrive(benchStart, request.Normal, nil)
-	b.g.TargetAnswered(benchStart+600*ms, 1, 200, "", nil, &b.out)
+	b.g.TargetAnswered(benchStart+600*ms, 1, TargetAnswer{Status: 200}, &b.out)
 	hurried := func(r *request.Request) { r.Budget = 300 * time.Millisecond }
 	b.arrive(benchStart+600*ms, request.Normal, hurried)
 	must.SliceLen(t, 1, b.out.Starts)
@@ -209,7 +209,7 @@
 		r.IDTimeMs = wallStartMs
 	}
 	b.arrive(benchStart, request.Normal, again)
-	b.g.TargetAnswered(benchStart, 1, 200, "", []byte("did it"), &b.out)
+	b.g.TargetAnswered(benchStart, 1, TargetAnswer{Status: 200, Body: []byte("did it")}, &b.out)
 	b.g = b.g.Successor(b.g.cfg)
 	b.g.Announced(benchStart, Announcement{Slots: 1, Connections: 1, State: Warm}, &b.out)
 	b.arrive(benchStart, request.Normal, again)
@@ -227,7 +227,7 @@
 	b := warmBench(12)
 	for run := range uint64(20_000) {
 		b.arrive(benchStart, request.Normal, func(r *request.Request) { r.Budget = time.Minute; r.Idempotent = true })
-		b.g.TargetAnswered(benchStart, run+1, 200, "", nil, &b.out)
+		b.g.TargetAnswered(benchStart, run+1, TargetAnswer{Status: 200}, &b.out)
 	}
 	must.True(t, b.g.Idle())
 	must.LessEq(t, maxStaleTimers+2, b.g.timers.Len())
--- a/gate/run.go
+++ b/gate/run.go
@@ -105,8 +105,16 @@
 	j.conn = noConnection
 }
 
+// TargetAnswer is a target's whole answer to a run, as in request.Answer.
+type TargetAnswer struct {
+	Status int
+	Type   string
+	Header []byte
+	Body   []byte
+}
+
 // TargetAnswered takes the target's whole answer to a run.
-func (g *Gate) TargetAnswered(now mono.Time, run uint64, status int, contentType string, body []byte, out *Actions) {
+func (g *Gate) TargetAnswered(now mono.Time, run uint64, answer TargetAnswer, out *Actions) {
 	j := g.runs[run]
 	if j == nil {
 		g.counters.Strays++
@@ -115,9 +123,10 @@
 	g.service.add(now.Sub(j.startedAt))
 	g.target.pause = 0
 	a := g.outcome(j, result.OK)
-	a.Status = status
-	a.Type = contentType
-	a.Body = body
+	a.Status = answer.Status
+	a.Type = answer.Type
+	a.Header = answer.Header
+	a.Body = answer.Body
 	if !g.stillHeld(now, j) {
 		a = g.outcome(j, result.LeaseLapsedAfter)
 	}
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -53,6 +53,19 @@
 	Epoch uint64
 }
 
+// Token tells a next owner what the target of the last one gave away on the
+// release of neighbouring slices: a target that is granted them with it need
+// not warm up. It goes from daemon to daemon and may be lost.
+type Token struct {
+	_     struct{} `cbor:",toarray"`
+	App   key.App
+	First key.SliceID
+	Last  key.SliceID
+	// Epoch is the one at which the slices were released.
+	Epoch uint64
+	Token string
+}
+
 // Action is what the shell does for the Holder.
 type Action interface{ isAction() }
 
--- a/handover/holder.go
+++ b/handover/holder.go
@@ -226,6 +226,28 @@
 	return h.out
 }
 
+// Renounce gives up every slice that is held, as after the loss of a target's
+// life: another life may get them at a higher epoch only. The leader hears of
+// the releases and names owners anew.
+func (h *Holder) Renounce(now mono.Time) []Action {
+	h.out = nil
+	for _, r := range h.sorted(stateOwned) {
+		h.fire(now, r, eventAsked)
+	}
+	h.checkIdle(now)
+	return h.out
+}
+
+// RenounceSlice is Renounce for one slice that is held at an epoch.
+func (h *Holder) RenounceSlice(now mono.Time, s key.Slice, epoch uint64) []Action {
+	h.out = nil
+	if r := h.records[s]; r != nil && r.state == stateOwned && r.epoch == epoch {
+		h.fire(now, r, eventAsked)
+		h.release(now, r)
+	}
+	return h.out
+}
+
 func (h *Holder) drainAll(now mono.Time) {
 	h.drained = true
 	for _, r := range h.sorted(stateOwned) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,6 +38,14 @@
 	// Instance changes with each start of the target's process; 0 if the
 	// target does not say.
 	Instance uint64 `json:"instance,omitempty"`
+	// Name is the target's own name of this start, for targets that check
+	// which one a request is meant for; empty if they don't.
+	Name string `json:"name,omitempty"`
+	// StartedMs is when the target started by its own clock, in milliseconds
+	// since 1970, and Sequence rises with each announcement since; 0 if the
+	// target does not say.
+	StartedMs int64  `json:"started_ms,omitempty"`
+	Sequence  uint64 `json:"sequence,omitempty"`
 }
 
 // The states that a target announces.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/entry"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
 	"github.com/rhubarbring/rhubarbring/internal/machine"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/internal/settings"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
@@ -28,7 +30,9 @@
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/routes"
 	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/targetlife"
 )
 
 const (
@@ -62,7 +66,9 @@
 	log      *eventlog.Log
 	registry metrics.Registry
 	dial     peer.Dial
-	client   *storeclient.Client
+	client   objectstore.Store
+	protocol entry.Protocol
+	targets  TargetMaker
 	fleet    *fleet
 
 	peers     *peer.Transport
@@ -76,6 +82,11 @@
 	entry     *entry.Server
 	control   *control.Server
 
+	// lifeMu guards what is known of the target's life.
+	lifeMu        sync.Mutex
+	life          targetlife.Judge
+	lastAnnounced control.Announcement
+
 	announced atomic.Pointer[session.Target]
 	stopping  atomic.Bool
 	over      atomic.Bool // the session ended by itself
@@ -90,6 +101,24 @@
 	return func(d *Daemon) { d.dial = dial }
 }
 
+// WithStore makes a daemon keep its objects in a store other than the one that
+// package storeclient speaks to.
+func WithStore(store objectstore.Store) Option {
+	return func(d *Daemon) { d.client = store }
+}
+
+// WithProtocol makes a daemon speak another protocol than the project's own to
+// callers.
+func WithProtocol(protocol entry.Protocol) Option {
+	return func(d *Daemon) { d.protocol = protocol }
+}
+
+// WithTargets makes a daemon speak another protocol than the project's own to
+// the target on its host.
+func WithTargets(targets TargetMaker) Option {
+	return func(d *Daemon) { d.targets = targets }
+}
+
 // New returns a daemon that is not yet started.
 func New(s *settings.Daemon, log *eventlog.Log, registry metrics.Registry, options ...Option) *Daemon {
 	d := &Daemon{
@@ -104,7 +133,15 @@
 	for _, option := range options {
 		option(d)
 	}
-	d.client = storeclient.NewDialing(s.Store, storeTimeout, fasthttp.DialFuncWithTimeout(d.dial)).Scoped(s.Environment)
+	if d.client == nil {
+		d.client = storeclient.NewDialing(s.Store, storeTimeout, fasthttp.DialFuncWithTimeout(d.dial)).Scoped(s.Environment)
+	}
+	if d.protocol == nil {
+		d.protocol = entry.NewAPI(s.Seed)
+	}
+	if d.targets == nil {
+		d.targets = ownTargets
+	}
 	return d
 }
 
@@ -112,6 +149,15 @@
 	return host.Place{Region: d.settings.Region, Zone: d.settings.Zone}
 }
 
+// machineID identifies the running machine: as the settings say, or else by its
+// kernel.
+func (d *Daemon) machineID() string {
+	if d.settings.Machine != "" {
+		return d.settings.Machine
+	}
+	return machine.ID()
+}
+
 // Start opens the daemon's addresses and starts its duties. If it returns an
 // error, what it had opened is closed again.
 func (d *Daemon) Start() error {
@@ -130,7 +176,7 @@
 		d.peers.Close()
 		return err
 	}
-	d.entry = entry.New(d, d.settings.Seed)
+	d.entry = entry.New(d, d.protocol)
 	if err := d.entry.Start(d.settings.Caller); err != nil {
 		d.control.Stop()
 		d.peers.Close()
@@ -153,7 +199,7 @@
 	d.lease = newLeaseDuty(session.Config{
 		Session: d.self,
 		Place:   d.place(),
-		Machine: machine.ID(),
+		Machine: d.machineID(),
 		Peer:    d.settings.Peer,
 		Control: d.settings.Control,
 		Caller:  d.settings.Caller,
@@ -185,7 +231,7 @@
 }
 
 func (d *Daemon) packWritten(name string, version uint64, value []byte) {
-	d.spread.ring.Push(objectWritten{storeclient.Object{Name: name, Version: version, Value: value}})
+	d.spread.ring.Push(objectWritten{objectstore.Object{Name: name, Version: version, Value: value}})
 }
 
 // Self returns the daemon's session.
@@ -294,6 +340,19 @@
 	}, nil
 }
 
+// Resolve implements entry.Router.
+func (d *Daemon) Resolve(hostName, path string) (routes.Match, error) {
+	doc := d.fleet.document.Load()
+	if doc == nil {
+		return routes.Match{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
+	}
+	match, ok := doc.routes.Resolve(hostName, path)
+	if !ok {
+		return match, &result.Error{Code: result.UnknownRoute, Field: "path", Detail: "no route of the document leads there"}
+	}
+	return match, nil
+}
+
 // Submit implements entry.Router.
 func (d *Daemon) Submit(s entry.Submission) bool {
 	if d.over.Load() {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/routes"
 	"github.com/rhubarbring/rhubarbring/session"
 )
 
@@ -35,6 +36,7 @@
 	stored   *document.Stored
 	document *document.Document
 	apps     map[key.App]document.App
+	routes   *routes.Table
 }
 
 func newFleet() *fleet {
@@ -115,7 +117,7 @@
 	for _, a := range doc.Apps {
 		apps[a.Name] = a
 	}
-	f.document.Store(&documentInForce{stored: stored, document: doc, apps: apps})
+	f.document.Store(&documentInForce{stored: stored, document: doc, apps: apps, routes: routes.New(doc)})
 	return true
 }
 
@@ -129,6 +131,12 @@
 	return a, ok
 }
 
+// hasSlices reports whether an app is divided into slices. One that is not
+// divided by key needs them only to remember ids.
+func hasSlices(a document.App) bool {
+	return a.DividedByKey || !a.FreshIDs
+}
+
 // slicesOf returns the number of slices of an app.
 func slicesOf(a document.App) uint32 {
 	if a.Slices > 0 {
--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -17,6 +17,7 @@
 
 var (
 	logTime        = regexp.MustCompile(`ts=\S+`)
+	logAddress     = regexp.MustCompile(`address=\S+`)
 	logIncarnation = regexp.MustCompile(`/\d{10,}`)
 )
 
@@ -54,5 +55,6 @@
 // plainLog replaces what differs from run to run.
 func plainLog(text string) string {
 	text = logTime.ReplaceAllString(text, "ts=TIME")
+	text = logAddress.ReplaceAllString(text, "address=ADDRESS")
 	return strings.TrimSpace(logIncarnation.ReplaceAllString(text, "/INCARNATION")) + "\n"
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -24,14 +24,32 @@
 	if !d.routing.ring.Push(announced{a}) {
 		return "", &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}
 	}
-	t := session.Target{App: key.App(a.App), Address: a.Address, Slots: a.Slots, Connections: a.Connections, ChecksGrants: a.ChecksGrants}
-	if old := d.announced.Load(); old == nil || *old != t {
-		d.announced.Store(&t)
-		d.lease.wait(targetChanged{target: &t})
+	t := recordedTarget(a)
+	if old := d.announced.Load(); old == nil || t == nil || *old != *t {
+		d.announced.Store(t)
+		if old != t {
+			d.lease.wait(targetChanged{target: t})
+		}
 	}
 	return d.self.String(), nil
 }
 
+// recordedTarget is what the session's record says of a target; nil if it
+// leaves, so that placement gives its slices to others.
+func recordedTarget(a control.Announcement) *session.Target {
+	if a.State == control.StateDraining {
+		return nil
+	}
+	return &session.Target{
+		App:          key.App(a.App),
+		Address:      a.Address,
+		Slots:        a.Slots,
+		Connections:  a.Connections,
+		ChecksGrants: a.ChecksGrants,
+		Instance:     a.Instance,
+	}
+}
+
 // targetGone takes the target out of the session's record, so that placement
 // gives its slices to others. The next announcement puts it back.
 func (d *Daemon) targetGone() {
@@ -42,6 +60,18 @@
 
 // Ready implements control.Daemon.
 func (d *Daemon) Ready() error {
+	if err := d.CanRoute(); err != nil {
+		return err
+	}
+	if !d.routing.ready.Load() {
+		return &result.Error{Code: result.NoOwner, Detail: "slices without an owner"}
+	}
+	return nil
+}
+
+// CanRoute returns nil if the daemon takes requests, else what it lacks. Some
+// slices may be without an owner.
+func (d *Daemon) CanRoute() error {
 	switch {
 	case d.stopping.Load():
 		return &result.Error{Code: result.Draining, Detail: "a planned stop is under way"}
@@ -49,8 +79,6 @@
 		return &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
 	case d.lease.recorded.Load() == nil:
 		return &result.Error{Code: result.LeaseLapsed, Detail: "the session is not recorded yet"}
-	case !d.routing.ready.Load():
-		return &result.Error{Code: result.NoOwner, Detail: "slices without an owner"}
 	}
 	return nil
 }
@@ -219,6 +247,9 @@
 	}
 	records := r.fleet.sessions.Load().records
 	for _, app := range d.document.Apps {
+		if !hasSlices(app) {
+			continue
+		}
 		u := status.Unowned{App: app.Name, Of: int(slicesOf(app))}
 		for id := range slicesOf(app) {
 			s, ok := r.owners.At(key.Slice{App: app.Name, ID: key.SliceID(id)})
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -14,9 +14,9 @@
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/internal/ring"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
@@ -48,7 +48,7 @@
 	fleet  *fleet
 	peers  *peer.Transport
 	store  *storeDuty
-	client *storeclient.Client
+	client objectstore.Store
 	log    *eventlog.Log
 	ring   *ring.Ring[placementWork]
 	core   *placement.Core
@@ -207,7 +207,7 @@
 	for {
 		sessions, err := listAll(p.client, session.Kind)
 		if err == nil {
-			var packs []storeclient.Object
+			var packs []objectstore.Object
 			packs, err = listAll(p.client, assignment.Kind)
 			if err == nil {
 				p.wait(synced{sessions: sessions, packs: packs})
@@ -223,8 +223,8 @@
 	}
 }
 
-func listAll(client *storeclient.Client, kind string) ([]storeclient.Object, error) {
-	var all []storeclient.Object
+func listAll(client objectstore.Store, kind string) ([]objectstore.Object, error) {
+	var all []objectstore.Object
 	after := ""
 	for {
 		page, err := client.List(kind, after, syncPage)
@@ -269,8 +269,8 @@
 		answer storeAnswer
 	}
 	synced struct {
-		sessions []storeclient.Object
-		packs    []storeclient.Object
+		sessions []objectstore.Object
+		packs    []objectstore.Object
 	}
 	sessionsChanged struct{ records []session.Versioned }
 	packChanged     struct{ pack packVersion }
@@ -335,7 +335,7 @@
 	p.step(now, seen)
 }
 
-func (p *placementDuty) packRead(now mono.Time, object storeclient.Object) {
+func (p *placementDuty) packRead(now mono.Time, object objectstore.Object) {
 	pack, err := assignment.Decode(object.Value)
 	if err != nil {
 		p.log.Event(event.BadObject, "object", object.Kind+"/"+object.Name, "cause", err.Error())
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -203,7 +203,7 @@
 	go func() { r.ring.Wait(runEnded{run: active, reply: client.Do(call)}, r.stop) }()
 }
 
-func (r *routingDuty) cancelRun(g *gate.Gate, client *targetclient.Client, c gate.CancelRun) {
+func (r *routingDuty) cancelRun(g *gate.Gate, client Target, c gate.CancelRun) {
 	stopped := client.Cancel(c.ID, c.Run, cancelWait)
 	r.ring.Wait(cancelEnded{gate: g, run: c.Run, stopped: stopped}, r.stop)
 }
@@ -215,18 +215,21 @@
 		case handover.Admit:
 			changed = true
 			r.log.Event(event.SliceAdmitted, "slice", a.Slice.String(), "epoch", a.Epoch)
+			r.own(now, a.Slice, a.Epoch)
 		case handover.StopAdmitting:
 			changed = true
+			r.givesTo(a.Slice, a.Next)
 			r.log.Event(event.SliceDraining, "slice", a.Slice.String(), "epoch", a.Epoch, "next", a.Next.String())
 		case handover.TellReleased:
-			r.log.Event(event.SliceReleased, "slice", key.Slice{App: a.Release.App, ID: a.Release.ID}.String(), "epoch", a.Release.Epoch)
-			r.released(a.Release)
+			r.giveUp(now, a.Release)
 		case handover.ReportOverdue:
 			r.log.Event(event.DrainOverdue, "slice", a.Slice.String(), "epoch", a.Epoch, "in_flight", a.InFlight)
 		case handover.ReportOverruled:
+			r.dropped(a.Slice)
 			r.log.Event(event.SliceOverruled, "slice", a.Slice.String(), "epoch", a.Epoch, "newest", a.Newest)
 		}
 	}
+	r.tickGrants(now)
 	if changed && r.gate != nil {
 		r.gate.OwnershipChanged(now, &r.gateOut)
 	}
--- a/internal/daemon/routing_confirm_test.go
+++ b/internal/daemon/routing_confirm_test.go
@@ -13,8 +13,8 @@
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/settings"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -53,7 +53,7 @@
 	packRead{name: name, answer: storeAnswer{code: result.StoreUnavailable}}.routingWork(r, now)
 	must.True(t, r.holder.Admits(now, slice).Admitted())
 	must.SliceEmpty(t, released)
-	object := storeclient.Object{Version: 2, Value: raw}
+	object := objectstore.Object{Version: 2, Value: raw}
 	packRead{name: name, answer: storeAnswer{code: result.OK, object: object}}.routingWork(r, now)
 	must.False(t, r.holder.Admits(now, slice).Admitted())
 	must.SliceLen(t, 1, released)
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -17,7 +17,6 @@
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/internal/ring"
-	"github.com/rhubarbring/rhubarbring/internal/targetclient"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/loadmeter"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -93,6 +92,11 @@
 	raise  func(request.Risk)
 	settle func(request.Settlement)
 
+	targets TargetMaker
+	// granter, grants and gaveTo are set for a target that holds its keys
+	// itself.
+	granting
+
 	replies map[request.Caller]chan *request.Answer
 	sent    map[uint64]sending
 	over    bool // the daemon's session ended
@@ -144,7 +148,8 @@
 // localTarget is the target on this host as it last announced itself.
 type localTarget struct {
 	app      key.App
-	client   *targetclient.Client
+	client   Target
+	instance uint64 // as announced
 	lastSeen mono.Time
 	load     float32 // as the target says itself
 	slots    int
@@ -167,6 +172,7 @@
 		store:       d.store,
 		log:         d.log,
 		lease:       d.lease.lease,
+		targets:     d.targets,
 		ring:        ring.New[routingWork]("routing", routingRingSize, registry),
 		holder:      handover.New(hold),
 		owners:      assignment.NewMap(),
@@ -263,6 +269,7 @@
 	r.router.Tick(now, &r.out)
 	r.doHolder(now, r.holder.Tick(now))
 	r.tickGates(now)
+	r.tickGrants(now)
 	r.forgetSent(now)
 	r.countControl(now)
 	r.report(now)
--- a/internal/daemon/routing_map.go
+++ b/internal/daemon/routing_map.go
@@ -35,6 +35,9 @@
 		Expires:      r.lease(),
 		KnownSinceMs: r.knownSince(slice, now, v.Since),
 	}
+	if a.Code == result.OK && !r.targetHolds(now, slice) {
+		a.Code = result.LeaseLapsed
+	}
 	if k == "" {
 		return a
 	}
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/handover"
@@ -54,10 +55,12 @@
 		run     uint64
 		stopped bool
 	}
-	packsSeen     struct{ packs []packVersion }
-	announced     struct{ announcement control.Announcement }
-	sessionEnded  struct{ session host.Session }
-	stopRequested struct{}
+	packsSeen struct{ packs []packVersion }
+	announced struct{ announcement control.Announcement }
+	// documentChanged is the document that came into force.
+	documentChanged struct{ document *document.Document }
+	sessionEnded    struct{ session host.Session }
+	stopRequested   struct{}
 )
 
 // packVersion is a pack at a version of the store.
@@ -145,7 +148,7 @@
 	}
 	switch w.reply.Verdict {
 	case targetclient.Answered:
-		g.TargetAnswered(now, run, w.reply.Status, w.reply.Type, w.reply.Body, &r.gateOut)
+		g.TargetAnswered(now, run, gate.TargetAnswer{Status: w.reply.Status, Type: w.reply.Type, Header: w.reply.Header, Body: w.reply.Body}, &r.gateOut)
 	case targetclient.Refused:
 		g.TargetRefused(now, run, refusalCode(w.reply.Reason), &r.gateOut)
 	case targetclient.NotSent:
@@ -173,7 +176,7 @@
 
 func refusalCode(reason string) result.Code {
 	switch reason {
-	case "fence":
+	case targetclient.RefusedFence:
 		return result.FenceRefused
 	case "draining":
 		return result.Draining
@@ -207,7 +210,10 @@
 	if d == nil {
 		return false
 	}
-	for name := range d.apps {
+	for name, app := range d.apps {
+		if !hasSlices(app) {
+			continue
+		}
 		total := r.owners.Total(name)
 		if total == 0 {
 			return false
@@ -233,10 +239,24 @@
 	r.doHolder(now, r.holder.Seen(now, c))
 }
 
+func (w documentChanged) routingWork(r *routingDuty, _ mono.Time) {
+	for _, a := range w.document.Apps {
+		r.owners.DivideByNumber(a.Name, a.KeyNumbers)
+	}
+}
+
 func (w announced) routingWork(r *routingDuty, now mono.Time) {
 	a := w.announcement
-	if r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address {
+	if a.Connections == 0 {
+		app, _ := r.fleet.app(key.App(a.App))
+		a.Connections = max(app.TargetConnections, a.Slots)
+	}
+	switch {
+	case r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address:
 		r.newGate(now, a)
+		r.newLife(now, a)
+	case r.target.instance != a.Instance:
+		r.newLife(now, a)
 	}
 	r.target.lastSeen = now
 	r.target.gone = false
@@ -268,7 +288,7 @@
 		r.retired = append(r.retired, old)
 		r.gate = old.Successor(cfg)
 	}
-	r.target = &localTarget{app: cfg.App, client: targetclient.New(a.Address, a.Connections)}
+	r.target = &localTarget{app: cfg.App}
 }
 
 func targetState(name string) gate.State {
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -58,6 +58,7 @@
 		return nil
 	}
 	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
+	s.d.routing.ring.Wait(documentChanged{document: doc}, s.stop)
 	s.d.placement.wait(appsChanged{apps: placementApps(stored, doc)})
 	return nil
 }
@@ -135,6 +136,9 @@
 func placementApps(stored *document.Stored, doc *document.Document) []placement.App {
 	apps := make([]placement.App, 0, len(doc.Apps))
 	for _, a := range doc.Apps {
+		if !hasSlices(a) {
+			continue
+		}
 		app := placement.App{
 			Name:         a.Name,
 			Slices:       slicesOf(a),
--- a/internal/daemon/spread_work.go
+++ b/internal/daemon/spread_work.go
@@ -1,8 +1,8 @@
 package daemon
 
 import (
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/spread"
 )
@@ -21,16 +21,16 @@
 	watchDone struct {
 		watch   spread.Watch
 		number  uint64
-		changes storeclient.Changes
+		changes objectstore.Changes
 		err     error
 	}
 	listDone struct {
 		list spread.List
-		page storeclient.Page
+		page objectstore.Page
 		err  error
 	}
 	// objectWritten is an object that this daemon itself wrote.
-	objectWritten struct{ object storeclient.Object }
+	objectWritten struct{ object objectstore.Object }
 )
 
 func (w spreadReceived) spreadWork(s *spreadDuty, now mono.Time) {
@@ -58,7 +58,7 @@
 }
 
 func (s *spreadDuty) storeFailed(now mono.Time, kind spread.Kind, err error) {
-	if storeclient.IsTooOld(err) {
+	if objectstore.IsTooOld(err) {
 		s.step(now, spread.Watched{Kind: kind, TooOld: true})
 		return
 	}
@@ -87,7 +87,7 @@
 	}
 }
 
-func objects(items []storeclient.Object) []spread.Object {
+func objects(items []objectstore.Object) []spread.Object {
 	out := make([]spread.Object, 0, len(items))
 	for _, o := range items {
 		out = append(out, spread.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: o.Value})
--- a/internal/daemon/store_duty.go
+++ b/internal/daemon/store_duty.go
@@ -8,8 +8,8 @@
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/ring"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -45,13 +45,13 @@
 // after a put, or the current one after a conflict.
 type storeAnswer struct {
 	code   result.Code
-	object storeclient.Object
+	object objectstore.Object
 }
 
 // storeDuty makes the calls to the store for all other duties, so that none
 // of them waits for it.
 type storeDuty struct {
-	client *storeclient.Client
+	client objectstore.Store
 	log    *eventlog.Log
 	ring   *ring.Ring[storeCall]
 	stop   chan struct{}
@@ -62,7 +62,7 @@
 	loggedAt  time.Time
 }
 
-func newStoreDuty(client *storeclient.Client, log *eventlog.Log, registry metrics.Registry) *storeDuty {
+func newStoreDuty(client objectstore.Store, log *eventlog.Log, registry metrics.Registry) *storeDuty {
 	return &storeDuty{
 		client: client,
 		log:    log,
@@ -103,7 +103,7 @@
 }
 
 func (s *storeDuty) make(call storeCall) storeAnswer {
-	answer := storeAnswer{object: storeclient.Object{Kind: call.kind, Name: call.name}}
+	answer := storeAnswer{object: objectstore.Object{Kind: call.kind, Name: call.name}}
 	var err error
 	switch call.op {
 	case opGet:
@@ -113,14 +113,14 @@
 	case opDelete:
 		err = s.client.Delete(call.kind, call.name, call.ifVersion)
 	}
-	answer.code = storeclient.CodeOf(err)
+	answer.code = objectstore.CodeOf(err)
 	s.note(storeOpNames[call.op], call.kind+"/"+call.name, err)
 	return answer
 }
 
 // note follows whether the store can be reached, and logs the changes.
 func (s *storeDuty) note(op, object string, err error) {
-	code := storeclient.CodeOf(err)
+	code := objectstore.CodeOf(err)
 	failed := code == result.StoreUnavailable || code == result.StoreDoubt
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/daemon/zone_force.go
+++ b/internal/daemon/zone_force.go
@@ -7,7 +7,7 @@
 
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/spread"
 )
@@ -105,7 +105,7 @@
 // that race write the same or a later truth; the loser tries again.
 func (s *spreadDuty) writeForce(name string, raw []byte, record document.InForce) {
 	old, err := s.d.client.Get(document.InForceKind, name)
-	if err == nil || storeclient.IsNotFound(err) {
+	if err == nil || objectstore.IsNotFound(err) {
 		_, err = s.d.client.Put(document.InForceKind, name, old.Version, raw)
 	}
 	s.ring.Wait(forceRecorded{record: record, landed: err == nil}, s.stop)
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// Limits of the project's own protocol.
+const (
+	MaxBodyBytes   = 1 << 20
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	hangUpCheck    = 20 * time.Millisecond
+	maxHeaderBytes = 16 << 10
+)
+
+// API is the project's own protocol for callers.
+type API struct {
+	ids *idSource
+}
+
+// NewAPI returns the project's own protocol. The seed starts the ids that it
+// makes for requests without one.
+func NewAPI(seed uint64) *API {
+	return &API{ids: newIDSource(seed)}
+}
+
+// Options implements Protocol.
+func (p *API) Options() Options {
+	return Options{
+		MaxBodyBytes:   MaxBodyBytes,
+		MaxHeaderBytes: maxHeaderBytes,
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    idleTimeout,
+		HangUpCheck:    hangUpCheck,
+	}
+}
+
+// Respond implements Protocol.
+func (p *API) Respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
+	h := &ctx.Response.Header
+	info, ok := result.Lookup(answer.Code)
+	if !ok {
+		info, _ = result.Lookup(result.OutcomeUnknown)
+	}
+	setResult(ctx, answer.ID, info)
+	if answer.Owner != "" {
+		h.Set("Rhubarb-Owner", answer.Owner)
+		h.Set("Rhubarb-Epoch", strconv.FormatUint(answer.Epoch, 10))
+	}
+	setRetryAfter(ctx, answer.RetryAfter)
+	if info.Outcome != result.Done {
+		writeRefusal(ctx, info, "")
+		return
+	}
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.Type)
+	ctx.SetBody(answer.Body)
+}
+
+func setResult(ctx *fasthttp.RequestCtx, id string, info result.Info) {
+	h := &ctx.Response.Header
+	h.Set("Rhubarb-Code", strconv.Itoa(int(info.Code)))
+	h.Set("Rhubarb-Result", info.Name)
+	h.Set("Rhubarb-Outcome", info.Outcome.String())
+	if id != "" {
+		h.Set("Rhubarb-Request-Id", id)
+	}
+}
+
+func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	seconds := int(math.Ceil(after.Seconds()))
+	ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	ctx.Response.Header.Set("Rhubarb-Retry-After", strconv.FormatInt(after.Milliseconds(), 10))
+}
+
+// refusal is the JSON body of an answer other than the target's.
+type refusal struct {
+	Code    uint16 `json:"code"`
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+	Detail  string `json:"detail,omitempty"`
+	Advice  string `json:"advice"`
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, info result.Info, detail string) {
+	body, err := json.Marshal(refusal{uint16(info.Code), info.Name, info.Outcome.String(), detail, info.Advice})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(info.HTTP)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// Refuse implements Protocol. Of a repeat, a refusal before the router says
+// nothing about earlier sendings, so that it is no "not run".
+func (p *API) Refuse(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error, pause time.Duration) {
+	setRetryAfter(ctx, pause)
+	code := err.Code
+	if r.ID != "" {
+		code = request.FinalCode(r, code)
+	}
+	info, _ := result.Lookup(code)
+	setResult(ctx, r.ID, info)
+	writeRefusal(ctx, info, detailOf(err))
+}
+
+func detailOf(err *result.Error) string {
+	if err.Field == "" {
+		return err.Detail
+	}
+	return err.Field + ": " + err.Detail
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,13 +1,12 @@
-// Package entry takes callers' requests over HTTP and answers them, as
-// docs/API.md describes it.
+// Package entry takes callers' requests over HTTP and answers them. API is the
+// project's own protocol, as docs/API.md describes it; a platform may bring
+// another Protocol.
 package entry
 
 import (
 	"context"
-	"encoding/json"
-	"math"
+	"errors"
 	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,28 +18,55 @@
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/routes"
 )
 
-// Limits of the callers' interface.
 const (
-	MaxBodyBytes   = 1 << 20
-	readTimeout    = 10 * time.Second
-	idleTimeout    = 60 * time.Second
 	maxConnections = 4096
-	hangUpCheck    = 20 * time.Millisecond
 	// lastArrivals is how long after the address is closed requests on
 	// connections that were just opened are still taken.
 	lastArrivals = 300 * time.Millisecond
 	// stopPatience is longer than any deadline.
-	stopPatience   = 40 * time.Second
-	maxHeaderBytes = 16 << 10
+	stopPatience = 40 * time.Second
 	// overloadPause is when a caller should come back whose request the
 	// daemon had no room for.
 	overloadPause = 500 * time.Millisecond
 )
 
+// Protocol reads callers' requests and writes the answers to them. Its methods
+// are called on many goroutines.
+type Protocol interface {
+	// Options are the limits of the HTTP server.
+	Options() Options
+	// Parse reads a request. It fills in the submission's Request and
+	// Deadline; with an error, as much of the Request as it could read.
+	Parse(ctx *fasthttp.RequestCtx, router Router) (Submission, *result.Error)
+	// Respond writes the router's answer.
+	Respond(ctx *fasthttp.RequestCtx, answer *request.Answer)
+	// Refuse writes the refusal of a request that never reached the router;
+	// the caller may come back after a pause, if that is not 0. The request
+	// is empty if nothing of it could be read.
+	Refuse(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error, pause time.Duration)
+}
+
+// Options are the limits of the callers' HTTP server.
+type Options struct {
+	// MaxBodyBytes bounds a request's body, MaxHeaderBytes its head.
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	// ReadTimeout bounds the time to read a request, IdleTimeout the time
+	// between two requests on a connection.
+	ReadTimeout time.Duration
+	IdleTimeout time.Duration
+	// HangUpCheck is the time between two looks for callers that left.
+	HangUpCheck time.Duration
+}
+
 // Router decides what becomes of a request.
 type Router interface {
+	// Resolve returns what the route of a host name and path says. It returns
+	// an *result.Error if there is none.
+	Resolve(hostName, path string) (routes.Match, error)
 	// Limits returns an app's default and maximum deadline, and whether it
 	// needs a key. It returns an *result.Error if the app is unknown.
 	Limits(app string) (Limits, error)
@@ -68,34 +94,38 @@
 
 // Server is the callers' HTTP interface.
 type Server struct {
-	router  Router
-	ids     *idSource
-	calls   atomic.Uint64
-	drains  atomic.Bool
-	waiting *waiting
-	http    *fasthttp.Server
-	listen  net.Listener
-	done    chan struct{}
-	conns   sync.Map // open connections, net.Conn
-	closed  chan struct{}
-}
-
-// New returns a server that hands requests to the router. The seed starts the
-// ids that it makes for requests without one.
-func New(router Router, seed uint64) *Server {
-	s := &Server{router: router, ids: newIDSource(seed), waiting: newWaiting(), done: make(chan struct{}), closed: make(chan struct{})}
+	router   Router
+	protocol Protocol
+	calls    atomic.Uint64
+	drains   atomic.Bool
+	waiting  *waiting
+	http     *fasthttp.Server
+	listen   net.Listener
+	done     chan struct{}
+	conns    sync.Map // open connections, net.Conn
+	closed   chan struct{}
+}
+
+// New returns a server that speaks the protocol and hands requests to the
+// router.
+func New(router Router, protocol Protocol) *Server {
+	options := protocol.Options()
+	s := &Server{router: router, protocol: protocol, waiting: newWaiting(options.HangUpCheck), done: make(chan struct{}), closed: make(chan struct{})}
 	s.http = &fasthttp.Server{
-		Handler:            s.handle,
-		Name:               "rhubarbring",
-		MaxRequestBodySize: MaxBodyBytes,
-		ReadBufferSize:     maxHeaderBytes,
-		ReadTimeout:        readTimeout,
-		IdleTimeout:        idleTimeout,
-		Concurrency:        maxConnections,
-		ErrorHandler:       refuseBadHTTP,
-		CloseOnShutdown:    true,
-		ConnState:          s.follow,
-		Logger:             quiet{},
+		Handler:               s.handle,
+		MaxRequestBodySize:    options.MaxBodyBytes,
+		ReadBufferSize:        options.MaxHeaderBytes,
+		ReadTimeout:           options.ReadTimeout,
+		IdleTimeout:           options.IdleTimeout,
+		Concurrency:           maxConnections,
+		ErrorHandler:          s.refuseBadHTTP,
+		CloseOnShutdown:       true,
+		ReduceMemoryUsage:     true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		ConnState:             s.follow,
+		Logger:                quiet{},
 	}
 	return s
 }
@@ -161,17 +191,18 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	submission, err := s.parse(ctx)
+	submission, err := s.protocol.Parse(ctx, s.router)
 	if err != nil {
-		refuseRequest(ctx, submission.Request, err)
+		s.protocol.Refuse(ctx, submission.Request, err, 0)
 		return
 	}
+	submission.Caller = request.Caller(s.calls.Add(1))
+	submission.Reply = make(chan *request.Answer, 1)
 	if !s.router.Submit(submission) {
-		setRetryAfter(ctx, overloadPause)
-		refuseRequest(ctx, submission.Request, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"})
+		s.protocol.Refuse(ctx, submission.Request, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}, overloadPause)
 		return
 	}
-	s.respond(ctx, s.await(ctx, submission))
+	s.protocol.Respond(ctx, s.await(ctx, submission))
 	if s.drains.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -190,97 +221,15 @@
 	}
 }
 
-func (s *Server) respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
-	h := &ctx.Response.Header
-	info, ok := result.Lookup(answer.Code)
-	if !ok {
-		info, _ = result.Lookup(result.OutcomeUnknown)
-	}
-	setResult(ctx, answer.ID, info)
-	if answer.Owner != "" {
-		h.Set("Rhubarb-Owner", answer.Owner)
-		h.Set("Rhubarb-Epoch", strconv.FormatUint(answer.Epoch, 10))
-	}
-	setRetryAfter(ctx, answer.RetryAfter)
-	if info.Outcome != result.Done {
-		writeRefusal(ctx, info, "")
-		return
-	}
-	ctx.SetStatusCode(answer.Status)
-	ctx.SetContentType(answer.Type)
-	ctx.SetBody(answer.Body)
-}
-
-func setResult(ctx *fasthttp.RequestCtx, id string, info result.Info) {
-	h := &ctx.Response.Header
-	h.Set("Rhubarb-Code", strconv.Itoa(int(info.Code)))
-	h.Set("Rhubarb-Result", info.Name)
-	h.Set("Rhubarb-Outcome", info.Outcome.String())
-	if id != "" {
-		h.Set("Rhubarb-Request-Id", id)
-	}
-}
-
-func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
-	if after <= 0 {
-		return
-	}
-	seconds := int(math.Ceil(after.Seconds()))
-	ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
-	ctx.Response.Header.Set("Rhubarb-Retry-After", strconv.FormatInt(after.Milliseconds(), 10))
-}
-
-// refusal is the JSON body of an answer other than the target's.
-type refusal struct {
-	Code    uint16 `json:"code"`
-	Name    string `json:"name"`
-	Outcome string `json:"outcome"`
-	Detail  string `json:"detail,omitempty"`
-	Advice  string `json:"advice"`
-}
-
-func writeRefusal(ctx *fasthttp.RequestCtx, info result.Info, detail string) {
-	body, err := json.Marshal(refusal{uint16(info.Code), info.Name, info.Outcome.String(), detail, info.Advice})
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(info.HTTP)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
-// refuseRequest refuses a request that never reached the router. Of a repeat
-// that says nothing about earlier sendings, so that it is no "not run".
-func refuseRequest(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error) {
-	if r.ID == "" {
-		refuse(ctx, "", err)
-		return
-	}
-	refuse(ctx, r.ID, &result.Error{Code: request.FinalCode(r, err.Code), Field: err.Field, Detail: err.Detail})
-}
-
-func refuse(ctx *fasthttp.RequestCtx, id string, err *result.Error) {
-	info, _ := result.Lookup(err.Code)
-	setResult(ctx, id, info)
-	writeRefusal(ctx, info, detailOf(err))
-}
-
-func detailOf(err *result.Error) string {
-	if err.Field == "" {
-		return err.Detail
-	}
-	return err.Field + ": " + err.Detail
-}
-
 // refuseBadHTTP answers bytes that are not a request, or one that is too
 // large: in both cases nothing ran.
-func refuseBadHTTP(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) refuseBadHTTP(ctx *fasthttp.RequestCtx, err error) {
 	code := result.BadRequest
-	if err == fasthttp.ErrBodyTooLarge {
+	var small *fasthttp.ErrSmallBuffer
+	if err == fasthttp.ErrBodyTooLarge || errors.As(err, &small) {
 		code = result.TooLarge
 	}
-	refuse(ctx, "", &result.Error{Code: code, Detail: err.Error()})
+	s.protocol.Refuse(ctx, &request.Request{}, &result.Error{Code: code, Detail: err.Error()}, 0)
 }
 
 func now() mono.Time {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/routes"
 )
 
 // fullRouter knows the app "pay" and has room for nothing.
@@ -21,6 +22,10 @@
 	return Limits{DefaultDeadline: time.Second, MaxDeadline: time.Second}, nil
 }
 
+func (fullRouter) Resolve(string, string) (routes.Match, error) {
+	return routes.Match{}, &result.Error{Code: result.UnknownRoute}
+}
+
 func (fullRouter) Submit(Submission) bool { return false }
 
 func (fullRouter) Gone(request.Caller) {}
@@ -35,7 +40,7 @@
 	}
 	var ctx fasthttp.RequestCtx
 	ctx.Init(&req, nil, nil)
-	New(fullRouter{}, 1).handle(&ctx)
+	New(fullRouter{}, NewAPI(1)).handle(&ctx)
 	return &ctx.Response
 }
 
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -24,7 +24,8 @@
 	uuidTimeDigits = 12
 )
 
-func (s *Server) parse(ctx *fasthttp.RequestCtx) (Submission, *result.Error) {
+// Parse implements Protocol.
+func (p *API) Parse(ctx *fasthttp.RequestCtx, router Router) (Submission, *result.Error) {
 	sub := Submission{Request: &request.Request{AcceptedMs: time.Now().UnixMilli()}}
 	app, path, err := splitPath(ctx)
 	if err != nil {
@@ -36,13 +37,13 @@
 	r.Method = string(ctx.Method())
 	r.Type = string(ctx.Request.Header.ContentType())
 	r.Body = bytes.Clone(ctx.PostBody())
-	if err := s.parseID(ctx, r); err != nil {
+	if err := p.parseID(ctx, r); err != nil {
 		return sub, err
 	}
 	if err := parseFlags(ctx, r); err != nil {
 		return sub, err
 	}
-	limits, lookup := s.router.Limits(app)
+	limits, lookup := router.Limits(app)
 	if lookup != nil {
 		return sub, asError(lookup)
 	}
@@ -54,9 +55,7 @@
 		return sub, err
 	}
 	r.Budget = budget
-	sub.Caller = request.Caller(s.calls.Add(1))
 	sub.Deadline = now().Add(budget)
-	sub.Reply = make(chan *request.Answer, 1)
 	return sub, nil
 }
 
@@ -88,10 +87,10 @@
 	return app, path, nil
 }
 
-func (s *Server) parseID(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
+func (p *API) parseID(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
 	id := string(ctx.Request.Header.Peek("Rhubarb-Request-Id"))
 	if id == "" {
-		r.ID = s.ids.next()
+		r.ID = p.ids.next()
 		r.Repeat = request.RepeatFirst
 		r.IDTimeMs = uuidTime(r.ID)
 		return nil
--- a/internal/entry/parse_bench_test.go
+++ b/internal/entry/parse_bench_test.go
@@ -19,10 +19,10 @@
 	req.SetBody(make([]byte, 1024))
 	var ctx fasthttp.RequestCtx
 	ctx.Init(&req, nil, nil)
-	s := New(fullRouter{}, 1)
+	api := NewAPI(1)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := s.parse(&ctx); err != nil {
+		if _, err := api.Parse(&ctx, fullRouter{}); err != nil {
 			must.NoError(b, err)
 		}
 	}
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -18,10 +18,11 @@
 	conns map[request.Caller]net.Conn
 	// first is told when a caller begins to wait and no other does.
 	first chan struct{}
+	every time.Duration // between two looks
 }
 
-func newWaiting() *waiting {
-	return &waiting{conns: make(map[request.Caller]net.Conn), first: make(chan struct{}, 1)}
+func newWaiting(every time.Duration) *waiting {
+	return &waiting{conns: make(map[request.Caller]net.Conn), first: make(chan struct{}, 1), every: every}
 }
 
 func (w *waiting) add(caller request.Caller, conn net.Conn) {
@@ -67,7 +68,7 @@
 // watch calls gone once for each caller that hangs up while it waits, until
 // done is closed. It may also call it for one that was just answered.
 func (w *waiting) watch(gone func(request.Caller), done <-chan struct{}) {
-	tick := time.NewTicker(hangUpCheck)
+	tick := time.NewTicker(w.every)
 	defer tick.Stop()
 	var list []waiter
 	for {
--- a/internal/entry/waiting_test.go
+++ b/internal/entry/waiting_test.go
@@ -28,7 +28,7 @@
 
 func startHeld(t *testing.T) (*heldRouter, func() net.Conn) {
 	router := &heldRouter{taken: make(chan Submission, 1), gone: make(chan request.Caller, 1)}
-	s := New(router, 1)
+	s := New(router, NewAPI(1))
 	must.NoError(t, s.Start("127.0.0.1:0"))
 	t.Cleanup(s.Stop)
 	return router, func() net.Conn {
--- a/internal/faulttest/document_test.go
+++ b/internal/faulttest/document_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rhubarbring/rhubarbring/document"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/storestand"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -40,7 +40,7 @@
 
 func (f *fleet) loadDocument(a document.Load) document.UpdateEvent {
 	o, err := f.client.Get(a.Object.Kind, a.Object.Name)
-	if err != nil && !storeclient.IsNotFound(err) {
+	if err != nil && !objectstore.IsNotFound(err) {
 		return document.LoadFailed{}
 	}
 	return document.Loaded{Object: a.Object, Revision: o.Version, Value: o.Value}
@@ -48,7 +48,7 @@
 
 func (f *fleet) saveDocument(a document.Save) document.UpdateEvent {
 	_, err := f.client.Put(a.Object.Kind, a.Object.Name, a.IfRevision, a.Value)
-	switch storeclient.CodeOf(err) {
+	switch objectstore.CodeOf(err) {
 	case result.OK:
 		return document.Saved{}
 	case result.StoreConflict:
--- a/internal/faulttest/load_test.go
+++ b/internal/faulttest/load_test.go
@@ -13,7 +13,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/judge"
 	"github.com/rhubarbring/rhubarbring/internal/load"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/outcome"
 	"github.com/rhubarbring/rhubarbring/status"
 )
@@ -107,7 +107,7 @@
 
 // kept returns the ids of the outcomes at risk that stand in the store.
 func (f *fleet) kept() []string {
-	var page storeclient.Page
+	var page objectstore.Page
 	f.eventually("the store answers", func() bool {
 		var err error
 		page, err = f.client.List(outcome.Kind, "", 1000)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/host"
-	"github.com/rhubarbring/rhubarbring/internal/storeclient"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/status"
 )
@@ -31,7 +31,7 @@
 // the store. Those that don't answer are kept.
 func (o *Operator) Hosts(environment string) ([]Host, error) {
 	var hosts []Host
-	err := each(o.store.Scoped(environment), session.Kind, func(object storeclient.Object) error {
+	err := each(o.store.Scoped(environment), session.Kind, func(object objectstore.Object) error {
 		record, err := session.Decode(object.Value)
 		if err != nil || record.State.Final() {
 			return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -46,7 +47,7 @@
 // History returns the replaced documents of an environment, oldest first.
 func (o *Operator) History(environment string) ([]document.Stored, error) {
 	var all []document.Stored
-	err := each(o.store, document.HistoryKind, func(object storeclient.Object) error {
+	err := each(o.store, document.HistoryKind, func(object objectstore.Object) error {
 		if !strings.HasPrefix(object.Name, environment+".") {
 			return nil
 		}
@@ -64,7 +65,7 @@
 // when its relay last wrote it.
 func (o *Operator) InForce(environment string) (map[host.Zone]document.InForce, error) {
 	zones := make(map[host.Zone]document.InForce)
-	err := each(o.store, document.InForceKind, func(object storeclient.Object) error {
+	err := each(o.store, document.InForceKind, func(object objectstore.Object) error {
 		zone, ok := strings.CutPrefix(object.Name, environment+".")
 		if !ok {
 			return nil
@@ -121,7 +122,7 @@
 }
 
 // each calls a function for each object of a kind, by name.
-func each(store *storeclient.Client, kind string, do func(storeclient.Object) error) error {
+func each(store *storeclient.Client, kind string, do func(objectstore.Object) error) error {
 	after := ""
 	for {
 		page, err := store.List(kind, after, listPage)
--- a/internal/operator/outcomes.go
+++ b/internal/operator/outcomes.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/rhubarbring/rhubarbring/alarm"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/outcome"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -15,7 +16,7 @@
 // Batches returns the stored batches of outcomes at risk, by name.
 func (o *Operator) Batches(environment string) ([]outcome.Batch, error) {
 	var all []outcome.Batch
-	err := each(o.store.Scoped(environment), outcome.Kind, func(object storeclient.Object) error {
+	err := each(o.store.Scoped(environment), outcome.Kind, func(object objectstore.Object) error {
 		b, err := outcome.Decode(object.Value)
 		if err == nil {
 			all = append(all, *b)
@@ -112,7 +113,7 @@
 // all of them.
 func (o *Operator) Alarms(environment string, all bool) ([]alarm.Record, error) {
 	var list []alarm.Record
-	err := each(o.store.Scoped(environment), alarm.StoreKind, func(object storeclient.Object) error {
+	err := each(o.store.Scoped(environment), alarm.StoreKind, func(object objectstore.Object) error {
 		var r alarm.Record
 		if err := json.Unmarshal(object.Value, &r); err != nil {
 			return err
--- a/internal/operator/sessions.go
+++ b/internal/operator/sessions.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/storeclient"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/session"
@@ -36,7 +37,7 @@
 // Sessions returns the session records of an environment, by name.
 func (o *Operator) Sessions(environment string) ([]session.Versioned, error) {
 	list := []session.Versioned{}
-	err := each(o.store.Scoped(environment), session.Kind, func(object storeclient.Object) error {
+	err := each(o.store.Scoped(environment), session.Kind, func(object objectstore.Object) error {
 		v, err := versioned(object)
 		if err == nil {
 			list = append(list, v)
@@ -81,7 +82,7 @@
 	return versioned(object)
 }
 
-func versioned(object storeclient.Object) (session.Versioned, error) {
+func versioned(object objectstore.Object) (session.Versioned, error) {
 	record, err := session.Decode(object.Value)
 	return session.Versioned{Version: object.Version, Record: record}, err
 }
@@ -177,14 +178,14 @@
 		return r
 	}
 	r.Version, err = store.Put(session.Kind, session.Name(a.Record.Session), a.IfVersion, value)
-	r.Code = storeclient.CodeOf(err)
+	r.Code = objectstore.CodeOf(err)
 	return r
 }
 
 func getRecord(store *storeclient.Client, a session.Get) session.GetResult {
 	r := session.GetResult{Session: a.Session}
 	object, err := store.Get(session.Kind, session.Name(a.Session))
-	if r.Code = storeclient.CodeOf(err); err != nil {
+	if r.Code = objectstore.CodeOf(err); err != nil {
 		return r
 	}
 	if r.Found, err = versioned(object); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,10 @@
 	// that starts while the store can't be reached learns of the fleet from
 	// them. Default: none; such a daemon then waits for the store.
 	Peers []string `json:"peers"`
+	// Machine identifies the machine, for fleets in which a machine keeps its
+	// addresses over a loss of power and no other machine ever gets them.
+	// Default: the running kernel's own id.
+	Machine string `json:"machine"`
 	// Log says where log lines go.
 	Log Log `json:"log"`
 	// Seed starts the daemon's random numbers. Default: drawn at start.
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -29,29 +30,8 @@
 	detailBytes    = 200
 )
 
-// Object is an object of the store.
-type Object struct {
-	Kind    string `json:"-"`
-	Name    string `json:"name"`
-	Version uint64 `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"`
-	Value   []byte `json:"value"`
-}
-
-// Page is one page of a list.
-type Page struct {
-	Items    []Object `json:"items"`
-	Revision uint64   `json:"revision"`
-	Next     string   `json:"next"`
-}
-
-// Changes is the answer to a watch.
-type Changes struct {
-	Events   []Object `json:"events"`
-	Revision uint64   `json:"revision"`
-}
-
-// Client calls the store. It is safe for concurrent use.
+// Client calls the store. It is safe for concurrent use. It implements
+// objectstore.Store.
 type Client struct {
 	base    string
 	scope   string
@@ -116,8 +96,8 @@
 }
 
 // Get reads an object. Its errors are StoreNotFound and StoreUnavailable.
-func (c *Client) Get(kind, name string) (Object, error) {
-	object := Object{Kind: kind, Name: name}
+func (c *Client) Get(kind, name string) (objectstore.Object, error) {
+	object := objectstore.Object{Kind: kind, Name: name}
 	answer, err := c.call(fasthttp.MethodGet, c.objectPath(kind, name), nil, nil, c.timeout)
 	if err != nil {
 		return object, err
@@ -144,8 +124,8 @@
 }
 
 // List returns up to limit objects of a kind whose names follow after.
-func (c *Client) List(kind, after string, limit int) (Page, error) {
-	var page Page
+func (c *Client) List(kind, after string, limit int) (objectstore.Page, error) {
+	var page objectstore.Page
 	path := "objects/" + url.PathEscape(c.kindInStore(kind)) + "?after=" + url.QueryEscape(after) + "&limit=" + strconv.Itoa(limit)
 	answer, err := c.call(fasthttp.MethodGet, path, nil, nil, c.timeout)
 	if err != nil {
@@ -160,8 +140,8 @@
 
 // Watch waits up to wait for changes of a kind after revision. It returns
 // StoreNotFound if the revision is too old: list again.
-func (c *Client) Watch(kind string, revision uint64, wait time.Duration) (Changes, error) {
-	var changes Changes
+func (c *Client) Watch(kind string, revision uint64, wait time.Duration) (objectstore.Changes, error) {
+	var changes objectstore.Changes
 	path := "watch/" + url.PathEscape(c.kindInStore(kind)) + "?revision=" + strconv.FormatUint(revision, 10) +
 		"&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	answer, err := c.call(fasthttp.MethodGet, path, nil, nil, wait+watchGrace)
@@ -261,26 +241,3 @@
 func (c *Client) objectPath(kind, name string) string {
 	return "objects/" + url.PathEscape(c.kindInStore(kind)) + "/" + url.PathEscape(name)
 }
-
-// CodeOf returns the result code of an error of this package, or OK for nil.
-func CodeOf(err error) result.Code {
-	if err == nil {
-		return result.OK
-	}
-	var e *result.Error
-	if errors.As(err, &e) {
-		return e.Code
-	}
-	return result.StoreDoubt
-}
-
-// IsNotFound reports whether an error says that there is no such object.
-func IsNotFound(err error) bool {
-	return CodeOf(err) == result.StoreNotFound
-}
-
-// IsTooOld reports whether an error of Watch says that the revision is too
-// old: list again.
-func IsTooOld(err error) bool {
-	return CodeOf(err) == result.StoreNotFound
-}
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -67,6 +67,10 @@
 	Truncated
 )
 
+// RefusedFence is the reason of a target that refuses since another holds the
+// slice, or since the request is meant for another life of it.
+const RefusedFence = "fence"
+
 // Reply is the result of a call.
 type Reply struct {
 	Verdict Verdict
@@ -74,6 +78,8 @@
 	Status  int
 	Type    string
 	Body    []byte
+	// Header is as in request.Answer.
+	Header []byte
 }
 
 // Client calls one target. It is safe for concurrent use.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,7 @@
 	KindHave
 	KindObjects
 	KindAsk
+	KindToken
 )
 
 // Sizes of a frame in bytes.
--- a/key/key.go
+++ b/key/key.go
@@ -51,3 +51,26 @@
 	id := (span * uint64(n)) >> 32
 	return Slice{App: app, ID: SliceID(id)}
 }
+
+// SliceOfNumber returns the regular slice of a key that is a number below
+// numbers, in an app of n slices: slices are ranges of numbers, the first ones
+// of which may be one number longer. The number's text k must be decimal; a
+// text that is no such number belongs to slice 0 and the second result is
+// false.
+func SliceOfNumber(app App, k string, numbers, n uint32) (Slice, bool) {
+	number, err := strconv.ParseUint(k, 10, 32)
+	if err != nil || number >= uint64(numbers) {
+		return Slice{App: app}, false
+	}
+	return Slice{App: app, ID: SliceID(number * uint64(n) / uint64(numbers))}, true
+}
+
+// NumbersOf returns the first and the last number of a slice by SliceOfNumber.
+func NumbersOf(id SliceID, numbers, n uint32) (first, last uint32) {
+	return firstOf(uint64(id), numbers, n), firstOf(uint64(id)+1, numbers, n) - 1
+}
+
+// firstOf returns the least number that SliceOfNumber maps to a slice.
+func firstOf(id uint64, numbers, n uint32) uint32 {
+	return uint32((id*uint64(numbers) + uint64(n) - 1) / uint64(n))
+}
--- a/request/request.go
+++ b/request/request.go
@@ -33,7 +33,8 @@
 )
 
 // NoSlice stands for the slice of a request that any gate of its app may run:
-// an idempotent one of an app that is not divided by key.
+// one of an app that is not divided by key, if it is idempotent or its id is
+// fresh.
 const NoSlice key.SliceID = 1<<32 - 1
 
 // Request is a caller's request as it travels between daemons. It is not
@@ -79,6 +80,14 @@
 	Path   string
 	Type   string
 	Body   []byte
+	// Header holds the caller's header fields that are passed on unchanged,
+	// each as "Name: value" and CR LF; empty in the project's own protocol.
+	Header []byte
+	// FreshID says that the id was never used before and never will be again,
+	// so that no gate needs to remember it.
+	FreshID bool
+	// MaxAttempts bounds the sendings to targets; 0 sets no bound.
+	MaxAttempts int
 }
 
 // Answer is the answer to one attempt of a request.
@@ -106,6 +115,9 @@
 	Status int
 	Type   string
 	Body   []byte
+	// Header holds the target's header fields that are passed on unchanged,
+	// in the form of Request.Header.
+	Header []byte
 }
 
 // FinalCode returns what a caller may be told of code c. That this sending did
--- a/request/router.go
+++ b/request/router.go
@@ -213,7 +213,7 @@
 		r.refuse(now, c, result.MissingKey, out)
 		return
 	}
-	if !divided && req.Idempotent {
+	if !divided && (req.Idempotent || req.FreshID) {
 		req.Slice = NoSlice
 	}
 	r.budget.Deposit()
--- a/result/codes.go
+++ b/result/codes.go
@@ -12,6 +12,7 @@
 	BadDeadline  Code = 103
 	TooLarge     Code = 104
 	BadRequestID Code = 105
+	UnknownRoute Code = 106
 
 	NoOwner            Code = 200
 	NotOwner           Code = 201
@@ -67,6 +68,7 @@
 	{BadDeadline, "bad_deadline", NotRun, 400, "Send a deadline in milliseconds within the app's maximum."},
 	{TooLarge, "too_large", NotRun, 413, "Send a smaller body; the limit is in the detail."},
 	{BadRequestID, "bad_request_id", NotRun, 400, "Send an id of 1 to 64 printable characters."},
+	{UnknownRoute, "unknown_route", NotRun, 404, "Name a host and a path of the document's routes."},
 	{NoOwner, "no_owner", NotRun, 503, "Ask again after the time in Retry-After."},
 	{NotOwner, "not_owner", NotRun, 503, "Ask again: ownership has moved to the epoch given."},
 	{DeadlineTooShort, "deadline_too_short", NotRun, 503, "Ask again later or with a longer deadline."},
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,74 @@
+package routes_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/routes"
+)
+
+func sample() *document.Document {
+	return &document.Document{
+		Apps: []document.App{{Name: "catalogue", DividedByKey: true}, {Name: "pay", FreshIDs: true}, {Name: "book"}},
+		Routes: []document.Route{
+			{Name: "all", Host: "shop.example", PathPrefix: "/", Idempotent: true, Priority: 2, Split: []document.Share{{App: "catalogue", Weight: 1}}},
+			{Name: "pay", Host: "shop.example", PathPrefix: "/pay/", Priority: 0, MaxAttempts: 3, Timeout: document.Duration(time.Second), Split: []document.Share{{App: "pay", Weight: 1}}},
+			{Name: "status", Host: "shop.example", PathPrefix: "/pay/status/", Priority: 1, Split: []document.Share{{App: "pay", Weight: 1}}},
+			{Name: "book", Host: "other.example", PathPrefix: "/b/", Split: []document.Share{{App: "book", Weight: 90}, {App: "pay", Weight: 10}}},
+		},
+	}
+}
+
+func TestTheLongestPrefixWins(t *testing.T) {
+	table := routes.New(sample())
+	for path, name := range map[string]string{"/x": "all", "/pay/1": "pay", "/pay/status/1": "status", "/pay": "all", "/payment/": "all"} {
+		m, ok := table.Resolve("shop.example", path)
+		must.True(t, ok)
+		must.Eq(t, name, m.Route)
+	}
+	for _, c := range [][2]string{{"unknown.example", "/"}, {"other.example", "/c/"}} {
+		_, ok := table.Resolve(c[0], c[1])
+		must.False(t, ok)
+	}
+}
+
+func TestAMatchSaysWhatTheRouteAndTheAppSay(t *testing.T) {
+	table := routes.New(sample())
+	m, _ := table.Resolve("shop.example", "/pay/1")
+	must.Eq(t, routes.Match{Route: "pay", App: "pay", Urgent: true, FreshIDs: true, Timeout: time.Second, MaxAttempts: 3}, m)
+	m, _ = table.Resolve("shop.example", "/pay/status/1")
+	must.False(t, m.Urgent)
+	m, _ = table.Resolve("shop.example", "/x")
+	must.True(t, m.Keyed && m.Idempotent && !m.Urgent)
+}
+
+// A split keeps its shares within a tenth over any 50 requests in a row.
+func TestASplitKeepsItsShares(t *testing.T) {
+	for _, weights := range [][]int{{90, 10}, {50, 50}, {70, 20, 10}, {1, 1, 1}, {95, 5}, {33, 67}} {
+		doc := &document.Document{Routes: []document.Route{{Host: "h", PathPrefix: "/"}}}
+		total := 0
+		for i, w := range weights {
+			name := key.App(fmt.Sprint("app-", i))
+			doc.Apps = append(doc.Apps, document.App{Name: name})
+			doc.Routes[0].Split = append(doc.Routes[0].Split, document.Share{App: name, Weight: w})
+			total += w
+		}
+		table := routes.New(doc)
+		for range 20 {
+			got := make(map[key.App]int)
+			for range 50 {
+				m, _ := table.Resolve("h", "/")
+				got[m.App]++
+			}
+			for i, w := range weights {
+				share := float64(got[key.App(fmt.Sprint("app-", i))]) / 50
+				must.Between(t, float64(w)/float64(total)-0.1, share, float64(w)/float64(total)+0.1)
+			}
+		}
+	}
+}
--- a/session/record.go
+++ b/session/record.go
@@ -49,6 +49,9 @@
 	Slots        int     `json:"slots"`
 	Connections  int     `json:"connections"`
 	ChecksGrants bool    `json:"checks_grants"`
+	// Instance changes with each start of the target's process; 0 if the
+	// target does not say.
+	Instance uint64 `json:"instance,omitempty"`
 }
 
 // Record is a session's object in the store: kind "session", named by Name,
