--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -183,7 +183,7 @@
 		return result.Draining, 0
 	}
 	wait := g.expectedWait(now, r.Class)
-	if r.Budget <= 0 || g.tooLate(wait, r.Budget) {
+	if r.Budget <= 0 || g.tooLate(r, wait, r.Budget) {
 		return result.DeadlineTooShort, max(wait, g.cfg.RetryAfter)
 	}
 	q := g.queueOf(r.Class)
@@ -196,11 +196,11 @@
 // tooLate reports whether a request that waits so long will likely miss its
 // deadline. An idle target gets work whatever it took before, so that the
 // estimate can't lock it out for good.
-func (g *Gate) tooLate(wait, left time.Duration) bool {
+func (g *Gate) tooLate(r *request.Request, wait, left time.Duration) bool {
 	if g.slots == 0 {
 		return wait >= left
 	}
-	return wait+g.service.likely() > left
+	return wait+g.serviceOf(r.Route).mean() > left
 }
 
 // accept lets a request in: it starts now or waits for a slot.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,9 @@
 	WarmUp time.Duration
 	// WarmStart is the part of its slots that it gets at once.
 	WarmStart float64
+	// ColdShare is the part of its slots that a target gets while it says that
+	// it is cold.
+	ColdShare float64
 	// LoadTrust is the part of the slots that the target's own report of
 	// its load can take away at most.
 	LoadTrust float64
@@ -82,6 +85,8 @@
 	// RunHold is how long after its deadline a run that was answered for,
 	// but never ended by the target, keeps its slot.
 	RunHold time.Duration
+	// StopHold takes the place of RunHold at a target that stops runs itself.
+	StopHold time.Duration
 	// CancelWait is how long the target's answer to a cancellation is
 	// waited for.
 	CancelWait time.Duration
@@ -102,11 +107,13 @@
 		MaxJoined:      4,
 		WarmUp:         5 * time.Second,
 		WarmStart:      0.25,
+		ColdShare:      0.75,
 		LoadTrust:      0.25,
 		ShedPause:      20 * time.Millisecond,
 		ShedPauseMax:   time.Second,
 		DrainGrace:     2 * time.Second,
 		RunHold:        10 * time.Second,
+		StopHold:       50 * time.Millisecond,
 		CancelWait:     100 * time.Millisecond,
 		MaxUnacked:     4096,
 		RetryAfter:     500 * time.Millisecond,
@@ -149,6 +156,7 @@
 	seen     map[host.ID]lastSeen
 	unacked  *unacked
 	service  estimator
+	byRoute  map[string]*estimator
 	timers   timer.Queue[*job]
 	free     []*job
 	counters Counters
@@ -186,6 +194,7 @@
 		seen:   make(map[host.ID]lastSeen),
 
 		unacked: newUnacked(cfg.MaxUnacked),
+		byRoute: make(map[string]*estimator),
 	}
 }
 
--- a/gate/job.go
+++ b/gate/job.go
@@ -145,6 +145,10 @@
 // linger lets a run that was answered for hold its slice to its deadline, and
 // its slot for a while longer.
 func (g *Gate) linger(now mono.Time, j *job, out *Actions) {
+	if g.target.StopsRuns {
+		g.lingerBriefly(now, j, out)
+		return
+	}
 	if now.Before(j.deadline) {
 		g.setTimer(j, j.deadline)
 		return
@@ -153,6 +157,23 @@
 	g.setTimer(j, j.deadline.Add(g.cfg.RunHold))
 }
 
+// lingerBriefly is linger at a target that stops runs itself: those whose
+// connection is closed at once, the others at their deadline.
+func (g *Gate) lingerBriefly(now mono.Time, j *job, out *Actions) {
+	until := now
+	if j.conn != noConnection && !j.req.Idempotent {
+		until = latest(now, j.deadline)
+	}
+	if !now.Before(until) {
+		g.end(j, out)
+	}
+	g.setTimer(j, until.Add(g.cfg.StopHold))
+}
+
+func latest(a, b mono.Time) mono.Time {
+	return max(a, b)
+}
+
 func (g *Gate) end(j *job, out *Actions) {
 	if j.run == 0 || j.ended {
 		return
--- a/gate/run.go
+++ b/gate/run.go
@@ -51,7 +51,7 @@
 		g.refuseJob(now, j, code, adm, out)
 		return
 	}
-	if g.tooLate(0, j.deadline.Sub(now)) {
+	if g.tooLate(j.req, 0, j.deadline.Sub(now)) {
 		g.refuseJob(now, j, result.DeadlineTooShort, adm, out)
 		return
 	}
@@ -120,7 +120,7 @@
 		g.counters.Strays++
 		return
 	}
-	g.service.add(now.Sub(j.startedAt))
+	g.learn(j.req.Route, now.Sub(j.startedAt))
 	g.target.pause = 0
 	a := g.outcome(j, result.OK)
 	a.Status = answer.Status
@@ -315,10 +315,11 @@
 }
 
 func (g *Gate) lingered(now mono.Time, j *job, out *Actions) {
-	if !j.ended {
+	if !j.ended && !g.target.StopsRuns {
 		g.linger(now, j, out)
 		return
 	}
+	g.end(j, out)
 	g.step(now, j, eventRelease, nil, out)
 }
 
--- a/gate/target.go
+++ b/gate/target.go
@@ -33,6 +33,12 @@
 	// Load is busy slots over slots, as the target says. It may lag or
 	// mislead.
 	Load float64
+	// StopsRuns says that the target drops a run whose connection closes, and
+	// ends every run at the deadline that it was told.
+	StopsRuns bool
+	// SaysCold says that the target announces itself as cold for as long as it
+	// is slow, so that its age says nothing more.
+	SaysCold bool
 }
 
 // target is what the gate knows of its target.
@@ -152,6 +158,12 @@
 // warmth is the part of its slots that the target's age allows. One that
 // calls itself cold warms half as fast; one that stays cold is not waited for.
 func (g *Gate) warmth(now mono.Time) float64 {
+	if g.target.SaysCold {
+		if g.target.State == Cold {
+			return g.cfg.ColdShare
+		}
+		return 1
+	}
 	warmUp := g.cfg.WarmUp
 	if g.target.State == Cold {
 		warmUp *= 2
@@ -199,37 +211,51 @@
 	return normal + min(urgent, (normal+1)*g.cfg.UrgentRun)
 }
 
-// estimator follows the mean and the mean deviation of the service time.
+// maxRoutes bounds the routes whose service time is followed apart.
+const maxRoutes = 256
+
+// learn takes a service time in.
+func (g *Gate) learn(route string, took time.Duration) {
+	g.service.add(took)
+	e := g.byRoute[route]
+	if e == nil {
+		if len(g.byRoute) >= maxRoutes {
+			return
+		}
+		e = &estimator{}
+		g.byRoute[route] = e
+	}
+	e.add(took)
+}
+
+// serviceOf returns the estimate for a route. One that was never served counts
+// as taking no time: it is tried.
+func (g *Gate) serviceOf(route string) *estimator {
+	if e := g.byRoute[route]; e != nil {
+		return e
+	}
+	return &estimator{}
+}
+
+// estimator follows the mean of the service time.
 type estimator struct {
 	meanNs float64
-	devNs  float64
 	seen   bool
 }
 
-// The weight of the newest service time in the mean and in the deviation.
-const (
-	meanWeight      = 1.0 / 16
-	deviationWeight = 1.0 / 16
-)
+// meanWeight is the weight of the newest service time in the mean.
+const meanWeight = 1.0 / 16
 
 func (e *estimator) add(d time.Duration) {
 	ns := float64(d)
 	if !e.seen {
 		e.meanNs = ns
-		e.devNs = ns / 2
 		e.seen = true
 		return
 	}
-	off := ns - e.meanNs
-	e.meanNs += meanWeight * off
-	e.devNs += deviationWeight * (math.Abs(off) - e.devNs)
+	e.meanNs += meanWeight * (ns - e.meanNs)
 }
 
 func (e *estimator) mean() time.Duration {
 	return time.Duration(e.meanNs)
 }
-
-// likely is a time that most services don't exceed.
-func (e *estimator) likely() time.Duration {
-	return time.Duration(e.meanNs + 2*e.devNs)
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -46,6 +46,12 @@
 	// target does not say.
 	StartedMs int64  `json:"started_ms,omitempty"`
 	Sequence  uint64 `json:"sequence,omitempty"`
+	// StopsRuns says that the target drops a run whose connection closes, and
+	// ends every run at the deadline that it was told.
+	StopsRuns bool `json:"stops_runs,omitempty"`
+	// SaysCold says that the state is cold for just as long as the target is
+	// slow after its start.
+	SaysCold bool `json:"says_cold,omitempty"`
 }
 
 // The states that a target announces.
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -76,13 +76,24 @@
 		client:  d.client,
 		log:     d.log,
 		ring:    ring.New[placementWork]("placement", placementRingSize, registry),
-		core:    placement.New(placement.Config{Self: d.self, Seed: seed}),
+		core:    placement.New(placementConfig(d, seed)),
 		values:  make(map[string][]byte),
 		sweeper: sweeper{final: make(map[host.Session]mono.Time)},
 		stop:    make(chan struct{}),
 	}
 }
 
+func placementConfig(d *Daemon, seed uint64) placement.Config {
+	s := d.settings.Placement
+	return placement.Config{
+		Self:            d.self,
+		Seed:            seed,
+		BalanceInterval: s.RoundEvery.Std(),
+		Settle:          s.Settle.Std(),
+		WarmUp:          s.WarmUp.Std(),
+	}
+}
+
 func (p *placementDuty) start() {
 	p.done.Add(1)
 	go p.run()
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,8 +42,8 @@
 	// forgetAfter is longer than any deadline and the wait for a late answer.
 	forgetAfter = 90 * time.Second
 	forgetEvery = time.Second
-	// reportEvery is the time between two reports of load, and reportedKeys
-	// the hottest keys named in each.
+	// reportEvery is the time between two reports of load unless the settings
+	// name another, and reportedKeys the hottest keys named in each.
 	reportEvery = 5 * time.Second
 	// reportsPerSecond bounds what reaches the leader: at 130 bytes a report
 	// some 5 KB a second.
@@ -112,11 +113,12 @@
 	gateOut, gateDoing gate.Actions
 	stats              routingStats
 
-	meter      *loadmeter.Meter
-	reports    uint64
-	nextReport mono.Time
-	nextHotKey mono.Time
-	nextForget mono.Time
+	meter       *loadmeter.Meter
+	reports     uint64
+	reportEvery time.Duration
+	nextReport  mono.Time
+	nextHotKey  mono.Time
+	nextForget  mono.Time
 	// stopOwned is how many slices were owned when a planned stop began.
 	stopOwned atomic.Int64
 	ready     atomic.Bool
@@ -173,6 +175,7 @@
 		log:         d.log,
 		lease:       d.lease.lease,
 		targets:     d.targets,
+		reportEvery: cmp.Or(d.settings.Placement.ReportEvery.Std(), reportEvery),
 		ring:        ring.New[routingWork]("routing", routingRingSize, registry),
 		holder:      handover.New(hold),
 		owners:      assignment.NewMap(),
--- a/internal/daemon/routing_report.go
+++ b/internal/daemon/routing_report.go
@@ -13,7 +13,7 @@
 		return
 	}
 	r.nextHotKey = now.Add(hotKeyEvery)
-	r.nextReport = now.Add(reportInterval(len(r.fleet.sessions.Load().records)))
+	r.nextReport = now.Add(reportInterval(r.reportEvery, len(r.fleet.sessions.Load().records)))
 	r.reports++
 	slices, keys := r.meter.Take(now, reportedKeys)
 	r.reportLoad(placement.LoadReport{
@@ -43,7 +43,7 @@
 
 // reportInterval is the time between two reports in a fleet of so many
 // daemons: the leader takes no more than reportsPerSecond.
-func reportInterval(daemons int) time.Duration {
+func reportInterval(least time.Duration, daemons int) time.Duration {
 	spread := time.Duration(daemons) * time.Second / reportsPerSecond
-	return max(reportEvery, spread)
+	return max(least, spread)
 }
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -269,6 +269,8 @@
 		State:        targetState(a.State),
 		Instance:     a.Instance,
 		Load:         a.Load,
+		StopsRuns:    a.StopsRuns,
+		SaysCold:     a.SaysCold,
 	}, &r.gateOut)
 }
 
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -143,6 +143,7 @@
 			Name:         a.Name,
 			Slices:       slicesOf(a),
 			DividedByKey: a.DividedByKey,
+			Ranges:       a.KeyNumbers > 0,
 			MaxDeadline:  stored.LongestDeadline(a),
 			Weights:      placement.Weights{Imbalance: a.Weights.Imbalance, Churn: a.Weights.Churn, Unavailable: a.Weights.Unavailable},
 			MaxMoves:     a.MaxMovesPerRound,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 
+	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -22,6 +23,21 @@
 	Level string `json:"level"`
 }
 
+// Placement says how fast slices follow the load. All daemons of an environment
+// should have the same; a field that is left out has its default.
+type Placement struct {
+	// ReportEvery is the time between two reports of a target's load to the
+	// leader, more in large fleets. Default: 5s.
+	ReportEvery document.Duration `json:"report_every"`
+	// RoundEvery is the time between two rounds that move slices between
+	// living owners. Default: 5s.
+	RoundEvery document.Duration `json:"round_every"`
+	// Settle is how long a slice that was moved stays. Default: 60s.
+	Settle document.Duration `json:"settle"`
+	// WarmUp is how long a new host gets less than its share. Default: 30s.
+	WarmUp document.Duration `json:"warm_up"`
+}
+
 // Daemon is the settings of one daemon. All fields are needed unless they
 // name a default.
 type Daemon struct {
@@ -51,6 +67,8 @@
 	Machine string `json:"machine"`
 	// Log says where log lines go.
 	Log Log `json:"log"`
+	// Placement says how fast slices follow the load.
+	Placement Placement `json:"placement"`
 	// Seed starts the daemon's random numbers. Default: drawn at start.
 	Seed uint64 `json:"seed"`
 	// DebugAddress serves profiles of the running daemon under /debug/pprof/
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,6 +87,9 @@
 	// DividedByKey says whether load is balanced by what slices cause, or
 	// slices by their number.
 	DividedByKey bool
+	// Ranges says that neighbouring slices hold neighbouring keys, and are
+	// better kept together.
+	Ranges bool
 	// MaxDeadline is the longest deadline of a request.
 	MaxDeadline time.Duration
 	// Weights are the weights of the document; only their ratios count.
--- a/placement/round.go
+++ b/placement/round.go
@@ -20,8 +20,22 @@
 	wants []want
 
 	pinned map[key.SliceID]bool // Not to be moved for balance.
+	run    hostRun
 }
 
+// hostRun is the neighbouring slices that were placed on one host last.
+type hostRun struct {
+	next  key.SliceID // The slice that would go on with it.
+	to    int
+	load  float64
+	limit float64 // The most load of a run.
+}
+
+// runsPerHost is in how many runs of neighbours each host gets its slices, of
+// an app whose slices are ranges. Targets are granted runs by one call each;
+// several smaller runs spread busy neighbours better than one large one.
+const runsPerHost = 4
+
 // want is a slice that needs an owner or a next owner.
 type want struct {
 	id     key.SliceID
@@ -175,7 +189,11 @@
 
 // place finds a host for each want, the heaviest first.
 func (r *round) place() {
-	slices.SortStableFunc(r.wants, func(x, y want) int { return cmp.Compare(y.load, x.load) })
+	if r.a.params.Ranges {
+		r.startRuns()
+	} else {
+		slices.SortStableFunc(r.wants, func(x, y want) int { return cmp.Compare(y.load, x.load) })
+	}
 	for _, w := range r.wants {
 		r.placeOne(w)
 	}
@@ -214,7 +232,32 @@
 	if len(r.a.hosts) == 0 {
 		return -1, false
 	}
-	return r.c.cfg.Policy.Choose(r.a.hosts, w.load), true
+	if !r.a.params.Ranges {
+		return r.c.cfg.Policy.Choose(r.a.hosts, w.load), true
+	}
+	return r.goOn(w), true
+}
+
+// startRuns sorts the wants so that neighbours follow each other.
+func (r *round) startRuns() {
+	slices.SortFunc(r.wants, func(x, y want) int { return cmp.Compare(x.id, y.id) })
+	total := 0.0
+	for _, w := range r.wants {
+		total += w.load
+	}
+	r.run = hostRun{to: -1, limit: total / float64(runsPerHost*max(len(r.a.hosts), 1))}
+}
+
+// goOn places a slice on the host of its neighbour as long as the run stays
+// within its limit, else on the host that the policy chooses.
+func (r *round) goOn(w want) int {
+	if r.run.to < 0 || r.run.next != w.id || r.run.load+w.load > r.run.limit {
+		r.run.to = r.c.cfg.Policy.Choose(r.a.hosts, w.load)
+		r.run.load = 0
+	}
+	r.run.next = w.id + 1
+	r.run.load += w.load
+	return r.run.to
 }
 
 // edit changes a slice in the pack's draft. It returns false if the pack can't
--- a/request/request.go
+++ b/request/request.go
@@ -88,6 +88,9 @@
 	FreshID bool
 	// MaxAttempts bounds the sendings to targets; 0 sets no bound.
 	MaxAttempts int
+	// Route names the document's route; empty if the caller named the app.
+	// Requests of one route take about the same time.
+	Route string
 }
 
 // Answer is the answer to one attempt of a request.
