Work on a connection's requests at once, and answer them in order

Callers that hang up were looked for by polling.

Change: a connection is read all the time by one goroutine and answered in order by another; fasthttp stays the codec. A drain closes a connection with its last answer only.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -17,7 +17,6 @@
 	MaxBodyBytes   = 1 << 20
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
-	hangUpCheck    = 20 * time.Millisecond
 	maxHeaderBytes = 16 << 10
 )
 
@@ -39,34 +38,33 @@
 		MaxHeaderBytes: maxHeaderBytes,
 		ReadTimeout:    readTimeout,
 		IdleTimeout:    idleTimeout,
-		HangUpCheck:    hangUpCheck,
 	}
 }
 
 // Respond implements Protocol.
-func (p *API) Respond(ctx *fasthttp.RequestCtx, answer *request.Answer) {
-	h := &ctx.Response.Header
+func (p *API) Respond(resp *fasthttp.Response, answer *request.Answer) {
+	h := &resp.Header
 	info, ok := result.Lookup(answer.Code)
 	if !ok {
 		info, _ = result.Lookup(result.OutcomeUnknown)
 	}
-	setResult(ctx, answer.ID, info)
+	setResult(resp, answer.ID, info)
 	if answer.Owner != "" {
 		h.Set("Rhubarb-Owner", answer.Owner)
 		h.Set("Rhubarb-Epoch", strconv.FormatUint(answer.Epoch, 10))
 	}
-	setRetryAfter(ctx, answer.RetryAfter)
+	setRetryAfter(resp, answer.RetryAfter)
 	if info.Outcome != result.Done {
-		writeRefusal(ctx, info, "")
+		writeRefusal(resp, info, "")
 		return
 	}
-	ctx.SetStatusCode(answer.Status)
-	ctx.SetContentType(answer.Type)
-	ctx.SetBody(answer.Body)
+	resp.SetStatusCode(answer.Status)
+	resp.Header.SetContentType(answer.Type)
+	resp.SetBody(answer.Body)
 }
 
-func setResult(ctx *fasthttp.RequestCtx, id string, info result.Info) {
-	h := &ctx.Response.Header
+func setResult(resp *fasthttp.Response, id string, info result.Info) {
+	h := &resp.Header
 	h.Set("Rhubarb-Code", strconv.Itoa(int(info.Code)))
 	h.Set("Rhubarb-Result", info.Name)
 	h.Set("Rhubarb-Outcome", info.Outcome.String())
@@ -75,13 +73,13 @@
 	}
 }
 
-func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+func setRetryAfter(resp *fasthttp.Response, after time.Duration) {
 	if after <= 0 {
 		return
 	}
 	seconds := int(math.Ceil(after.Seconds()))
-	ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
-	ctx.Response.Header.Set("Rhubarb-Retry-After", strconv.FormatInt(after.Milliseconds(), 10))
+	resp.Header.Set("Retry-After", strconv.Itoa(seconds))
+	resp.Header.Set("Rhubarb-Retry-After", strconv.FormatInt(after.Milliseconds(), 10))
 }
 
 // refusal is the JSON body of an answer other than the target's.
@@ -93,28 +91,28 @@
 	Advice  string `json:"advice"`
 }
 
-func writeRefusal(ctx *fasthttp.RequestCtx, info result.Info, detail string) {
+func writeRefusal(resp *fasthttp.Response, info result.Info, detail string) {
 	body, err := json.Marshal(refusal{uint16(info.Code), info.Name, info.Outcome.String(), detail, info.Advice})
 	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		resp.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetStatusCode(info.HTTP)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	resp.SetStatusCode(info.HTTP)
+	resp.Header.SetContentType("application/json")
+	resp.SetBody(body)
 }
 
 // Refuse implements Protocol. Of a repeat, a refusal before the router says
 // nothing about earlier sendings, so that it is no "not run".
-func (p *API) Refuse(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error, pause time.Duration) {
-	setRetryAfter(ctx, pause)
+func (p *API) Refuse(resp *fasthttp.Response, r *request.Request, err *result.Error, pause time.Duration) {
+	setRetryAfter(resp, pause)
 	code := err.Code
 	if r.ID != "" {
 		code = request.FinalCode(r, code)
 	}
 	info, _ := result.Lookup(code)
-	setResult(ctx, r.ID, info)
-	writeRefusal(ctx, info, detailOf(err))
+	setResult(resp, r.ID, info)
+	writeRefusal(resp, info, detailOf(err))
 }
 
 func detailOf(err *result.Error) string {
--- /dev/null
+++ b/internal/entry/conn_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/request"
+)
+
+// heldRouter takes each request and leaves the answer to the test.
+type heldRouter struct {
+	fullRouter
+	taken chan Submission
+	gone  chan request.Caller
+}
+
+func (h *heldRouter) Submit(s Submission) bool {
+	h.taken <- s
+	return true
+}
+
+func (h *heldRouter) Gone(c request.Caller) { h.gone <- c }
+
+func startHeld(t *testing.T) (*heldRouter, func() net.Conn) {
+	router := &heldRouter{taken: make(chan Submission, 1), gone: make(chan request.Caller, maxPipelined)}
+	s := New(router, NewAPI(1))
+	must.NoError(t, s.Start("127.0.0.1:0"))
+	t.Cleanup(s.Stop)
+	return router, func() net.Conn {
+		conn, err := net.Dial("tcp", s.listen.Addr().String())
+		must.NoError(t, err)
+		_, err = conn.Write([]byte("POST /app/pay/ HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+		must.NoError(t, err)
+		return conn
+	}
+}
+
+func TestACallerThatHangsUpIsGone(t *testing.T) {
+	router, call := startHeld(t)
+	stays := call()
+	first := <-router.taken
+	leaves := call()
+	second := <-router.taken
+	must.NoError(t, leaves.Close())
+	must.Eq(t, second.Caller, <-router.gone)
+	second.Reply <- &request.Answer{}
+	first.Reply <- &request.Answer{Status: fasthttp.StatusOK, Body: []byte("kept")}
+	var resp fasthttp.Response
+	must.NoError(t, stays.SetReadDeadline(time.Now().Add(10*time.Second)))
+	must.NoError(t, resp.Read(bufio.NewReader(stays)))
+	must.Eq(t, "kept", string(resp.Body()))
+	must.NoError(t, stays.Close())
+	must.Eq(t, 0, len(router.gone))
+}
+
+// Requests behind each other on one connection are worked on at once, and
+// answered in their order whichever is ready first.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	router, call := startHeld(t)
+	conn := call()
+	first := <-router.taken
+	_, err := conn.Write([]byte("POST /app/pay/ HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+	must.NoError(t, err)
+	second := <-router.taken
+	second.Reply <- &request.Answer{Status: fasthttp.StatusOK, Body: []byte("second")}
+	first.Reply <- &request.Answer{Status: fasthttp.StatusOK, Body: []byte("first")}
+	reader := bufio.NewReader(conn)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	for _, want := range []string{"first", "second"} {
+		var resp fasthttp.Response
+		must.NoError(t, resp.Read(reader))
+		must.Eq(t, want, string(resp.Body()))
+	}
+	must.NoError(t, conn.Close())
+}
+
+// A request whose head is longer than the first read buffer is read.
+func TestALongHeadIsRead(t *testing.T) {
+	router, call := startHeld(t)
+	conn := call()
+	first := <-router.taken
+	long := strings.Repeat("a", 2*readerBytes)
+	_, err := conn.Write([]byte("POST /app/pay/ HTTP/1.1\r\nHost: x\r\nX-Long: " + long + "\r\nContent-Length: 4\r\n\r\nbody"))
+	must.NoError(t, err)
+	second := <-router.taken
+	must.Eq(t, "body", string(second.Request.Body))
+	first.Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	second.Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	must.NoError(t, conn.Close())
+}
+
+// Bytes that are no request are refused, and the connection closes.
+func TestWhatIsNoRequestIsRefused(t *testing.T) {
+	router, call := startHeld(t)
+	conn := call()
+	(<-router.taken).Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	_, err := conn.Write([]byte("this is no request\r\n\r\n"))
+	must.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	var resp fasthttp.Response
+	must.NoError(t, resp.Read(reader))
+	must.NoError(t, resp.Read(reader))
+	must.Eq(t, fasthttp.StatusBadRequest, resp.StatusCode())
+	must.True(t, resp.ConnectionClose())
+	_, err = reader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	must.NoError(t, conn.Close())
+}
+
+// A daemon that drains answers what it read and closes the connection with the
+// last answer.
+func TestADrainClosesWithTheLastAnswer(t *testing.T) {
+	router := &heldRouter{taken: make(chan Submission, 2), gone: make(chan request.Caller, maxPipelined)}
+	s := New(router, NewAPI(1))
+	must.NoError(t, s.Start("127.0.0.1:0"))
+	conn, err := net.Dial("tcp", s.listen.Addr().String())
+	must.NoError(t, err)
+	_, err = conn.Write([]byte(strings.Repeat("POST /app/pay/ HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 2)))
+	must.NoError(t, err)
+	first, second := <-router.taken, <-router.taken
+	s.Drain()
+	first.Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	second.Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	reader := bufio.NewReader(conn)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	for _, closes := range []bool{false, true} {
+		var resp fasthttp.Response
+		must.NoError(t, resp.Read(reader))
+		must.Eq(t, closes, resp.ConnectionClose())
+	}
+	must.NoError(t, conn.Close())
+	s.Stop()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,11 +1,13 @@
 // Package entry takes callers' requests over HTTP and answers them. API is the
 // project's own protocol, as docs/API.md describes it; a platform may bring
 // another Protocol.
+//
+// Requests that a caller sends behind each other on one connection are worked
+// on at once and answered in their order. A connection is always being read, so
+// that a caller that hangs up is noticed without asking.
 package entry
 
 import (
-	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -40,13 +42,13 @@
 	Options() Options
 	// Parse reads a request. It fills in the submission's Request and
 	// Deadline; with an error, as much of the Request as it could read.
-	Parse(ctx *fasthttp.RequestCtx, router Router) (Submission, *result.Error)
+	Parse(req *fasthttp.Request, router Router) (Submission, *result.Error)
 	// Respond writes the router's answer.
-	Respond(ctx *fasthttp.RequestCtx, answer *request.Answer)
+	Respond(resp *fasthttp.Response, answer *request.Answer)
 	// Refuse writes the refusal of a request that never reached the router;
 	// the caller may come back after a pause, if that is not 0. The request
 	// is empty if nothing of it could be read.
-	Refuse(ctx *fasthttp.RequestCtx, r *request.Request, err *result.Error, pause time.Duration)
+	Refuse(resp *fasthttp.Response, r *request.Request, err *result.Error, pause time.Duration)
 }
 
 // Options are the limits of the callers' HTTP server.
@@ -58,8 +60,6 @@
 	// between two requests on a connection.
 	ReadTimeout time.Duration
 	IdleTimeout time.Duration
-	// HangUpCheck is the time between two looks for callers that left.
-	HangUpCheck time.Duration
 }
 
 // Router decides what becomes of a request.
@@ -96,47 +96,30 @@
 type Server struct {
 	router   Router
 	protocol Protocol
+	options  Options
 	calls    atomic.Uint64
 	drains   atomic.Bool
-	waiting  *waiting
-	http     *fasthttp.Server
 	listen   net.Listener
-	done     chan struct{}
-	conns    sync.Map // open connections, net.Conn
-	closed   chan struct{}
+	// closed ends all connections at once.
+	closed chan struct{}
+	done   sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*conn]bool
 }
 
 // New returns a server that speaks the protocol and hands requests to the
 // router.
 func New(router Router, protocol Protocol) *Server {
-	options := protocol.Options()
-	s := &Server{router: router, protocol: protocol, waiting: newWaiting(options.HangUpCheck), done: make(chan struct{}), closed: make(chan struct{})}
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    options.MaxBodyBytes,
-		ReadBufferSize:        options.MaxHeaderBytes,
-		ReadTimeout:           options.ReadTimeout,
-		IdleTimeout:           options.IdleTimeout,
-		Concurrency:           maxConnections,
-		ErrorHandler:          s.refuseBadHTTP,
-		CloseOnShutdown:       true,
-		ReduceMemoryUsage:     true,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		NoDefaultContentType:  true,
-		ConnState:             s.follow,
-		Logger:                quiet{},
+	return &Server{
+		router:   router,
+		protocol: protocol,
+		options:  protocol.Options(),
+		closed:   make(chan struct{}),
+		conns:    make(map[*conn]bool),
 	}
-	return s
 }
 
-// quiet drops fasthttp's own lines about connections that callers broke: they
-// carry no event number.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
 // Start listens on address. Its errors are those of listen.TCP.
 func (s *Server) Start(address string) error {
 	listener, err := listen.TCP("caller", address)
@@ -144,11 +127,54 @@
 		return err
 	}
 	s.listen = listener
-	go s.serve(listener)
-	go s.waiting.watch(s.router.Gone, s.done)
+	s.done.Add(1)
+	go s.accept()
 	return nil
 }
 
+// accept ends when the listener is closed; before that only a broken listener
+// ends it, and then callers see the address closed.
+func (s *Server) accept() {
+	defer s.done.Done()
+	for {
+		raw, err := s.listen.Accept()
+		if err != nil {
+			return
+		}
+		s.open(raw)
+	}
+}
+
+func (s *Server) open(raw net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= maxConnections {
+		_ = raw.Close()
+		return
+	}
+	c := newConn(s, raw)
+	s.conns[c] = true
+	s.done.Add(1)
+	go c.serve()
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	s.done.Done()
+}
+
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
 // Drain asks callers to leave: from now on each answer closes its connection.
 // Callers that keep connections open then use another daemon before Stop
 // closes the idle ones, so that no request meets a connection being closed.
@@ -157,88 +183,41 @@
 }
 
 // Stop closes the address and returns when every request in flight has been
-// answered and idle connections, some seconds later, are closed.
+// answered, or after stopPatience. Idle connections are closed.
 func (s *Server) Stop() {
 	s.Drain()
 	_ = s.listen.Close()
 	time.Sleep(lastArrivals)
-	ctx, cancel := context.WithTimeout(context.Background(), stopPatience)
-	defer cancel()
-	_ = s.http.ShutdownWithContext(ctx)
-	<-s.done
+	for _, c := range s.connections() {
+		c.closeIdle()
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(stopPatience):
+		s.closeAll()
+	}
 }
 
 // Close ends the server at once: connections break, and what is in flight gets
 // no answer.
 func (s *Server) Close() {
 	_ = s.listen.Close()
-	s.conns.Range(func(conn, _ any) bool {
-		_ = conn.(net.Conn).Close()
-		return true
-	})
-	close(s.closed)
-	<-s.done
+	s.closeAll()
+	s.done.Wait()
 }
 
-// follow keeps the set of open connections.
-func (s *Server) follow(conn net.Conn, state fasthttp.ConnState) {
-	switch state {
-	case fasthttp.StateNew:
-		s.conns.Store(conn, nil)
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		s.conns.Delete(conn)
-	}
-}
-
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	submission, err := s.protocol.Parse(ctx, s.router)
-	if err != nil {
-		s.protocol.Refuse(ctx, submission.Request, err, 0)
-		return
-	}
-	submission.Caller = request.Caller(s.calls.Add(1))
-	submission.Reply = make(chan *request.Answer, 1)
-	if !s.router.Submit(submission) {
-		s.protocol.Refuse(ctx, submission.Request, &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}, overloadPause)
-		return
-	}
-	s.protocol.Respond(ctx, s.await(ctx, submission))
-	if s.drains.Load() {
-		ctx.SetConnectionClose()
-	}
-}
-
-// await waits for the router's answer. Meanwhile the server looks out for a
-// caller that hangs up.
-func (s *Server) await(ctx *fasthttp.RequestCtx, submission Submission) *request.Answer {
-	s.waiting.add(submission.Caller, ctx.Conn())
-	defer s.waiting.remove(submission.Caller)
-	select {
-	case answer := <-submission.Reply:
-		return answer
-	case <-s.closed:
-		return &request.Answer{ID: submission.Request.ID, Code: result.OutcomeUnknown}
-	}
-}
-
-// refuseBadHTTP answers bytes that are not a request, or one that is too
-// large: in both cases nothing ran.
-func (s *Server) refuseBadHTTP(ctx *fasthttp.RequestCtx, err error) {
-	code := result.BadRequest
-	var small *fasthttp.ErrSmallBuffer
-	if err == fasthttp.ErrBodyTooLarge || errors.As(err, &small) {
-		code = result.TooLarge
+func (s *Server) closeAll() {
+	close(s.closed)
+	for _, c := range s.connections() {
+		_ = c.raw.Close()
 	}
-	s.protocol.Refuse(ctx, &request.Request{}, &result.Error{Code: code, Detail: err.Error()}, 0)
 }
 
 func now() mono.Time {
 	return bootclock.Now()
 }
-
-// serve ends when the server is shut down; before that only a broken listener
-// ends it, and then callers and peers see the address closed.
-func (s *Server) serve(listener net.Listener) {
-	defer close(s.done)
-	_ = s.http.Serve(listener)
-}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,10 +38,17 @@
 	for k, v := range headers {
 		req.Header.Set(k, v)
 	}
-	var ctx fasthttp.RequestCtx
-	ctx.Init(&req, nil, nil)
-	New(fullRouter{}, NewAPI(1)).handle(&ctx)
-	return &ctx.Response
+	api := NewAPI(1)
+	var resp fasthttp.Response
+	sub, err := api.Parse(&req, fullRouter{})
+	var pause time.Duration
+	if err == nil {
+		must.False(t, fullRouter{}.Submit(sub))
+		err = &result.Error{Code: result.RingFull}
+		pause = overloadPause
+	}
+	api.Refuse(&resp, sub.Request, err, pause)
+	return &resp
 }
 
 // Before the router, too, a refusal of a repeat is no "not run": an earlier
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -25,32 +25,32 @@
 )
 
 // Parse implements Protocol.
-func (p *API) Parse(ctx *fasthttp.RequestCtx, router Router) (Submission, *result.Error) {
+func (p *API) Parse(req *fasthttp.Request, router Router) (Submission, *result.Error) {
 	sub := Submission{Request: &request.Request{AcceptedMs: time.Now().UnixMilli()}}
-	app, path, err := splitPath(ctx)
+	app, path, err := splitPath(req)
 	if err != nil {
 		return sub, err
 	}
 	r := sub.Request
 	r.App = key.App(app)
 	r.Path = path
-	r.Method = string(ctx.Method())
-	r.Type = string(ctx.Request.Header.ContentType())
-	r.Body = bytes.Clone(ctx.PostBody())
-	if err := p.parseID(ctx, r); err != nil {
+	r.Method = string(req.Header.Method())
+	r.Type = string(req.Header.ContentType())
+	r.Body = bytes.Clone(req.Body())
+	if err := p.parseID(req, r); err != nil {
 		return sub, err
 	}
-	if err := parseFlags(ctx, r); err != nil {
+	if err := parseFlags(req, r); err != nil {
 		return sub, err
 	}
 	limits, lookup := router.Limits(app)
 	if lookup != nil {
 		return sub, asError(lookup)
 	}
-	if err := parseKey(ctx, r, limits); err != nil {
+	if err := parseKey(req, r, limits); err != nil {
 		return sub, err
 	}
-	budget, err := parseDeadline(ctx, limits)
+	budget, err := parseDeadline(req, limits)
 	if err != nil {
 		return sub, err
 	}
@@ -67,8 +67,8 @@
 }
 
 // splitPath returns the app and the path with query that the target gets.
-func splitPath(ctx *fasthttp.RequestCtx) (app, path string, err *result.Error) {
-	raw := string(ctx.Request.Header.RequestURI())
+func splitPath(req *fasthttp.Request) (app, path string, err *result.Error) {
+	raw := string(req.Header.RequestURI())
 	rest, ok := strings.CutPrefix(raw, pathPrefix)
 	if !ok {
 		return "", "", &result.Error{Code: result.BadRequest, Field: "path", Detail: "the path must start with /app/NAME/"}
@@ -87,8 +87,8 @@
 	return app, path, nil
 }
 
-func (p *API) parseID(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
-	id := string(ctx.Request.Header.Peek("Rhubarb-Request-Id"))
+func (p *API) parseID(req *fasthttp.Request, r *request.Request) *result.Error {
+	id := string(req.Header.Peek("Rhubarb-Request-Id"))
 	if id == "" {
 		r.ID = p.ids.next()
 		r.Repeat = request.RepeatFirst
@@ -100,18 +100,18 @@
 	}
 	r.ID = id
 	r.IDTimeMs = uuidTime(id)
-	return parseRepeat(ctx, r)
+	return parseRepeat(req, r)
 }
 
-func parseRepeat(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
-	if text := string(ctx.Request.Header.Peek("Rhubarb-Id-Time")); text != "" {
+func parseRepeat(req *fasthttp.Request, r *request.Request) *result.Error {
+	if text := string(req.Header.Peek("Rhubarb-Id-Time")); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 {
 			return &result.Error{Code: result.BadRequestID, Field: "Rhubarb-Id-Time", Detail: "not milliseconds since 1970"}
 		}
 		r.IDTimeMs = ms
 	}
-	text := string(ctx.Request.Header.Peek("Rhubarb-Attempt"))
+	text := string(req.Header.Peek("Rhubarb-Attempt"))
 	if text == "" {
 		return nil
 	}
@@ -126,8 +126,8 @@
 	return nil
 }
 
-func parseFlags(ctx *fasthttp.RequestCtx, r *request.Request) *result.Error {
-	switch string(ctx.Request.Header.Peek("Rhubarb-Class")) {
+func parseFlags(req *fasthttp.Request, r *request.Request) *result.Error {
+	switch string(req.Header.Peek("Rhubarb-Class")) {
 	case "", "normal":
 		r.Class = request.Normal
 	case "urgent":
@@ -135,9 +135,9 @@
 	default:
 		return &result.Error{Code: result.BadRequest, Field: "Rhubarb-Class", Detail: "neither urgent nor normal"}
 	}
-	switch string(ctx.Request.Header.Peek("Rhubarb-Idempotent")) {
+	switch string(req.Header.Peek("Rhubarb-Idempotent")) {
 	case "":
-		r.Idempotent = ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+		r.Idempotent = req.Header.IsGet() || req.Header.IsHead() || req.Header.IsOptions()
 	case "true":
 		r.Idempotent = true
 	case "false":
@@ -148,8 +148,8 @@
 	return nil
 }
 
-func parseKey(ctx *fasthttp.RequestCtx, r *request.Request, limits Limits) *result.Error {
-	r.Key = string(ctx.Request.Header.Peek("Rhubarb-Key"))
+func parseKey(req *fasthttp.Request, r *request.Request, limits Limits) *result.Error {
+	r.Key = string(req.Header.Peek("Rhubarb-Key"))
 	if r.Key == "" && limits.Keyed {
 		return &result.Error{Code: result.MissingKey, Field: "Rhubarb-Key", Detail: "app " + string(r.App) + " is divided by key"}
 	}
@@ -159,8 +159,8 @@
 	return nil
 }
 
-func parseDeadline(ctx *fasthttp.RequestCtx, limits Limits) (time.Duration, *result.Error) {
-	text := string(ctx.Request.Header.Peek("Rhubarb-Deadline"))
+func parseDeadline(req *fasthttp.Request, limits Limits) (time.Duration, *result.Error) {
+	text := string(req.Header.Peek("Rhubarb-Deadline"))
 	if text == "" {
 		return limits.DefaultDeadline, nil
 	}
--- a/internal/entry/parse_bench_test.go
+++ b/internal/entry/parse_bench_test.go
@@ -17,12 +17,10 @@
 	req.Header.Set("Rhubarb-Attempt", "1")
 	req.Header.Set("Rhubarb-Deadline", "250")
 	req.SetBody(make([]byte, 1024))
-	var ctx fasthttp.RequestCtx
-	ctx.Init(&req, nil, nil)
 	api := NewAPI(1)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := api.Parse(&ctx, fullRouter{}); err != nil {
+		if _, err := api.Parse(&req, fullRouter{}); err != nil {
 			must.NoError(b, err)
 		}
 	}
