Stop within the platform's grace; watch the document directly

Cause: after SIGTERM a daemon waited for the handover of its slices before it closed its address, and for the store to record its end, longer than the grace: what was in flight was cut off by SIGKILL. A daemon that started while its zone's first daemon was gone got a document only after it gave up on that parent, four seconds after the document was accepted.

Change: a stop may be bounded; callers are taken for as long as they need to learn of it, then the address closes, whatever the handover. In a small fleet each daemon watches the document in the store itself.

Ruled out: late pushes between daemons that live (they take 30 to 100 ms).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,9 @@
 	// drainPatience bounds the handover of a planned stop. What is not handed
 	// over by then is taken over like that of a lost session.
 	drainPatience = 40 * time.Second
+	// entryPatience bounds the answers to requests in flight; it is longer
+	// than any deadline.
+	entryPatience = 40 * time.Second
 	// ackPatience bounds the wait for the last acknowledgements.
 	ackPatience = time.Second
 	// leavePatience bounds the record of the end in the store.
@@ -247,26 +250,65 @@
 }
 
 // Stop ends the daemon as planned: its slices are handed over, nothing in
-// flight is cut off, and the session is recorded as left.
+// flight is cut off, and the session is recorded as left. If the settings bound
+// the time of a stop, what is not done by then is left undone: the session is
+// taken over like that of a lost one.
 func (d *Daemon) Stop() {
 	d.log.Event(event.Stopping, "reason", "asked")
+	began := time.Now()
 	d.stopping.Store(true)
 	d.entry.Drain()
 	d.lease.wait(drainSession{})
 	d.routing.ring.Wait(stopRequested{}, d.routing.stop)
-	d.await(drainPatience, d.routing.idle.Load)
-	d.entry.Stop()
-	d.await(ackPatience, d.acknowledged)
+	d.endCalls(began)
+	d.await(d.patience(began, ackPatience, 1), d.acknowledged)
 	d.lease.wait(leaveSession{})
-	d.await(leavePatience, d.left)
+	d.await(d.patience(began, leavePatience, 1), d.left)
 	if d.left() && d.routing.idle.Load() {
 		d.log.Event(event.PlannedStopDone, "released", d.routing.stopOwned.Load())
 	}
-	d.await(savePatience, d.risk.saved)
+	d.await(d.patience(began, savePatience, 1), d.risk.saved)
 	d.closeDuties()
 	d.log.Event(event.Stopped)
 }
 
+// endCalls hands the slices over and answers the callers. If the time of the
+// stop is bounded, callers are taken no longer than they need to learn of it.
+func (d *Daemon) endCalls(began time.Time) {
+	idle := d.routing.idle.Load
+	notice := time.Until(began.Add(d.settings.Stop.Notice.Std()))
+	if d.settings.Stop.Within == 0 {
+		d.await(drainPatience, idle)
+		d.await(notice, never)
+		d.entry.Stop(entryPatience)
+		return
+	}
+	d.await(notice, never)
+	d.entry.Stop(d.patience(began, entryPatience, answersPart))
+	d.await(d.patience(began, drainPatience, answersPart), idle)
+}
+
+// answersPart is the part of a bounded stop by which callers are answered; the
+// rest is for the records of the end.
+const answersPart = 0.9
+
+// never is a condition that is not met.
+func never() bool {
+	return false
+}
+
+// patience returns the time that a step of a stop that began at an instant may
+// take: at most the step's own bound, and what is left of a part of the time
+// that the settings allow.
+func (d *Daemon) patience(began time.Time, bound time.Duration, part float64) time.Duration {
+	within := d.settings.Stop.Within.Std()
+	if within == 0 {
+		return bound
+	}
+	left := time.Until(began.Add(time.Duration(part * float64(within))))
+	return min(max(left, 0), bound)
+}
+
 // Abandon ends a daemon whose session is over already: it owns nothing any
 // more, and other daemons take nothing of it. What arrives is refused, also
 // what waited unread while the process was paused. What was sent is answered,
@@ -277,7 +319,7 @@
 	d.entry.Drain()
 	d.routing.ring.Wait(sessionEnded{session: d.self}, d.routing.stop)
 	time.Sleep(abandonGrace)
-	d.entry.Stop()
+	d.entry.Stop(entryPatience)
 	d.await(savePatience, d.risk.saved)
 	d.closeDuties()
 	d.log.Event(event.Stopped)
--- /dev/null
+++ b/internal/daemon/spread_document.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/spread"
+)
+
+const (
+	// documentWait is how long one watch of the document waits in the store.
+	documentWait = 25 * time.Second
+	// documentRetry is the pause after a watch that failed.
+	documentRetry = time.Second
+)
+
+// documentSeen is the document as this daemon read it from the store itself.
+type documentSeen struct{ object objectstore.Object }
+
+func (w documentSeen) spreadWork(s *spreadDuty, _ mono.Time) {
+	o := spread.Object{Name: w.object.Name, Version: w.object.Version, Value: w.object.Value}
+	if err := s.adoptDocument(o); err != nil {
+		s.d.log.Event(event.BadObject, "object", document.Kind+"/"+o.Name, "cause", err.Error())
+	}
+}
+
+// watchDocument watches the document in the store until the daemon ends, if the
+// settings say so. A document comes into force by whichever way is faster: an
+// older version never replaces a newer one.
+func (s *spreadDuty) watchDocument() {
+	defer s.done.Done()
+	if !s.d.settings.Spread.WatchDocument {
+		return
+	}
+	revision, known := uint64(0), false
+	for !s.stopped() {
+		var err error
+		if known {
+			revision, err = s.nextDocument(revision)
+		} else {
+			revision, err = s.firstDocument()
+		}
+		known = err == nil
+		if err != nil && !objectstore.IsTooOld(err) {
+			s.rest(documentRetry)
+		}
+	}
+}
+
+// firstDocument reads the document and returns the revision to watch from.
+func (s *spreadDuty) firstDocument() (uint64, error) {
+	page, err := s.d.client.List(document.Kind, "", listPage)
+	s.d.store.note("list", document.Kind, err)
+	if err != nil {
+		return 0, err
+	}
+	s.seeDocuments(page.Items)
+	return page.Revision, nil
+}
+
+func (s *spreadDuty) nextDocument(revision uint64) (uint64, error) {
+	changes, err := s.d.client.Watch(document.Kind, revision, documentWait)
+	s.d.store.note("watch", document.Kind, err)
+	if err != nil {
+		return 0, err
+	}
+	s.seeDocuments(changes.Events)
+	return changes.Revision, nil
+}
+
+func (s *spreadDuty) seeDocuments(list []objectstore.Object) {
+	for _, o := range list {
+		if o.Name == s.d.settings.Environment && !o.Deleted {
+			s.ring.Wait(documentSeen{object: o}, s.stop)
+		}
+	}
+}
+
+func (s *spreadDuty) stopped() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// rest waits, but not beyond the end of the daemon.
+func (s *spreadDuty) rest(pause time.Duration) {
+	select {
+	case <-s.stop:
+	case <-time.After(pause):
+	}
+}
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,11 +34,12 @@
 // the store if this daemon is its zone's relay and else from its peers, and
 // hands them to the other duties.
 type spreadDuty struct {
-	d       *Daemon
-	ring    *ring.Ring[spreadWork]
-	core    *spread.Core
-	watches map[spread.Kind]uint64 // number of the newest watch of a kind
-	pacers  map[spread.Kind]*pacer
+	d        *Daemon
+	ring     *ring.Ring[spreadWork]
+	core     *spread.Core
+	interval time.Duration
+	watches  map[spread.Kind]uint64 // number of the newest watch of a kind
+	pacers   map[spread.Kind]*pacer
 	// strangers are connections of daemons whose records are not known here.
 	strangers map[host.Session]*peer.Conn
 	adopted   adoption
@@ -62,11 +64,14 @@
 	cfg.Zone = d.settings.Zone
 	cfg.Kinds = spreadKinds
 	cfg.Seed = seed
+	cfg.Interval = cmp.Or(d.settings.Spread.Interval.Std(), cfg.Interval)
+	cfg.SuspectAfter = cmp.Or(d.settings.Spread.SuspectAfter.Std(), cfg.SuspectAfter)
 	cfg.Keep = func(k spread.Key) bool {
 		return k.Kind != document.Kind || k.Name == d.settings.Environment
 	}
 	return &spreadDuty{
 		d:         d,
+		interval:  cfg.Interval,
 		began:     bootclock.Now(),
 		ring:      ring.New[spreadWork]("spread", spreadRingSize, registry),
 		core:      spread.New(cfg, bootclock.Now()),
@@ -78,9 +83,10 @@
 }
 
 func (s *spreadDuty) start() {
-	s.done.Add(2)
+	s.done.Add(3)
 	go s.run()
 	go s.introduce()
+	go s.watchDocument()
 }
 
 func (s *spreadDuty) close() {
@@ -90,7 +96,7 @@
 
 func (s *spreadDuty) run() {
 	defer s.done.Done()
-	tick := time.NewTicker(spread.DefaultConfig().Interval)
+	tick := time.NewTicker(s.interval)
 	defer tick.Stop()
 	now := bootclock.Now()
 	s.step(now, spread.Members{All: s.members()})
--- a/internal/entry/conn_test.go
+++ b/internal/entry/conn_test.go
@@ -32,7 +32,7 @@
 	router := &heldRouter{taken: make(chan Submission, 1), gone: make(chan request.Caller, maxPipelined)}
 	s := New(router, NewAPI(1))
 	must.NoError(t, s.Start("127.0.0.1:0"))
-	t.Cleanup(s.Stop)
+	t.Cleanup(func() { s.Stop(10 * time.Second) })
 	return router, func() net.Conn {
 		conn, err := net.Dial("tcp", s.listen.Addr().String())
 		must.NoError(t, err)
@@ -137,5 +137,5 @@
 		must.Eq(t, closes, resp.ConnectionClose())
 	}
 	must.NoError(t, conn.Close())
-	s.Stop()
+	s.Stop(10 * time.Second)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,8 +28,6 @@
 	// lastArrivals is how long after the address is closed requests on
 	// connections that were just opened are still taken.
 	lastArrivals = 300 * time.Millisecond
-	// stopPatience is longer than any deadline.
-	stopPatience = 40 * time.Second
 	// overloadPause is when a caller should come back whose request the
 	// daemon had no room for.
 	overloadPause = 500 * time.Millisecond
@@ -183,8 +181,8 @@
 }
 
 // Stop closes the address and returns when every request in flight has been
-// answered, or after stopPatience. Idle connections are closed.
-func (s *Server) Stop() {
+// answered, or after a time. Idle connections are closed.
+func (s *Server) Stop(patience time.Duration) {
 	s.Drain()
 	_ = s.listen.Close()
 	time.Sleep(lastArrivals)
@@ -198,7 +196,7 @@
 	}()
 	select {
 	case <-ended:
-	case <-time.After(stopPatience):
+	case <-time.After(patience):
 		s.closeAll()
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,28 @@
 	WarmUp document.Duration `json:"warm_up"`
 }
 
+// Stop bounds a planned stop.
+type Stop struct {
+	// Within is the time after which the process is killed, or a little less.
+	// Default: as long as it takes.
+	Within document.Duration `json:"within"`
+	// Notice is how long callers are still taken after the daemon said that
+	// it is not ready: they need that long to learn of it. Default: none.
+	Notice document.Duration `json:"notice"`
+}
+
+// Spread says how documents and assignments reach a daemon. All daemons of an
+// environment should have the same; a field that is left out has its default.
+type Spread struct {
+	// Interval is the time between two exchanges with the parent. Default: 1s.
+	Interval document.Duration `json:"interval"`
+	// SuspectAfter is how long a parent may be silent. Default: 3s.
+	SuspectAfter document.Duration `json:"suspect_after"`
+	// WatchDocument says that the daemon also watches the document in the
+	// store itself, for fleets so small that the store can bear it.
+	WatchDocument bool `json:"watch_document"`
+}
+
 // Daemon is the settings of one daemon. All fields are needed unless they
 // name a default.
 type Daemon struct {
@@ -69,6 +91,10 @@
 	Log Log `json:"log"`
 	// Placement says how fast slices follow the load.
 	Placement Placement `json:"placement"`
+	// Stop bounds a planned stop.
+	Stop Stop `json:"stop"`
+	// Spread says how documents and assignments reach the daemon.
+	Spread Spread `json:"spread"`
 	// Seed starts the daemon's random numbers. Default: drawn at start.
 	Seed uint64 `json:"seed"`
 	// DebugAddress serves profiles of the running daemon under /debug/pprof/
