A successor beside the same target takes its slices over at once

Refusals of gates spent the budget of repeats, so that requests that no target had seen were given up; connections to a machine that was gone hung until the deadline.

Change: a session may begin with a lease in the store; a predecessor is recorded at once, marked superseded, and placement gives its slices to the successor beside the same life of the target, to nobody else until what the target may hold has run out. Sendings that follow a gate's own refusal count apart. Peers that leave bytes unacknowledged for 1.2 s are given up.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/retry"
 	"github.com/rhubarbring/rhubarbring/routes"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/targetlife"
@@ -200,17 +202,17 @@
 	seed := d.settings.Seed
 	d.store = newStoreDuty(d.client, d.log, d.registry)
 	d.lease = newLeaseDuty(session.Config{
-		Session: d.self,
-		Place:   d.place(),
-		Machine: d.machineID(),
-		Peer:    d.settings.Peer,
-		Control: d.settings.Control,
-		Caller:  d.settings.Caller,
-		Seed:    seed,
-		Timing:  session.DefaultTiming(),
+		Session:     d.self,
+		Place:       d.place(),
+		Machine:     d.machineID(),
+		Peer:        d.settings.Peer,
+		Control:     d.settings.Control,
+		Caller:      d.settings.Caller,
+		Seed:        seed,
+		Timing:      session.DefaultTiming(),
+		JoinInStore: d.settings.JoinInStore,
 	}, d, d.registry)
-	routing := request.DefaultConfig()
-	routing.Seed = seed
+	routing := d.routerConfig(seed)
 	d.routing = newRoutingDuty(d, routing, handover.Config{
 		Self:        d.self,
 		DrainReport: drainReport,
@@ -229,6 +231,21 @@
 	d.placement.named = d.namedSessions
 }
 
+// routerConfig takes the settings' bounds of repeats over.
+func (d *Daemon) routerConfig(seed uint64) request.Config {
+	cfg := request.DefaultConfig()
+	cfg.Seed = seed
+	s := d.settings.Repeats
+	cfg.MaxWait = cmp.Or(s.MaxWait.Std(), cfg.MaxWait)
+	cfg.MaxRedirects = s.MaxRedirects
+	if s.Ratio > 0 {
+		cfg.Redirect = &retry.Config{Ratio: cfg.Retry.Ratio, Burst: cfg.Retry.Burst}
+		cfg.Retry.Ratio = s.Ratio
+		cfg.Retry.Burst = s.Burst
+	}
+	return cfg
+}
+
 func (d *Daemon) namedSessions() (map[host.Session]bool, error) {
 	return inquire(d, func(r *routingDuty, _ mono.Time) map[host.Session]bool { return r.named() })
 }
--- a/internal/daemon/lease_duty.go
+++ b/internal/daemon/lease_duty.go
@@ -64,7 +64,7 @@
 		ring:     ring.New[leaseWork]("lease", leaseRingSize, registry),
 		session:  session.New(cfg),
 		witness:  w,
-		takeover: takeover.New(takeover.Config{Self: cfg.Session, Machine: cfg.Machine, Peer: cfg.Peer, Seed: cfg.Seed, Timing: cfg.Timing}, w),
+		takeover: takeover.New(takeover.Config{Self: cfg.Session, Machine: cfg.Machine, Peer: cfg.Peer, Seed: cfg.Seed, Timing: cfg.Timing, Early: true}, w),
 		ended:    make(chan session.State, 1),
 		stop:     make(chan struct{}),
 	}
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -91,6 +91,7 @@
 		BalanceInterval: s.RoundEvery.Std(),
 		Settle:          s.Settle.Std(),
 		WarmUp:          s.WarmUp.Std(),
+		YoungSpread:     s.ClaimSpread.Std(),
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,7 +15,7 @@
 	// pause is the time between two tries to open a connection.
 	pause = 250 * time.Millisecond
 	// dialTimeout ends a try to open a connection.
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	// maxQueued bounds the frames that wait for a connection to open.
 	maxQueued = 1024
 )
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,20 +18,24 @@
 	"go.uber.org/zap"
 
 	"github.com/rhubarbring/rhubarbring/internal/listen"
+	"github.com/rhubarbring/rhubarbring/internal/sockets"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
 const (
-	keepAlive     = 5 * time.Second
-	keepAliveTry  = time.Second
-	keepAliveMax  = 3
-	bootTimeout   = 5 * time.Second
-	clientLoops   = 1
-	serverLoops   = 1
-	bytesInName   = "peer.bytes_in"
-	bytesOutName  = "peer.bytes_out"
-	framesOutName = "peer.frames_out"
+	// unacknowledged is how long a peer may leave bytes without a sign that
+	// they arrived, before the connection counts as lost.
+	unacknowledged = 1200 * time.Millisecond
+	keepAlive      = time.Second
+	keepAliveTry   = time.Second
+	keepAliveMax   = 3
+	bootTimeout    = 5 * time.Second
+	clientLoops    = 1
+	serverLoops    = 1
+	bytesInName    = "peer.bytes_in"
+	bytesOutName   = "peer.bytes_out"
+	framesOutName  = "peer.frames_out"
 )
 
 // Handler takes what arrives. Its methods are called on the event loops and
@@ -51,7 +55,7 @@
 
 // DialTCP is the Dial of a running daemon.
 func DialTCP(address string, within time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, within)
+	return sockets.Dialer(within, unacknowledged).Dial("tcp", address)
 }
 
 // Tag is the sender's own mark on a frame, given back by Unsent. Zero marks a
@@ -210,6 +214,9 @@
 	conn := &Conn{transport: t, conn: c}
 	conn.open.Store(true)
 	c.SetContext(conn)
+	if err := sockets.Abandon(c.Fd(), unacknowledged); err != nil {
+		return nil, gnet.Close // A connection that can hang for good is of no use.
+	}
 	return nil, gnet.None
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,23 @@
 	Settle document.Duration `json:"settle"`
 	// WarmUp is how long a new host gets less than its share. Default: 30s.
 	WarmUp document.Duration `json:"warm_up"`
+	// ClaimSpread is the time over which daemons that started a short while
+	// ago spread their claims to lead. Default: 2s.
+	ClaimSpread document.Duration `json:"claim_spread"`
+}
+
+// Repeats bounds how often a daemon sends a request again.
+type Repeats struct {
+	// Ratio is how many repeats that may reach a target each first sending
+	// pays for, and Burst how many can be saved up. Sendings that follow a
+	// daemon's own refusal then count apart. Default: 0.1 and 200 for both.
+	Ratio float64 `json:"ratio"`
+	Burst float64 `json:"burst"`
+	// MaxRedirects bounds the daemons that one request is sent to because
+	// others had no room for it. Default: no bound.
+	MaxRedirects int `json:"max_redirects"`
+	// MaxWait is how long a request waits for an owner of its key. Default: 2s.
+	MaxWait document.Duration `json:"max_wait"`
 }
 
 // Stop bounds a planned stop.
@@ -91,6 +108,12 @@
 	Log Log `json:"log"`
 	// Placement says how fast slices follow the load.
 	Placement Placement `json:"placement"`
+	// Repeats bounds how often the daemon sends a request again.
+	Repeats Repeats `json:"repeats"`
+	// JoinInStore says that a daemon begins with a lease in the store and looks
+	// for witnesses afterwards, for fleets so small that the store can bear
+	// it when all start at once. Default: false.
+	JoinInStore bool `json:"join_in_store"`
 	// Stop bounds a planned stop.
 	Stop Stop `json:"stop"`
 	// Spread says how documents and assignments reach the daemon.
--- a/placement/core.go
+++ b/placement/core.go
@@ -57,6 +57,8 @@
 	fill(&cfg.StartWait, DefaultStartWait)
 	fill(&cfg.StartWaitMax, DefaultStartWaitMax)
 	fill(&cfg.WarmUp, DefaultWarmUp)
+	fill(&cfg.YoungSpread, DefaultYoungSpread)
+	fill(&cfg.GrantsEnd, DefaultGrantsEnd)
 	fill(&cfg.Settle, DefaultSettle)
 	fill(&cfg.ReportAge, DefaultReportAge)
 	if cfg.MaxWrites == 0 {
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -37,8 +37,10 @@
 	app     key.App
 	slots   int
 	checks  bool
-	version uint64
-	since   mono.Time // When the session was first seen; mono.Never if before the first listing.
+	// instance is the life of its target; 0 if the target does not say.
+	instance uint64
+	version  uint64
+	since    mono.Time // When the session was first seen; mono.Never if before the first listing.
 }
 
 func (h *hostInfo) status() status {
@@ -59,6 +61,10 @@
 	seen   mono.Time // By this daemon's clock.
 	left   bool      // It released everything before it went.
 	checks bool      // Its target checked grants.
+	// superseded says that its host's next session recorded it as lost at
+	// once; its target, of that instance, may still hold what it granted.
+	superseded bool
+	instance   uint64
 }
 
 // fleet is what the records say of all sessions.
@@ -88,7 +94,7 @@
 		h.since = old.since
 	}
 	if h.status().gone() {
-		f.depart(h.session, departure{seen: now, left: h.state == session.Left, checks: h.checks})
+		f.depart(h.session, departure{seen: now, left: h.state == session.Left, checks: h.checks, superseded: r.Superseded, instance: h.instance})
 	}
 	switch {
 	case newest == nil || r.Session.Incarnation >= newest.session.Incarnation:
@@ -110,6 +116,7 @@
 	}
 	if r.Target != nil {
 		h.app, h.slots, h.checks = r.Target.App, r.Target.Slots, r.Target.ChecksGrants
+		h.instance = r.Target.Instance
 	}
 	return h
 }
@@ -133,7 +140,7 @@
 
 // differs reports whether the change of a record concerns placement.
 func (h *hostInfo) differs(o *hostInfo) bool {
-	return h.session != o.session || h.state != o.state || h.app != o.app || h.slots != o.slots
+	return h.session != o.session || h.state != o.state || h.app != o.app || h.slots != o.slots || h.instance != o.instance
 }
 
 func (f *fleet) depart(s host.Session, d departure) {
@@ -173,6 +180,25 @@
 	return d.left || d.checks || now.Sub(d.seen) >= longest
 }
 
+// heir says who gets the slices of a session that was superseded. The target
+// beside it may still hold them for a while: until then only the host's next
+// session may have them, if it serves the same life of the target. It returns
+// nobody if any host may, and false if that is not known yet.
+func (f *fleet) heir(now mono.Time, s host.Session, app key.App, grantsEnd time.Duration) (host.Session, bool) {
+	d := f.departures[s]
+	if !d.superseded || now.Sub(d.seen) >= grantsEnd {
+		return host.Nobody, true
+	}
+	next := f.hosts[s.Host]
+	if next == nil || next.session == s || next.state != session.Live || next.slots == 0 {
+		return host.Nobody, false
+	}
+	if next.app != app || next.instance != d.instance || d.instance == 0 {
+		return host.Nobody, d.instance != 0
+	}
+	return next.session, true
+}
+
 // serving returns the live hosts whose target serves the app, by name.
 func (f *fleet) serving(app key.App) []*hostInfo {
 	var out []*hostInfo
--- a/placement/leader.go
+++ b/placement/leader.go
@@ -139,9 +139,6 @@
 	// youngAge is how long a daemon counts as just started: it may know few
 	// of the others, and so can't tell its turn among them.
 	youngAge = 10 * time.Second
-	// youngSpread is the time over which daemons that start together spread
-	// their claims. They look at the leader object again before they claim.
-	youngSpread = 2 * time.Second
 )
 
 func (c *Core) isYoung(now mono.Time) bool {
@@ -154,7 +151,7 @@
 	if !c.isYoung(now) {
 		return turn
 	}
-	spread := key.Hash(c.cfg.Self.String()) % uint64(youngSpread)
+	spread := key.Hash(c.cfg.Self.String()) % uint64(c.cfg.YoungSpread)
 	return turn.Add(time.Duration(spread))
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,6 +53,13 @@
 	// must not be given everything. Negative: it does not wait.
 	StartWait    time.Duration
 	StartWaitMax time.Duration
+	// YoungSpread is the time over which daemons that started a short while
+	// ago spread their claims. They look at the leader object again before
+	// they claim.
+	YoungSpread time.Duration
+	// GrantsEnd is how long after a session was recorded as superseded its
+	// target may hold what it was granted: a lease and the margin.
+	GrantsEnd time.Duration
 	// WarmUp is how long a new host is given less than its share.
 	WarmUp time.Duration
 	// Settle is how long a slice that was moved stays before it is moved
@@ -72,6 +79,8 @@
 	DefaultStartWait       = 2 * time.Second
 	DefaultStartWaitMax    = 6 * time.Second
 	DefaultWarmUp          = 30 * time.Second
+	DefaultYoungSpread     = 2 * time.Second
+	DefaultGrantsEnd       = 2200 * time.Millisecond
 	DefaultSettle          = 60 * time.Second
 	DefaultReportAge       = 30 * time.Second
 	DefaultMaxWrites       = 64
--- a/placement/round.go
+++ b/placement/round.go
@@ -163,6 +163,14 @@
 		p.dirty = true
 		return
 	}
+	heir, known := r.c.fleet.heir(r.now, s.Owner, r.a.params.Name, r.c.cfg.GrantsEnd)
+	if !known {
+		p.dirty = true
+		return
+	}
+	if !heir.IsNobody() {
+		s.Next = heir
+	}
 	reason := LostOwner
 	if owner == statusLeft {
 		reason = LeftOwner
--- a/request/answer.go
+++ b/request/answer.go
@@ -91,7 +91,11 @@
 		r.again(now, c, out)
 		return
 	}
-	if !r.budget.Spend() {
+	if !r.mayRepeat(c) {
+		r.refuse(now, c, a.Code, out)
+		return
+	}
+	if !r.spend(a.Code) {
 		r.refuse(now, c, result.RetryBudgetSpent, out)
 		return
 	}
--- a/request/life.go
+++ b/request/life.go
@@ -291,7 +291,11 @@
 		r.refuse(now, c, c.lastCode, out)
 		return
 	}
-	if !r.budget.Spend() {
+	if !r.mayRepeat(c) {
+		r.refuse(now, c, c.lastCode, out)
+		return
+	}
+	if !r.spend(c.lastCode) {
 		r.refuse(now, c, r.spentCode(c), out)
 		return
 	}
@@ -311,3 +315,52 @@
 func earlier(a, b mono.Time) mono.Time {
 	return min(a, b)
 }
+
+// deposit counts a first sending.
+func (r *Router) deposit() {
+	r.budget.Deposit()
+	if r.redirect != r.budget {
+		r.redirect.Deposit()
+	}
+}
+
+// spend takes a sending that follows one with the given end from its budget.
+func (r *Router) spend(code result.Code) bool {
+	if reachedTarget(code) {
+		return r.budget.Spend()
+	}
+	return r.redirect.Spend()
+}
+
+// reachedTarget reports whether a sending that ended with the code may have
+// reached a target: a refusal of a gate itself has not.
+func reachedTarget(code result.Code) bool {
+	switch code {
+	case result.TargetShed, result.FenceRefused:
+		return true
+	}
+	return code.Outcome() != result.NotRun
+}
+
+// mayRepeat counts the end of a sending and reports whether the request's and
+// the router's bounds allow another.
+func (r *Router) mayRepeat(c *call) bool {
+	if reachedTarget(c.lastCode) {
+		c.arrivals++
+		return c.req.MaxAttempts == 0 || c.arrivals < c.req.MaxAttempts
+	}
+	if noRoom(c.lastCode) {
+		c.refusals++
+		return r.cfg.MaxRedirects == 0 || c.refusals <= r.cfg.MaxRedirects
+	}
+	return true
+}
+
+// noRoom reports whether a gate refused since it could not serve in time.
+func noRoom(code result.Code) bool {
+	switch code {
+	case result.QueueFull, result.DeadlineTooShort, result.TargetUnavailable:
+		return true
+	}
+	return false
+}
--- a/request/router.go
+++ b/request/router.go
@@ -66,6 +66,12 @@
 	Chooser Chooser
 	// Retry bounds the sendings beyond the first.
 	Retry retry.Config
+	// Redirect bounds the sendings that follow a gate's refusal, of which no
+	// target knows; nil counts them with Retry.
+	Redirect *retry.Config
+	// MaxRedirects bounds the gates that one request is sent to because others
+	// had no room for it; 0 sets no bound.
+	MaxRedirects int
 	// MaxCalls bounds the calls that are not yet answered.
 	MaxCalls int
 	// MaxWaiting bounds the requests that wait for an owner.
@@ -126,6 +132,7 @@
 	cfg      Config
 	table    *chart.Table
 	budget   *retry.Budget
+	redirect *retry.Budget // the same as budget if the two are counted together
 	backoff  *retry.Backoff
 	callers  map[Caller]*call
 	sends    map[uint64]*call
@@ -164,6 +171,10 @@
 	// movedSince is when a gate first refused it for want of ownership; 0 if
 	// none did.
 	movedSince mono.Time
+	// arrivals counts the sendings that may have reached a target, and
+	// refusals those for which a gate had no room.
+	arrivals int
+	refusals int
 	// inDoubt is the code of an earlier sending that may have run, or 0. Only
 	// an idempotent request is sent again after one.
 	inDoubt result.Code
@@ -171,13 +182,19 @@
 
 // NewRouter returns a router without requests.
 func NewRouter(cfg Config) *Router {
+	budget := retry.NewBudget(cfg.Retry)
+	redirect := budget
+	if cfg.Redirect != nil {
+		redirect = retry.NewBudget(*cfg.Redirect)
+	}
 	return &Router{
-		cfg:     cfg,
-		table:   charts.MustLoad("request").MustCompile(states, events, actions),
-		budget:  retry.NewBudget(cfg.Retry),
-		backoff: retry.NewBackoff(cfg.Retry, cfg.Seed),
-		callers: make(map[Caller]*call),
-		sends:   make(map[uint64]*call),
+		cfg:      cfg,
+		table:    charts.MustLoad("request").MustCompile(states, events, actions),
+		budget:   budget,
+		redirect: redirect,
+		backoff:  retry.NewBackoff(cfg.Retry, cfg.Seed),
+		callers:  make(map[Caller]*call),
+		sends:    make(map[uint64]*call),
 	}
 }
 
@@ -216,7 +233,7 @@
 	if !divided && (req.Idempotent || req.FreshID) {
 		req.Slice = NoSlice
 	}
-	r.budget.Deposit()
+	r.deposit()
 	r.route(now, c, out)
 }
 
--- a/session/core.go
+++ b/session/core.go
@@ -32,6 +32,10 @@
 	Caller  string
 	Seed    uint64
 	Timing  Timing
+	// JoinInStore makes the session begin with a lease in the store and look
+	// for witnesses afterwards, so that it need not wait for those that were
+	// lost with its earlier life.
+	JoinInStore bool
 }
 
 // Core is the holder's side of a daemon's own session. It writes the record,
--- a/session/probe.go
+++ b/session/probe.go
@@ -45,6 +45,9 @@
 	if c.probe.active() {
 		return c.followProbe(now)
 	}
+	if c.cfg.JoinInStore {
+		return c.install(now, nil)
+	}
 	next := c.choice(now, nil).Witnesses()
 	if next == nil || c.probe.tries >= joinTries {
 		return c.install(now, nil)
--- a/session/record.go
+++ b/session/record.go
@@ -85,6 +85,10 @@
 	Renewals uint64 `json:"renewals,omitempty"`
 	// Target is the target beside the daemon; nil until one announces itself.
 	Target *Target `json:"target,omitempty"`
+	// Superseded says that the host's next session recorded this one as lost
+	// as soon as it had started: nothing serves under it any more, but the
+	// target beside them may hold what it was granted for a lease longer.
+	Superseded bool `json:"superseded,omitempty"`
 	// Declared says who declared the session lost; nil if it lives, or if its
 	// witnesses ended it.
 	Declared *Declared `json:"declared,omitempty"`
--- a/takeover/attempt.go
+++ b/takeover/attempt.go
@@ -22,18 +22,19 @@
 
 // attempt is the takeover of one session.
 type attempt struct {
-	session host.Session
-	state   chart.State
-	began   mono.Time
-	due     mono.Time // When the turn comes, in the states that wait for one.
-	fails   int       // Reads that failed in a row.
-	heard   mono.Time // When another witness last said that it hears the session.
-	byStore bool      // Whether it rests on the store alone, not on this witness's silence.
-	started bool      // Whether its start was reported.
-	told    bool      // Whether it was reported as stuck.
-	record  session.Versioned
-	seals   map[host.Session]sealed
-	writer  *session.Writer
+	session    host.Session
+	state      chart.State
+	began      mono.Time
+	due        mono.Time // When the turn comes, in the states that wait for one.
+	fails      int       // Reads that failed in a row.
+	heard      mono.Time // When another witness last said that it hears the session.
+	byStore    bool      // Whether it rests on the store alone, not on this witness's silence.
+	superseded bool      // Whether it is an earlier life of this daemon that is recorded early.
+	started    bool      // Whether its start was reported.
+	told       bool      // Whether it was reported as stuck.
+	record     session.Versioned
+	seals      map[host.Session]sealed
+	writer     *session.Writer
 }
 
 func (a *attempt) over() bool {
--- a/takeover/core.go
+++ b/takeover/core.go
@@ -56,6 +56,10 @@
 	Peer    string
 	Seed    uint64
 	Timing  session.Timing
+	// Early makes the daemon record its earlier lives as lost at once, marked
+	// as superseded: whoever assigns their slices must then heed what their
+	// target may still hold.
+	Early bool
 }
 
 // Core runs the takeovers of a daemon. It is not safe for concurrent use. It
@@ -340,6 +344,7 @@
 		c.writes++
 		token := c.cfg.Self.String() + "!" + strconv.FormatUint(c.writes, 10)
 		put := session.Put{IfVersion: a.record.Version, Record: a.record.Record.AsLost(token)}
+		put.Record.Superseded = a.superseded
 		c.out.store(a.writer.Start(now, put))
 	case "announce":
 		c.witness.End(a.session)
--- a/takeover/observe.go
+++ b/takeover/observe.go
@@ -26,6 +26,7 @@
 		a.byStore = true
 		a.record = o.found
 		if o.earlier {
+			a.superseded = c.cfg.Early
 			c.take(now, a, "succeeded")
 			continue
 		}
@@ -38,6 +39,9 @@
 // granted to its target runs on for the time of a lease.
 func (c *Core) ranOut(now mono.Time, o *observation) bool {
 	patience := c.cfg.Timing.Lease + c.cfg.Timing.Margin
+	if o.earlier && c.cfg.Early {
+		return true
+	}
 	if o.earlier {
 		return now.Sub(c.started) > patience
 	}
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -219,3 +219,20 @@
 		must.Len(t, c.want, puts(core.Tick(start.Add(timing.Lease+timing.Margin+1))))
 	}
 }
+
+// A daemon that is told to record its earlier lives early does so at once, and
+// marks them as superseded.
+func TestEarlierLifeIsSupersededEarly(t *testing.T) {
+	own := host.Session{Host: "h", Incarnation: 4}
+	cfg := takeover.Config{Self: own, Machine: "m1", Peer: "10.0.0.1:7000", Timing: timing, Early: true}
+	core := takeover.New(cfg, witness.New(own, timing.Lease))
+	v := record(9, 4)
+	v.Record.Machine = "m1"
+	v.Record.Peer = "10.0.0.1:7000"
+	core.Tick(start)
+	core.Seen(start, v)
+	written := puts(core.Tick(start.Add(1)))
+	must.Len(t, 1, written)
+	must.True(t, written[0].Record.Superseded)
+	must.Eq(t, session.Lost, written[0].Record.State)
+}
