Bound the queue by the latency target; choose gates by what they say

Gates of the other region were chosen as soon as a near one seemed busy, by a measure that took a request in flight for a slot of its own.

Change: requests wait in the order in which their answers are wanted; one that would be late by its latency target is refused at once, with the time when room comes. Answers say how busy the gate is, and the choice goes by that; the other region serves what near gates have no room for.

Ruled out: inner calls refused in normal times (nine in 24 s; they fail while servers shed).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -96,6 +96,12 @@
 	seen     bool
 	avoid    mono.Time
 	load     float64 // as reported; half if it never was
+	// What the gate last said of its load, and what was sent there since.
+	slots   int
+	jobs    int
+	service time.Duration
+	saidAt  mono.Time
+	since   int
 }
 
 // New returns a balancer without gates.
@@ -283,11 +289,27 @@
 
 // expected is the time that an answer of the gate will likely take.
 func (b *Balancer) expected(g *gate, now mono.Time) time.Duration {
+	if g.slots > 0 && now.Sub(g.saidAt) < b.cfg.Memory {
+		return g.queued() + b.way(g)
+	}
 	ns := b.recent(g, now) * float64(g.inFlight+1)
 	ns *= 1 + 2*b.cfg.ReportTrust*(g.load-unknownLoad)
 	return time.Duration(ns) + b.way(g)
 }
 
+// queued is the time that an answer will likely take by what the gate said of
+// its load: with a slot free, that of one run.
+func (g *gate) queued() time.Duration {
+	over := max(g.jobs+g.since+1-g.slots, 0)
+	busy := float64(g.jobs+g.since) / float64(g.slots)
+	// A target that is nearly full is slower than an idle one.
+	return time.Duration(float64(g.service) * (1 + crowding*busy + float64(over)/float64(g.slots)))
+}
+
+// crowding is by what part a run takes longer at a full target than at an idle
+// one, as far as the choice goes; it also spreads load among equals.
+const crowding = 3.0
+
 // way is the time to the gate and back.
 func (b *Balancer) way(g *gate) time.Duration {
 	switch g.tier {
@@ -313,6 +335,7 @@
 func (b *Balancer) Sent(to host.Session, _ mono.Time) {
 	if g := b.all[to]; g != nil {
 		g.inFlight++
+		g.since++
 	}
 }
 
@@ -343,6 +366,11 @@
 		return
 	}
 	g.inFlight = max(g.inFlight-1, 0)
+	if e.Slots > 0 {
+		g.slots, g.jobs, g.service = e.Slots, e.Jobs, e.Service
+		g.saidAt = now
+		g.since = 0
+	}
 	if g.tier == otherRegion {
 		b.link.Count(now, Answers, e.Bytes+overheadBytes)
 	}
--- a/document/route.go
+++ b/document/route.go
@@ -20,6 +20,9 @@
 	Idempotent bool `json:"idempotent"`
 	// Timeout is the longest time that a caller is kept waiting.
 	Timeout Duration `json:"timeout"`
+	// LatencyTarget is the time within which an answer is of full worth; 0 if
+	// none is named.
+	LatencyTarget Duration `json:"latency_target,omitempty"`
 	// Priority ranks the route's requests; 0 is the highest.
 	Priority int `json:"priority"`
 	// MaxAttempts bounds the targets that one request may be sent to.
--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -23,14 +23,14 @@
 	o := origin{from: from, attempt: r.Attempt, seq: r.Seq}
 	code, adm := g.admit(now, r)
 	if code != result.OK {
-		g.refuseArrival(o, r, code, adm, g.adviceFor(code), out)
+		g.refuseArrival(now, o, r, code, adm, g.adviceFor(code), out)
 		return
 	}
-	if remembered(r) && !g.guards.noMemory && g.known(nowMs, o, r, adm, out) {
+	if remembered(r) && !g.guards.noMemory && g.known(now, nowMs, o, r, adm, out) {
 		return
 	}
 	if code, after := g.capacity(now, r); code != result.OK {
-		g.refuseArrival(o, r, code, adm, after, out)
+		g.refuseArrival(now, o, r, code, adm, after, out)
 		return
 	}
 	g.accept(now, nowMs, o, r, adm, out)
@@ -87,25 +87,25 @@
 
 // known answers a request whose id was let in before, or of which the gate
 // can't know whether it was. It returns false if the request may run.
-func (g *Gate) known(nowMs int64, o origin, r *request.Request, adm Admission, out *Actions) bool {
+func (g *Gate) known(now mono.Time, nowMs int64, o origin, r *request.Request, adm Admission, out *Actions) bool {
 	slice := key.Slice{App: r.App, ID: r.Slice}
 	found := g.memory.Find(slice, r)
 	if found.State == idmemory.Unseen {
 		if g.knowable(nowMs, slice, r, adm) || g.guards.noHorizon {
 			return false
 		}
-		g.refuseArrival(o, r, result.IDTooOld, adm, 0, out)
+		g.refuseArrival(now, o, r, result.IDTooOld, adm, 0, out)
 		return true
 	}
 	if !found.SameContent && !g.guards.anyContent {
-		g.refuseArrival(o, r, result.IDReused, adm, 0, out)
+		g.refuseArrival(now, o, r, result.IDReused, adm, 0, out)
 		return true
 	}
 	if found.State == idmemory.InFlight {
-		g.join(o, r, found.Slot, adm, out)
+		g.join(now, o, r, found.Slot, adm, out)
 		return true
 	}
-	g.replay(o, r, found.Answer, adm, out)
+	g.replay(now, o, r, found.Answer, adm, out)
 	return true
 }
 
@@ -130,10 +130,10 @@
 }
 
 // join lets a repeat wait for the answer of the request in flight.
-func (g *Gate) join(o origin, r *request.Request, slot idmemory.Slot, adm Admission, out *Actions) {
+func (g *Gate) join(now mono.Time, o origin, r *request.Request, slot idmemory.Slot, adm Admission, out *Actions) {
 	j := g.inFlight(slot)
 	if j == nil || len(j.joined) >= g.cfg.MaxJoined {
-		g.refuseArrival(o, r, result.DuplicateInFlight, adm, g.cfg.RetryAfter, out)
+		g.refuseArrival(now, o, r, result.DuplicateInFlight, adm, g.cfg.RetryAfter, out)
 		return
 	}
 	g.counters.Joined++
@@ -165,9 +165,9 @@
 }
 
 // replay gives a repeat the kept answer, or says that the id ran.
-func (g *Gate) replay(o origin, r *request.Request, kept *request.Answer, adm Admission, out *Actions) {
+func (g *Gate) replay(now mono.Time, o origin, r *request.Request, kept *request.Answer, adm Admission, out *Actions) {
 	if kept == nil {
-		g.refuseArrival(o, r, result.AlreadyRan, adm, 0, out)
+		g.refuseArrival(now, o, r, result.AlreadyRan, adm, 0, out)
 		return
 	}
 	g.counters.Replayed++
@@ -182,10 +182,13 @@
 	if g.drained(now) || g.target.draining && r.Slice == request.NoSlice {
 		return result.Draining, 0
 	}
-	wait := g.expectedWait(now, r.Class)
+	wait := g.expectedWait(now, r.Class, now.Add(r.Target))
 	if r.Budget <= 0 || g.tooLate(r, wait, r.Budget) {
 		return result.DeadlineTooShort, max(wait, g.cfg.RetryAfter)
 	}
+	if over := g.tooLong(r, wait); over > 0 {
+		return result.QueueFull, max(over, g.cfg.LeastRetryAfter)
+	}
 	q := g.queueOf(r.Class)
 	if q.len() >= g.cfg.MaxQueued || q.bytes+len(r.Body) > g.cfg.MaxQueuedBytes {
 		return result.QueueFull, max(wait, g.cfg.RetryAfter)
@@ -203,6 +206,18 @@
 	return wait+g.serviceOf(r.Route).mean() > left
 }
 
+// tooLong returns by how much a request would wait too long for its answer to
+// come when it is wanted; room comes about that much later. Under a load that
+// lasts, a longer queue serves no more requests, and each of them late; the
+// load that this answers is one above the target's capacity. A wait that is
+// short in any case is taken.
+func (g *Gate) tooLong(r *request.Request, wait time.Duration) time.Duration {
+	if r.Target == 0 {
+		return 0
+	}
+	return wait - max(r.Target-g.serviceOf(r.Route).mean(), g.cfg.ShortWait)
+}
+
 // accept lets a request in: it starts now or waits for a slot.
 func (g *Gate) accept(now mono.Time, nowMs int64, o origin, r *request.Request, adm Admission, out *Actions) {
 	var slot idmemory.Slot
@@ -210,7 +225,7 @@
 		var room bool
 		slot, room = g.memory.Begin(key.Slice{App: r.App, ID: r.Slice}, r, nowMs)
 		if !room {
-			g.refuseArrival(o, r, result.QueueFull, adm, g.cfg.RetryAfter, out)
+			g.refuseArrival(now, o, r, result.QueueFull, adm, g.cfg.RetryAfter, out)
 			return
 		}
 	}
@@ -219,6 +234,7 @@
 	j.first = o
 	j.slot = slot
 	j.deadline = now.Add(r.Budget)
+	j.wanted = now.Add(r.Target)
 	g.step(now, j, eventQueue, nil, out)
 	g.queueOf(r.Class).push(j)
 	g.setTimer(j, j.deadline)
@@ -241,9 +257,9 @@
 }
 
 // refuseArrival answers a sending that was not let in.
-func (g *Gate) refuseArrival(o origin, r *request.Request, code result.Code, adm Admission, after time.Duration, out *Actions) {
+func (g *Gate) refuseArrival(now mono.Time, o origin, r *request.Request, code result.Code, adm Admission, after time.Duration, out *Actions) {
 	g.counters.Refused++
-	out.Answers = append(out.Answers, Answer{To: o.from, Answer: &request.Answer{
+	a := &request.Answer{
 		ID:         r.ID,
 		Attempt:    o.attempt,
 		Seq:        o.seq,
@@ -252,5 +268,7 @@
 		Epoch:      adm.Newest,
 		OwnEpoch:   adm.Epoch,
 		RetryAfter: after,
-	}})
+	}
+	g.report(now, a)
+	out.Answers = append(out.Answers, Answer{To: o.from, Answer: a})
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,8 @@
 	WarmUp time.Duration
 	// WarmStart is the part of its slots that it gets at once.
 	WarmStart float64
+	// ShortWait is a wait for a slot that is taken whatever the answer's time.
+	ShortWait time.Duration
 	// ColdShare is the part of its slots that a target gets while it says that
 	// it is cold.
 	ColdShare float64
@@ -94,6 +96,8 @@
 	MaxUnacked int
 	// RetryAfter is the advice when no better one is known.
 	RetryAfter time.Duration
+	// LeastRetryAfter is the least advice when the gate knows when room comes.
+	LeastRetryAfter time.Duration
 }
 
 // DefaultConfig returns the settings of a daemon that has none of its own;
@@ -107,6 +111,7 @@
 		MaxJoined:      4,
 		WarmUp:         5 * time.Second,
 		WarmStart:      0.25,
+		ShortWait:      50 * time.Millisecond,
 		ColdShare:      0.75,
 		LoadTrust:      0.25,
 		ShedPause:      20 * time.Millisecond,
@@ -117,6 +122,8 @@
 		CancelWait:     100 * time.Millisecond,
 		MaxUnacked:     4096,
 		RetryAfter:     500 * time.Millisecond,
+
+		LeastRetryAfter: 80 * time.Millisecond,
 	}
 }
 
@@ -236,7 +243,7 @@
 		Slots:   g.usableSlots(now),
 		Queued:  g.urgent.len() + g.normal.len(),
 		Service: g.service.mean(),
-		Wait:    g.expectedWait(now, request.Normal),
+		Wait:    g.expectedWait(now, request.Normal, now),
 	}
 }
 
--- a/gate/job.go
+++ b/gate/job.go
@@ -67,6 +67,7 @@
 	joined    []origin
 	abandoned bool // the first origin is lost
 	deadline  mono.Time
+	wanted    mono.Time // when the answer is wanted; orders the queue
 	state     uint8
 	slot      idmemory.Slot
 	timer     uint64
--- a/gate/outcome.go
+++ b/gate/outcome.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"math"
+
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -27,7 +29,8 @@
 }
 
 func (g *Gate) tell(now mono.Time, j *job, a *request.Answer, out *Actions) {
-	a.Wait = g.expectedWait(now, request.Normal)
+	a.Wait = g.expectedWait(now, request.Normal, now)
+	g.report(now, a)
 	if !j.abandoned {
 		g.send(j.first, a, out)
 	}
@@ -36,6 +39,13 @@
 	}
 }
 
+// report says in an answer how busy the target is.
+func (g *Gate) report(now mono.Time, a *request.Answer) {
+	a.Slots = uint16(g.usableSlots(now))
+	a.Jobs = uint16(min(g.slots+g.urgent.len()+g.normal.len(), math.MaxUint16))
+	a.Service = g.service.mean()
+}
+
 // remember notes in the memory of ids what became of a job.
 func (g *Gate) remember(j *job, a *request.Answer) {
 	switch a.Code.Outcome() {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -1,9 +1,14 @@
 package gate
 
-import "slices"
+import (
+	"slices"
 
-// queue holds the jobs of one class that wait for a slot, first come first
-// served. A job that leaves early leaves a hole, which is skipped later.
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+// queue holds the jobs of one class that wait for a slot, in the order in which
+// their answers are wanted: first come first served where no time is named. A
+// job that leaves early leaves a hole, which is skipped later.
 type queue struct {
 	jobs  []*job
 	first int
@@ -22,12 +27,27 @@
 		q.jobs = q.jobs[:n]
 		q.first = 0
 	}
-	q.jobs = append(q.jobs, j)
+	at := len(q.jobs)
+	for at > q.first && (q.jobs[at-1] == nil || q.jobs[at-1].wanted.After(j.wanted)) {
+		at--
+	}
+	q.jobs = slices.Insert(q.jobs, at, j)
 	q.count++
 	q.bytes += len(j.req.Body)
 	j.queuedIn = q
 }
 
+// before returns how many jobs are wanted no later than an instant.
+func (q *queue) before(wanted mono.Time) int {
+	n := 0
+	for _, j := range q.jobs[q.first:] {
+		if j != nil && !j.wanted.After(wanted) {
+			n++
+		}
+	}
+	return n
+}
+
 // peek returns the first job that waits, or nil.
 func (q *queue) peek() *job {
 	for q.first < len(q.jobs) {
--- a/gate/target.go
+++ b/gate/target.go
@@ -180,6 +180,9 @@
 func (g *Gate) shed(now mono.Time) {
 	t := &g.target
 	g.counters.Shed++
+	if 2*g.slots <= t.Slots {
+		return // It is not full: a pause would not help it.
+	}
 	if t.pause == 0 {
 		t.pause = g.cfg.ShedPause
 	}
@@ -187,14 +190,15 @@
 	t.pause = min(2*t.pause, g.cfg.ShedPauseMax)
 }
 
-// expectedWait is how long a new request of the class would wait for a slot.
-func (g *Gate) expectedWait(now mono.Time, class request.Class) time.Duration {
+// expectedWait is how long a new request of the class, whose answer is wanted
+// at an instant, would wait for a slot.
+func (g *Gate) expectedWait(now mono.Time, class request.Class, wanted mono.Time) time.Duration {
 	slots := g.usableSlots(now)
 	if slots == 0 {
 		return 0
 	}
 	pause := max(g.target.pausedUntil.Sub(now), 0)
-	ahead := g.ahead(class) + g.slots - slots
+	ahead := g.ahead(class, wanted) + g.slots - slots
 	if ahead < 0 {
 		return pause
 	}
@@ -202,12 +206,14 @@
 }
 
 // ahead is how many of the requests that wait go before a new one of the
-// class.
-func (g *Gate) ahead(class request.Class) int {
+// class, whose answer is wanted at an instant.
+func (g *Gate) ahead(class request.Class, wanted mono.Time) int {
 	urgent, normal := g.urgent.len(), g.normal.len()
 	if class == request.Urgent {
+		urgent = g.urgent.before(wanted)
 		return urgent + min(normal, urgent/g.cfg.UrgentRun)
 	}
+	normal = g.normal.before(wanted)
 	return normal + min(urgent, (normal+1)*g.cfg.UrgentRun)
 }
 
--- a/request/answer.go
+++ b/request/answer.go
@@ -26,7 +26,7 @@
 		r.counters.Strays++
 		return
 	}
-	r.ended(now, c, a.Code, len(a.Body))
+	r.endedWith(now, c, a)
 	if c.req.Slice != NoSlice {
 		r.cfg.Chooser.Returned(from, now, len(a.Body))
 	}
@@ -160,6 +160,9 @@
 	if code < result.NoOwner {
 		return 0
 	}
+	if code == result.QueueFull && c.lastAfter > 0 {
+		return c.lastAfter // The gate knows when room comes.
+	}
 	return max(r.cfg.RetryAfter, c.lastAfter)
 }
 
@@ -246,6 +249,22 @@
 	}
 }
 
+// endedWith counts the end of a sending by a gate's answer, which says how busy
+// the gate's target is.
+func (r *Router) endedWith(now mono.Time, c *call, a *Answer) {
+	if c.req.Slice != NoSlice {
+		return
+	}
+	r.cfg.Chooser.Ended(c.to, now, Ended{
+		Took:    now.Sub(c.sentAt),
+		Code:    a.Code,
+		Bytes:   len(a.Body),
+		Slots:   int(a.Slots),
+		Jobs:    int(a.Jobs),
+		Service: a.Service,
+	})
+}
+
 // setTimer replaces the call's timer.
 func (r *Router) setTimer(c *call, at mono.Time) {
 	c.timer = r.timers.Add(at, c)
--- a/request/life.go
+++ b/request/life.go
@@ -153,7 +153,7 @@
 }
 
 func (r *Router) choose(now mono.Time, c *call, out *Actions) {
-	to, code := r.cfg.Chooser.Choose(c.req.App, now, c.deadline.Sub(now), len(c.req.Body), c.to)
+	to, code := r.cfg.Chooser.Choose(c.req.App, now, r.patience(now, c), len(c.req.Body), c.to)
 	if code != result.OK {
 		r.refuse(now, c, code, out)
 		return
@@ -161,6 +161,17 @@
 	r.sendTo(now, c, to, 0, out)
 }
 
+// patience is how long an answer may take before a gate of another region is
+// preferred: the time left at first. A request that a near gate had no room for
+// goes there sooner, if its answer would else be late.
+func (r *Router) patience(now mono.Time, c *call) time.Duration {
+	left := c.deadline.Sub(now)
+	if c.req.Target == 0 || c.refusals == 0 {
+		return left
+	}
+	return min(left, c.req.Target)
+}
+
 func (r *Router) sendTo(now mono.Time, c *call, to host.Session, epoch uint64, out *Actions) {
 	budget := r.sendingBudget(now, c)
 	if budget <= 0 {
--- a/request/request.go
+++ b/request/request.go
@@ -91,6 +91,9 @@
 	// Route names the document's route; empty if the caller named the app.
 	// Requests of one route take about the same time.
 	Route string
+	// Target is the time within which an answer is of full worth; 0 if none is
+	// named.
+	Target time.Duration
 }
 
 // Answer is the answer to one attempt of a request.
@@ -121,6 +124,12 @@
 	// Header holds the target's header fields that are passed on unchanged,
 	// in the form of Request.Header.
 	Header []byte
+	// Slots are the target's slots and Jobs the requests that run or wait
+	// there, by the gate's own count when it answered; Service is how long one
+	// takes on average. They are 0 if the gate does not say.
+	Slots   uint16
+	Jobs    uint16
+	Service time.Duration
 }
 
 // FinalCode returns what a caller may be told of code c. That this sending did
--- a/request/router.go
+++ b/request/router.go
@@ -54,6 +54,10 @@
 	Code result.Code
 	// Bytes is the size of the answer's body.
 	Bytes int
+	// Slots, Jobs and Service are what the gate said of its load, as in Answer.
+	Slots   int
+	Jobs    int
+	Service time.Duration
 }
 
 // Config sets a Router up.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -35,6 +35,9 @@
 	FreshIDs bool
 	// Timeout is the longest time that the request may take.
 	Timeout time.Duration
+	// Target is the time within which an answer is of full worth; 0 if none is
+	// named.
+	Target time.Duration
 	// MaxAttempts bounds the targets that the request may be sent to; 0 sets
 	// no bound.
 	MaxAttempts int
@@ -102,6 +105,7 @@
 			Route:       from.Name,
 			Idempotent:  from.Idempotent,
 			Timeout:     from.Timeout.Std(),
+			Target:      from.LatencyTarget.Std(),
 			MaxAttempts: from.MaxAttempts,
 		},
 	}
