--- a/balance/balance.go
+++ b/balance/balance.go
@@ -281,7 +281,7 @@
 		}
 		return x
 	}
-	if b.expected(y, now) < b.expected(x, now) {
+	if b.rank(y, now) < b.rank(x, now) {
 		return y
 	}
 	return x
@@ -289,7 +289,7 @@
 
 // expected is the time that an answer of the gate will likely take.
 func (b *Balancer) expected(g *gate, now mono.Time) time.Duration {
-	if g.slots > 0 && now.Sub(g.saidAt) < b.cfg.Memory {
+	if b.knows(g, now) {
 		return g.queued() + b.way(g)
 	}
 	ns := b.recent(g, now) * float64(g.inFlight+1)
@@ -297,17 +297,29 @@
 	return time.Duration(ns) + b.way(g)
 }
 
+// knows reports whether the gate has lately said how busy it is.
+func (b *Balancer) knows(g *gate, now mono.Time) bool {
+	return g.slots > 0 && now.Sub(g.saidAt) < b.cfg.Memory
+}
+
 // queued is the time that an answer will likely take by what the gate said of
 // its load: with a slot free, that of one run.
 func (g *gate) queued() time.Duration {
 	over := max(g.jobs+g.since+1-g.slots, 0)
+	return time.Duration(float64(g.service) * (1 + float64(over)/float64(g.slots)))
+}
+
+// rank orders gates: the time that an answer will likely take, and more the
+// fuller the target is, so that the load spreads before slots run out.
+func (b *Balancer) rank(g *gate, now mono.Time) time.Duration {
+	if !b.knows(g, now) {
+		return b.expected(g, now)
+	}
 	busy := float64(g.jobs+g.since) / float64(g.slots)
-	// A target that is nearly full is slower than an idle one.
-	return time.Duration(float64(g.service) * (1 + crowding*busy + float64(over)/float64(g.slots)))
+	return b.expected(g, now) + time.Duration(float64(g.service)*crowding*busy)
 }
 
-// crowding is by what part a run takes longer at a full target than at an idle
-// one, as far as the choice goes; it also spreads load among equals.
+// crowding is by what part of a run a full target ranks behind an idle one.
 const crowding = 3.0
 
 // way is the time to the gate and back.
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -65,6 +65,7 @@
 	cfg.Kinds = spreadKinds
 	cfg.Seed = seed
 	cfg.Interval = cmp.Or(d.settings.Spread.Interval.Std(), cfg.Interval)
+	cfg.SlowWatchWait = d.settings.Spread.SlowWatch.Std()
 	cfg.SuspectAfter = cmp.Or(d.settings.Spread.SuspectAfter.Std(), cfg.SuspectAfter)
 	cfg.Keep = func(k spread.Key) bool {
 		return k.Kind != document.Kind || k.Name == d.settings.Environment
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	Interval document.Duration `json:"interval"`
 	// SuspectAfter is how long a parent may be silent. Default: 3s.
 	SuspectAfter document.Duration `json:"suspect_after"`
+	// SlowWatch is how long a relay's watch of sessions or assignments waits
+	// in the store. Default: 2s.
+	SlowWatch document.Duration `json:"slow_watch"`
 	// WatchDocument says that the daemon also watches the document in the
 	// store itself, for fleets so small that the store can bear it.
 	WatchDocument bool `json:"watch_document"`
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -10,6 +10,13 @@
 	"golang.org/x/sys/unix"
 )
 
+// A connection on which nothing is sent is asked for a sign of life every
+// probeEvery, and given up after probeCount questions without an answer.
+const (
+	probeEvery = time.Second
+	probeCount = 3
+)
+
 // Abandon makes the kernel give a TCP connection up when bytes that were sent
 // are not acknowledged for a time: the other machine is gone or cut off.
 func Abandon(fd int, after time.Duration) error {
@@ -19,7 +26,8 @@
 // Dialer returns a dialer of TCP connections that are given up as Abandon says.
 func Dialer(within, after time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: within,
+		Timeout:         within,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			if controlErr := raw.Control(func(fd uintptr) { err = Abandon(int(fd), after) }); controlErr != nil {
--- a/spread/core.go
+++ b/spread/core.go
@@ -29,6 +29,9 @@
 	SuspectFor   time.Duration
 	// WatchWait is the longest that a watch waits in the store.
 	WatchWait time.Duration
+	// SlowWatchWait takes the place of WatchWait for all kinds but the first:
+	// one kind's answers tell that the store is there. 0 is WatchWait.
+	SlowWatchWait time.Duration
 	// RelayFor is how long a relay calls itself one after an answer of the
 	// store; it is longer than WatchWait. When the zone's first member
 	// doesn't for two Intervals, the second watches the store too.
--- a/spread/relay.go
+++ b/spread/relay.go
@@ -115,6 +115,9 @@
 	if !c.relays[i].caughtUp {
 		return firstWait
 	}
+	if i > 0 && c.cfg.SlowWatchWait > 0 {
+		return c.cfg.SlowWatchWait
+	}
 	return c.cfg.WatchWait
 }
 
