--- a/grant/core.go
+++ b/grant/core.go
@@ -227,6 +227,7 @@
 	switch a {
 	case Taken:
 		u.held = u.sentAt.Add(u.grant.Hold)
+		u.grant.Renewal = true
 		u.bound = latest(u.bound, c.boundOf(now, u))
 		u.due = u.sentAt.Add(u.grant.Hold / 2)
 	case Unanswered:
@@ -273,6 +274,7 @@
 		after := *u
 		after.grant.Unit = c.last
 		after.grant.Range.First = s.ID + 1
+		after.settle()
 		c.units[c.last] = &after
 	}
 	if s.ID == r.First {
@@ -281,3 +283,14 @@
 	}
 	u.grant.Range.Last = s.ID - 1
 }
+
+// settle ends the wait for the answer to a call: it will be given to another
+// unit, so that here the call counts as unanswered.
+func (u *unit) settle() {
+	if !u.calling {
+		return
+	}
+	u.calling = false
+	u.unanswered = true
+	u.bound = latest(u.bound, u.sentAt.Add(2*u.grant.Hold))
+}
--- /dev/null
+++ b/grant/grant_test.go
@@ -0,0 +1,282 @@
+package grant
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+const (
+	app   key.App = "one"
+	start         = mono.Time(time.Hour)
+	lease         = 2 * time.Second
+)
+
+func slice(id key.SliceID) key.Slice { return key.Slice{App: app, ID: id} }
+
+func tick(c *Core, now mono.Time) Actions {
+	var out Actions
+	c.SetLease(now.Add(lease))
+	c.Tick(now, &out)
+	return out
+}
+
+// owning returns a core that owns slices at an epoch, all of them granted.
+func owning(t *testing.T, epoch uint64, first, last key.SliceID) *Core {
+	c := New(DefaultConfig())
+	for id := first; id <= last; id++ {
+		c.Own(start.Add(-c.cfg.TokenWait), slice(id), epoch)
+	}
+	out := tick(c, start)
+	must.Len(t, 1, out.Grants)
+	must.Eq(t, Range{App: app, First: first, Last: last}, out.Grants[0].Range)
+	c.Answered(start, out.Grants[0].Unit, Taken, &out)
+	return c
+}
+
+// Neighbours of one epoch are granted together, and hold for less than the
+// lease, also at a target whose clock runs slow.
+func TestNeighboursAreGrantedTogether(t *testing.T) {
+	c := New(DefaultConfig())
+	for _, id := range []key.SliceID{4, 5, 6, 9} {
+		c.Own(start, slice(id), 1)
+	}
+	out := tick(c, start)
+	must.Len(t, 2, out.Grants)
+	must.Eq(t, Range{App: app, First: 4, Last: 6}, out.Grants[0].Range)
+	slow := time.Duration(float64(out.Grants[0].Hold) * (1 + c.cfg.Drift))
+	must.LessEq(t, lease, slow)
+	must.False(t, c.Holds(start, slice(4)))
+	c.Answered(start.Add(time.Millisecond), out.Grants[0].Unit, Taken, &out)
+	must.True(t, c.Holds(start.Add(time.Millisecond), slice(4)))
+	must.False(t, c.Holds(start.Add(out.Grants[0].Hold), slice(4)))
+	must.False(t, c.Holds(start.Add(time.Millisecond), slice(9)))
+}
+
+func TestAGrantIsRenewedAtHalfTime(t *testing.T) {
+	c := owning(t, 1, 0, 7)
+	must.SliceEmpty(t, tick(c, start.Add(500*time.Millisecond)).Grants)
+	out := tick(c, start.Add(time.Second))
+	must.Len(t, 1, out.Grants)
+	must.True(t, out.Grants[0].Renewal)
+	must.SliceEmpty(t, tick(c, start.Add(time.Second)).Grants, must.Sprint("one call at a time"))
+}
+
+// Without a lease nothing is granted.
+func TestNoLeaseNoGrant(t *testing.T) {
+	c := New(DefaultConfig())
+	c.Own(start, slice(0), 1)
+	var out Actions
+	c.Tick(start, &out)
+	c.SetLease(start.Add(c.cfg.MinHold / 2))
+	c.Tick(start, &out)
+	must.SliceEmpty(t, out.Grants)
+}
+
+// A slice that another gave away waits a moment for the token, and only that.
+func TestASliceWaitsForItsToken(t *testing.T) {
+	c := New(DefaultConfig())
+	c.Own(start, slice(0), 2)
+	c.Own(start, slice(1), 2)
+	must.SliceEmpty(t, tick(c, start).Grants)
+	c.Token(slice(0), 2, "t")
+	out := tick(c, start)
+	must.Len(t, 1, out.Grants)
+	must.Eq(t, "t", out.Grants[0].Token)
+	out = tick(c, start.Add(c.cfg.TokenWait))
+	must.Len(t, 1, out.Grants)
+	must.Eq(t, "", out.Grants[0].Token)
+}
+
+// A release takes a slice out of its unit, and the rest goes on.
+func TestAReleaseSplitsAUnit(t *testing.T) {
+	c := owning(t, 3, 0, 7)
+	c.Leave(start, slice(3), 3)
+	c.Leave(start, slice(4), 3)
+	out := tick(c, start)
+	must.Len(t, 1, out.Releases)
+	must.Eq(t, Release{Range: Range{App: app, First: 3, Last: 4}, Epoch: 3}, out.Releases[0])
+	must.False(t, c.Holds(start, slice(3)))
+	must.True(t, c.Holds(start, slice(2)) && c.Holds(start, slice(5)))
+	var answered Actions
+	c.ReleaseAnswered(start, out.Releases[0], "tok", Taken, &answered)
+	must.Eq(t, []Ended{{Slice: slice(3), Epoch: 3, Token: "tok"}, {Slice: slice(4), Epoch: 3, Token: "tok"}}, answered.Released)
+	must.SliceEmpty(t, tick(c, start).Releases)
+	must.Len(t, 2, tick(c, start.Add(time.Second)).Grants)
+}
+
+// A slice that was never granted needs no call.
+func TestASliceThatWasNeverGrantedIsReleasedAtOnce(t *testing.T) {
+	c := New(DefaultConfig())
+	c.Own(start, slice(0), 2)
+	c.Leave(start, slice(0), 2)
+	out := tick(c, start)
+	must.Len(t, 1, out.Released)
+	must.SliceEmpty(t, out.Releases)
+	must.SliceEmpty(t, out.Grants)
+}
+
+// A grant whose answer was lost may arrive behind the release: the slice counts
+// as held until that grant's time is over.
+func TestAReleaseWaitsForAGrantInDoubt(t *testing.T) {
+	c := owning(t, 1, 0, 0)
+	out := tick(c, start.Add(time.Second))
+	sent := out.Grants[0]
+	c.Answered(start.Add(2*time.Second), sent.Unit, Unanswered, &out)
+	now := start.Add(2 * time.Second)
+	c.Leave(now, slice(0), 1)
+	out = tick(c, now)
+	must.Len(t, 1, out.Releases)
+	var answered Actions
+	c.ReleaseAnswered(now, out.Releases[0], "tok", Taken, &answered)
+	must.SliceEmpty(t, answered.Released)
+	bound := now.Add(time.Duration(float64(sent.Hold) * (1 + c.cfg.Drift)))
+	must.SliceEmpty(t, tick(c, bound-1).Released)
+	must.Len(t, 1, tick(c, bound).Released)
+}
+
+// A target that knows a higher epoch is not asked again at the same one.
+func TestARefusedGrantIsGivenUp(t *testing.T) {
+	c := New(DefaultConfig())
+	c.Own(start, slice(0), 1)
+	c.Own(start, slice(1), 1)
+	out := tick(c, start)
+	var answered Actions
+	c.Answered(start, out.Grants[0].Unit, Refused, &answered)
+	must.Eq(t, []Held{{Slice: slice(0), Epoch: 1}, {Slice: slice(1), Epoch: 1}}, answered.Refused)
+	must.SliceEmpty(t, tick(c, start.Add(time.Minute)).Grants)
+	c.Own(start.Add(time.Minute), slice(0), 2)
+	must.Len(t, 1, tick(c, start.Add(2*time.Minute)).Grants)
+}
+
+// modelTarget takes calls, some of them late and some without an answer.
+type modelTarget struct {
+	rng  *rand.Rand
+	held map[key.Slice]mono.Time // Until when it holds a slice, by its own slow clock.
+	late []lateGrant
+}
+
+type lateGrant struct {
+	grant   Grant
+	arrived mono.Time
+	at      mono.Time
+}
+
+func (m *modelTarget) apply(g Grant, arrived mono.Time) {
+	for id := g.Range.First; id <= g.Range.Last; id++ {
+		until := arrived.Add(time.Duration(float64(g.Hold) * 1.02))
+		m.held[slice(id)] = max(m.held[slice(id)], until)
+	}
+}
+
+func (m *modelTarget) pass(now mono.Time) {
+	var still []lateGrant
+	for _, l := range m.late {
+		if l.at.After(now) {
+			still = append(still, l)
+			continue
+		}
+		m.apply(l.grant, l.arrived)
+	}
+	m.late = still
+}
+
+func (m *modelTarget) grant(now mono.Time, g Grant) Answer {
+	switch m.rng.IntN(6) {
+	case 0:
+		m.late = append(m.late, lateGrant{grant: g, arrived: now, at: now.Add(time.Duration(m.rng.IntN(4000)) * time.Millisecond)})
+		return Unanswered
+	case 1:
+		m.apply(g, now)
+		return Unanswered
+	case 2:
+		return Unsent
+	}
+	m.apply(g, now)
+	return Taken
+}
+
+func (m *modelTarget) release(r Release) Answer {
+	answer := Taken
+	switch m.rng.IntN(4) {
+	case 0:
+		return Unsent
+	case 1:
+		answer = Unanswered
+	}
+	for id := r.Range.First; id <= r.Range.Last; id++ {
+		delete(m.held, slice(id))
+	}
+	return answer
+}
+
+// Whatever the target loses or does late: what is told as released is never
+// held afterwards, nothing is held beyond the lease, and what the core says is
+// held is.
+func TestWhatIsReleasedIsNotHeld(t *testing.T) {
+	for seed := range uint64(300) {
+		runModel(t, seed)
+	}
+}
+
+func runModel(t *testing.T, seed uint64) {
+	const slices = 12
+	rng := rand.New(rand.NewPCG(seed, 1))
+	m := &modelTarget{rng: rng, held: make(map[key.Slice]mono.Time)}
+	c := New(DefaultConfig())
+	epochs := make(map[key.Slice]uint64)
+	leaving := make(map[key.Slice]bool)
+	released := make(map[key.Slice]bool)
+	now := start
+	until := now
+	for range 400 {
+		now = now.Add(time.Duration(rng.IntN(120)) * time.Millisecond)
+		m.pass(now)
+		if rng.IntN(4) > 0 {
+			until = max(until, now.Add(lease))
+		}
+		c.SetLease(until)
+		s := slice(key.SliceID(rng.IntN(slices)))
+		switch owned := epochs[s] > 0 && !released[s] && !leaving[s]; {
+		case !owned && !leaving[s] && rng.IntN(3) == 0:
+			epochs[s] += 2
+			released[s] = false
+			c.Own(now, s, epochs[s])
+		case owned && rng.IntN(12) == 0:
+			leaving[s] = true
+			c.Leave(now, s, epochs[s])
+		}
+		var out Actions
+		c.Tick(now, &out)
+		for len(out.Grants)+len(out.Releases)+len(out.Released) > 0 {
+			var next Actions
+			for _, g := range out.Grants {
+				must.False(t, now.Add(time.Duration(float64(g.Hold)*1.02)).After(until), must.Sprint("seed", seed))
+				c.Answered(now, g.Unit, m.grant(now, g), &next)
+			}
+			for _, r := range out.Releases {
+				c.ReleaseAnswered(now, r, "t", m.release(r), &next)
+			}
+			for _, e := range out.Released {
+				must.Eq(t, epochs[e.Slice], e.Epoch)
+				leaving[e.Slice] = false
+				released[e.Slice] = true
+			}
+			out = next
+		}
+		for id := range key.SliceID(slices) {
+			s := slice(id)
+			if released[s] {
+				must.False(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", id, "is held after its release"))
+			}
+			if c.Holds(now, s) {
+				must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", id))
+			}
+		}
+	}
+}
