Callers in time go first; those that are late take free slots only

Cause: under a load that lasts, callers that were refused and came back took the slots of those that could still be in time: a third of what was served was in time.

Change: the time that went by before a caller came back shows in the time that it still waits; the target shrinks by it. A request that can't be in time any more takes a free slot and does not wait for one.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -207,15 +207,17 @@
 }
 
 // tooLong returns by how much a request would wait too long for its answer to
-// come when it is wanted; room comes about that much later. Under a load that
-// lasts, a longer queue serves no more requests, and each of them late; the
-// load that this answers is one above the target's capacity. A wait that is
-// short in any case is taken.
+// come when it is wanted; room comes about that much later. One that can't be
+// in time any more takes a slot that is free, and does not wait for one.
+//
+// The load that this answers is one above the target's capacity that lasts: a
+// longer queue serves no more requests then, and each of them late; and a slot
+// that goes to one that is late makes another late.
 func (g *Gate) tooLong(r *request.Request, wait time.Duration) time.Duration {
 	if r.Target == 0 {
 		return 0
 	}
-	return wait - max(r.Target-g.serviceOf(r.Route).mean(), g.cfg.ShortWait)
+	return wait - max(r.Target-g.serviceOf(r.Route).mean(), 0)
 }
 
 // accept lets a request in: it starts now or waits for a slot.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,8 +70,6 @@
 	WarmUp time.Duration
 	// WarmStart is the part of its slots that it gets at once.
 	WarmStart float64
-	// ShortWait is a wait for a slot that is taken whatever the answer's time.
-	ShortWait time.Duration
 	// ColdShare is the part of its slots that a target gets while it says that
 	// it is cold.
 	ColdShare float64
@@ -111,7 +109,6 @@
 		MaxJoined:      4,
 		WarmUp:         5 * time.Second,
 		WarmStart:      0.25,
-		ShortWait:      50 * time.Millisecond,
 		ColdShare:      0.75,
 		LoadTrust:      0.25,
 		ShedPause:      20 * time.Millisecond,
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -63,15 +63,16 @@
 // gate, what reaches the local target. Both roles need the same map of owners,
 // so they share one duty and one copy of it.
 type routingDuty struct {
-	self   host.Session
-	place  host.Place
-	fleet  *fleet
-	peers  *peer.Transport
-	store  *storeDuty
-	log    *eventlog.Log
-	lease  func() mono.Time
-	ring   *ring.Ring[routingWork]
-	router *request.Router
+	self     host.Session
+	place    host.Place
+	fleet    *fleet
+	peers    *peer.Transport
+	store    *storeDuty
+	log      *eventlog.Log
+	lease    func() mono.Time
+	ring     *ring.Ring[routingWork]
+	router   *request.Router
+	patience *request.Patience
 	// balancer chooses gates; balanced is what it was last given.
 	balancer *balance.Balancer
 	balanced map[key.App][]balance.Gate
@@ -178,6 +179,7 @@
 		reportEvery: cmp.Or(d.settings.Placement.ReportEvery.Std(), reportEvery),
 		ring:        ring.New[routingWork]("routing", routingRingSize, registry),
 		holder:      handover.New(hold),
+		patience:    request.NewPatience(),
 		owners:      assignment.NewMap(),
 		replies:     make(map[request.Caller]chan *request.Answer),
 		sent:        make(map[uint64]sending),
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -74,6 +74,7 @@
 func (w submitted) routingWork(r *routingDuty, now mono.Time) {
 	s := w.submission
 	r.replies[s.Caller] = s.Reply
+	s.Request.Target = r.patience.Target(s.Request, s.Asked)
 	r.router.Submit(now, s.Request, s.Deadline, s.Caller, &r.out)
 }
 
@@ -242,6 +243,7 @@
 }
 
 func (w documentChanged) routingWork(r *routingDuty, _ mono.Time) {
+	r.patience.Forget()
 	for _, a := range w.document.Apps {
 		r.owners.DivideByNumber(a.Name, a.KeyNumbers)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,7 +87,10 @@
 	Caller   request.Caller
 	Request  *request.Request
 	Deadline mono.Time
-	Reply    chan *request.Answer
+	// Asked is the time that the caller says it waits, also beyond the
+	// deadline; 0 if it says none.
+	Asked time.Duration
+	Reply chan *request.Answer
 }
 
 // Server is the callers' HTTP interface.
