--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -182,12 +182,12 @@
 	if g.drained(now) || g.target.draining && r.Slice == request.NoSlice {
 		return result.Draining, 0
 	}
-	wait := g.expectedWait(now, r.Class, now.Add(r.Target))
+	wait := g.expectedWait(now, r.Class, g.wanted(now, r))
 	if r.Budget <= 0 || g.tooLate(r, wait, r.Budget) {
 		return result.DeadlineTooShort, max(wait, g.cfg.RetryAfter)
 	}
-	if over := g.tooLong(r, wait); over > 0 {
-		return result.QueueFull, max(over, g.cfg.LeastRetryAfter)
+	if over := g.tooLong(now, r, wait); over > 0 {
+		return result.QueueFull, g.comeBack(now, r, over)
 	}
 	q := g.queueOf(r.Class)
 	if q.len() >= g.cfg.MaxQueued || q.bytes+len(r.Body) > g.cfg.MaxQueuedBytes {
@@ -206,18 +206,55 @@
 	return wait+g.serviceOf(r.Route).mean() > left
 }
 
+// isLate reports whether a request's answer can't come when it is wanted, even
+// if it starts now.
+func (g *Gate) isLate(r *request.Request) bool {
+	return r.Target > 0 && r.Target <= g.serviceOf(r.Route).mean()
+}
+
+// wanted is when a request's answer is wanted. One that is late goes behind
+// those that can be in time.
+func (g *Gate) wanted(now mono.Time, r *request.Request) mono.Time {
+	if g.isLate(r) {
+		return now.Add(r.Budget)
+	}
+	return now.Add(r.Target)
+}
+
 // tooLong returns by how much a request would wait too long for its answer to
-// come when it is wanted; room comes about that much later. One that can't be
-// in time any more takes a slot that is free, and does not wait for one.
+// come when it is wanted; room comes about that much later. One that is late
+// waits a while, but only for a slot that is free if the target has lately had
+// too much to do.
 //
 // The load that this answers is one above the target's capacity that lasts: a
 // longer queue serves no more requests then, and each of them late; and a slot
 // that goes to one that is late makes another late.
-func (g *Gate) tooLong(r *request.Request, wait time.Duration) time.Duration {
-	if r.Target == 0 {
+func (g *Gate) tooLong(now mono.Time, r *request.Request, wait time.Duration) time.Duration {
+	switch {
+	case r.Target == 0:
 		return 0
+	case !g.isLate(r):
+		return wait - (r.Target - g.serviceOf(r.Route).mean())
+	case g.overloaded(now):
+		return wait
 	}
-	return wait - max(r.Target-g.serviceOf(r.Route).mean(), 0)
+	return wait - g.cfg.LateWait
+}
+
+// overloaded reports whether a request that could have been in time was refused
+// a short while ago.
+func (g *Gate) overloaded(now mono.Time) bool {
+	return g.tooMuchAt > 0 && now.Sub(g.tooMuchAt) < g.cfg.OverloadFor
+}
+
+// comeBack is when a request that would wait too long should come back: when
+// room comes, or later if it is late already and has no hurry.
+func (g *Gate) comeBack(now mono.Time, r *request.Request, over time.Duration) time.Duration {
+	if g.isLate(r) {
+		return max(over, g.cfg.RetryAfter)
+	}
+	g.tooMuchAt = now
+	return max(over, g.cfg.LeastRetryAfter)
 }
 
 // accept lets a request in: it starts now or waits for a slot.
@@ -236,7 +273,7 @@
 	j.first = o
 	j.slot = slot
 	j.deadline = now.Add(r.Budget)
-	j.wanted = now.Add(r.Target)
+	j.wanted = g.wanted(now, r)
 	g.step(now, j, eventQueue, nil, out)
 	g.queueOf(r.Class).push(j)
 	g.setTimer(j, j.deadline)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,11 @@
 	WarmUp time.Duration
 	// WarmStart is the part of its slots that it gets at once.
 	WarmStart float64
+	// LateWait is how long a request waits for a slot whose answer can't come
+	// when it is wanted. OverloadFor is how long after the refusal of one that
+	// could have been in time it waits no more than for a free slot.
+	LateWait    time.Duration
+	OverloadFor time.Duration
 	// ColdShare is the part of its slots that a target gets while it says that
 	// it is cold.
 	ColdShare float64
@@ -109,6 +114,8 @@
 		MaxJoined:      4,
 		WarmUp:         5 * time.Second,
 		WarmStart:      0.25,
+		LateWait:       300 * time.Millisecond,
+		OverloadFor:    500 * time.Millisecond,
 		ColdShare:      0.75,
 		LoadTrust:      0.25,
 		ShedPause:      20 * time.Millisecond,
@@ -146,25 +153,27 @@
 
 // Gate is the admission in front of one target. It is used by one thread.
 type Gate struct {
-	cfg      Config
-	table    *chart.Table
-	memory   *idmemory.Memory
-	target   target
-	urgent   queue
-	normal   queue
-	urgents  int // urgent requests started since the last normal one
-	runs     map[uint64]*job
-	run      uint64
-	slots    int // slots taken
-	conns    []bool
-	seen     map[host.ID]lastSeen
-	unacked  *unacked
-	service  estimator
-	byRoute  map[string]*estimator
-	timers   timer.Queue[*job]
-	free     []*job
-	counters Counters
-	guards   guards
+	cfg     Config
+	table   *chart.Table
+	memory  *idmemory.Memory
+	target  target
+	urgent  queue
+	normal  queue
+	urgents int // urgent requests started since the last normal one
+	runs    map[uint64]*job
+	run     uint64
+	slots   int // slots taken
+	conns   []bool
+	seen    map[host.ID]lastSeen
+	unacked *unacked
+	service estimator
+	// tooMuchAt is when a request was refused that could have been in time.
+	tooMuchAt mono.Time
+	byRoute   map[string]*estimator
+	timers    timer.Queue[*job]
+	free      []*job
+	counters  Counters
+	guards    guards
 }
 
 // guards lets tests of this package drop one guard at a time, to see that its
--- a/internal/daemon/pacer.go
+++ b/internal/daemon/pacer.go
@@ -8,7 +8,7 @@
 
 const (
 	// watchBurst watches of a kind may follow each other at once; after that
-	// watchRate a second may. A change that comes alone is not delayed, and a
+	// watchRate a second may, unless the settings name another rate. A change that comes alone is not delayed, and a
 	// storm of changes reaches a relay in batches.
 	watchBurst = 4
 	watchRate  = 2.0
@@ -16,6 +16,7 @@
 
 // pacer spaces out calls: a bucket of tokens, one for each call.
 type pacer struct {
+	rate   float64 // calls a second
 	tokens float64
 	last   mono.Time
 }
@@ -25,11 +26,11 @@
 	if p.last == 0 {
 		p.tokens = watchBurst
 	}
-	earned := now.Sub(p.last).Seconds() * watchRate
+	earned := now.Sub(p.last).Seconds() * p.rate
 	p.tokens = min(p.tokens+earned, watchBurst) - 1
 	p.last = now
 	if p.tokens >= 0 {
 		return 0
 	}
-	return time.Duration(-p.tokens / watchRate * float64(time.Second))
+	return time.Duration(-p.tokens / p.rate * float64(time.Second))
 }
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/handover"
@@ -132,13 +134,32 @@
 // arrive hands a request to the gate, if there is one.
 func (r *routingDuty) arrive(now mono.Time, from host.Session, req *request.Request) {
 	if r.gate != nil {
+		before := len(r.gateOut.Answers)
 		r.gate.Arrive(now, wallMs(), from, req, &r.gateOut)
+		r.noteRefused(req, r.gateOut.Answers[before:])
 		return
 	}
 	a := &request.Answer{ID: req.ID, Attempt: req.Attempt, Seq: req.Seq, Code: result.NotOwner, Owner: string(r.self.Host)}
 	r.gateOut.Answers = append(r.gateOut.Answers, gate.Answer{To: from, Answer: a})
 }
 
+// noteRefused counts a request for which the target had no room as load on its
+// slice, so that the slice moves away although nothing of it ran. Callers come
+// back, so that each refusal counts for a part of a run.
+func (r *routingDuty) noteRefused(req *request.Request, answers []gate.Answer) {
+	if req.Slice == request.NoSlice {
+		return
+	}
+	for _, a := range answers {
+		if a.Answer.Code == result.QueueFull && a.Answer.ID == req.ID {
+			r.meter.Add(req.Slice, req.Key, time.Duration(refusedPart*float64(a.Answer.Service)))
+		}
+	}
+}
+
+// refusedPart is the part of a run that a refused request counts for.
+const refusedPart = 0.5
+
 func (r *routingDuty) doGate(now mono.Time, out *gate.Actions) {
 	for i := range out.Starts {
 		r.startRun(now, &out.Starts[i])
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -213,7 +213,7 @@
 func (s *spreadDuty) pace(kind spread.Kind) time.Duration {
 	p, ok := s.pacers[kind]
 	if !ok {
-		p = &pacer{}
+		p = &pacer{rate: cmp.Or(s.d.settings.Spread.WatchRate, watchRate)}
 		s.pacers[kind] = p
 	}
 	return p.delay(bootclock.Now())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,9 @@
 	// SlowWatch is how long a relay's watch of sessions or assignments waits
 	// in the store. Default: 2s.
 	SlowWatch document.Duration `json:"slow_watch"`
+	// WatchRate is how many watches of a kind a relay begins in a second when
+	// changes follow each other. Default: 2.
+	WatchRate float64 `json:"watch_rate"`
 	// WatchDocument says that the daemon also watches the document in the
 	// store itself, for fleets so small that the store can bear it.
 	WatchDocument bool `json:"watch_document"`
