Take changed settings over; metrics at an address of their own

Change: the file is read again when it changes; the store's address and what concerns the document are in force at once, the log names what needs a restart. Counters by result code, times at the entry and at the target, and gauges of slices, grants, lease, document and queue are served. A simulation plays callers that come back against targets above their capacity.

--- a/balance/sim_test.go
+++ b/balance/sim_test.go
@@ -56,7 +56,11 @@
 	calls   map[request.Caller]*call
 	all     []*call
 	sample  func()
-	report  func(host.Session, float64)
+	// told, if set, hears each answer; answered are the callers of package
+	// test comeback, by their number.
+	told     func(request.Caller, *request.Answer)
+	answered []*returning
+	report   func(host.Session, float64)
 }
 
 // undivided is the map of an app whose requests any gate may run.
@@ -178,6 +182,9 @@
 		c.answered = true
 		c.code = r.Answer.Code
 		c.took = s.now.Sub(c.at)
+		if s.told != nil {
+			s.told(r.Caller, r.Answer)
+		}
 	}
 	for _, send := range out.Sends {
 		v := s.server(send.To)
--- a/cmd/rhubarb-sidecar/main.go
+++ b/cmd/rhubarb-sidecar/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -63,28 +64,39 @@
 	if err != nil {
 		return err
 	}
-	asked := make(chan os.Signal, 1)
-	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP)
+	p := &process{path: path, settings: s, level: level, asked: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(p.asked, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(p.reload, syscall.SIGHUP)
 	for {
-		again, err := live(s, level, asked)
+		again, err := p.live()
 		if err != nil || !again {
 			return err
 		}
 	}
 }
 
+// process is what outlives a session.
+type process struct {
+	path     string
+	settings *platform.Settings
+	level    event.Level
+	asked    chan os.Signal // to stop
+	reload   chan os.Signal // to read the settings again
+}
+
 // live runs the daemon for the time of one session. It returns true if the
 // session ended without being asked to, so that another is due.
-func live(s *platform.Settings, level event.Level, asked <-chan os.Signal) (bool, error) {
+func (p *process) live() (bool, error) {
+	s := p.settings
 	registry := metrics.NewRegistry()
-	log := eventlog.New(os.Stdout, level, s.Daemon.Host, registry)
+	log := eventlog.New(os.Stdout, p.level, s.Daemon.Host, registry)
 	defer log.Close()
 	bad := func(object string, err error) {
 		log.Event(event.BadObject, "object", object, "cause", err.Error())
 	}
+	store := platform.NewStore(s, bad)
 	d := daemon.New(s.Daemon, log, registry,
-		daemon.WithStore(platform.NewStore(s, bad)),
+		daemon.WithStore(store),
 		daemon.WithProtocol(platform.NewCallers(s)),
 		daemon.WithTargets(func(a control.Announcement) daemon.Target {
 			return platform.NewTarget(a, s.App.Slices)
@@ -98,8 +110,11 @@
 		return false, err
 	}
 	defer server.Stop()
+	done := make(chan struct{})
+	defer close(done)
+	go p.watch(log, store, done)
 	select {
-	case <-asked:
+	case <-p.asked:
 		d.Stop()
 		return false, nil
 	case <-d.Ended():
@@ -107,3 +122,15 @@
 		return true, nil
 	}
 }
+
+// watch takes changed settings over until done is closed.
+func (p *process) watch(log *eventlog.Log, store *platform.Store, done <-chan struct{}) {
+	changed := func(next *platform.Settings) {
+		restart := strings.Join(p.settings.NeedsRestart(next), " ")
+		log.Event(event.SettingsReloaded, "store", next.Daemon.Store, "needs_restart", restart)
+		store.Reload(next)
+	}
+	platform.Watch(p.path, p.reload, done, changed, func(err error) {
+		log.Event(event.SettingsRefused, "cause", err.Error())
+	})
+}
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -36,7 +36,7 @@
 // operator to look for one must not mislead.
 func TestEachEventIsLogged(t *testing.T) {
 	var code strings.Builder
-	for _, dir := range []string{"../internal/daemon", "../internal/eventlog", "../session", "../takeover"} {
+	for _, dir := range []string{"../internal/daemon", "../internal/eventlog", "../session", "../takeover", "../cmd/rhubarb-sidecar"} {
 		entries, err := os.ReadDir(dir)
 		must.NoError(t, err)
 		for _, e := range entries {
--- a/event/process.go
+++ b/event/process.go
@@ -2,22 +2,26 @@
 
 // Events of the process, its peers and its store client.
 const (
-	Started         ID = 1000
-	Stopping        ID = 1001
-	Stopped         ID = 1002
-	PeerClosed      ID = 1011
-	BadFrame        ID = 1012
-	RingFull        ID = 1020
-	StoreCallFailed ID = 1030
-	StoreReachable  ID = 1031
-	BadObject       ID = 1032
-	LogDropped      ID = 1040
+	Started          ID = 1000
+	Stopping         ID = 1001
+	Stopped          ID = 1002
+	SettingsReloaded ID = 1003
+	SettingsRefused  ID = 1004
+	PeerClosed       ID = 1011
+	BadFrame         ID = 1012
+	RingFull         ID = 1020
+	StoreCallFailed  ID = 1030
+	StoreReachable   ID = 1031
+	BadObject        ID = 1032
+	LogDropped       ID = 1040
 )
 
 var processEvents = []Def{
 	{Started, "started", Info, "host zone incarnation", "The daemon started and has a session."},
 	{Stopping, "stopping", Info, "reason", "A planned stop began; nothing in flight is cut off."},
 	{Stopped, "stopped", Info, "", "The daemon ended."},
+	{SettingsReloaded, "settings_reloaded", Info, "store needs_restart", "The settings file has changed. What is named needs a restart; the rest is in force."},
+	{SettingsRefused, "settings_refused", Warn, "cause", "The settings file has changed and is wrong or can't be read; the settings read before stay in force."},
 	{PeerClosed, "peer_closed", Info, "peer cause", "A connection to another daemon closed; requests sent over it and not answered end as unknown."},
 	{BadFrame, "bad_frame", Warn, "peer cause", "A peer sent bytes that do not decode; its connection was closed."},
 	{RingFull, "ring_full", Warn, "ring count", "A ring between two duties was full; the item was refused and counted."},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	heard     *heardZones
 	entry     *entry.Server
 	control   *control.Server
+	metrics   *control.Metrics // nil if the settings name no address
 
 	// lifeMu guards what is known of the target's life.
 	lifeMu        sync.Mutex
@@ -182,10 +183,17 @@
 		d.peers.Close()
 		return err
 	}
+	if d.settings.Metrics != "" {
+		d.metrics = control.NewMetrics(d.registry)
+		if err := d.metrics.Start(d.settings.Metrics); err != nil {
+			d.control.Stop()
+			d.peers.Close()
+			return err
+		}
+	}
 	d.entry = entry.New(d, d.protocol)
 	if err := d.entry.Start(d.settings.Caller); err != nil {
-		d.control.Stop()
-		d.peers.Close()
+		d.stopAddresses()
 		return err
 	}
 	d.store.start()
@@ -362,6 +370,13 @@
 	d.routing.close()
 	d.lease.close()
 	d.store.close()
+	d.stopAddresses()
+}
+
+func (d *Daemon) stopAddresses() {
+	if d.metrics != nil {
+		d.metrics.Stop()
+	}
 	d.control.Stop()
 	d.peers.Close()
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -137,8 +137,11 @@
 	return a.DividedByKey || !a.FreshIDs
 }
 
-// slicesOf returns the number of slices of an app.
+// slicesOf returns the number of slices of an app; 0 if it has none.
 func slicesOf(a document.App) uint32 {
+	if !hasSlices(a) {
+		return 0
+	}
 	if a.Slices > 0 {
 		return a.Slices
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -247,9 +247,6 @@
 	}
 	records := r.fleet.sessions.Load().records
 	for _, app := range d.document.Apps {
-		if !hasSlices(app) {
-			continue
-		}
 		u := status.Unowned{App: app.Name, Of: int(slicesOf(app))}
 		for id := range slicesOf(app) {
 			s, ok := r.owners.At(key.Slice{App: app.Name, ID: key.SliceID(id)})
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -49,7 +49,7 @@
 		r.ack(a)
 	}
 	for _, reply := range out.Replies {
-		r.reply(reply)
+		r.reply(now, reply)
 	}
 	for _, risk := range out.Raises {
 		r.raise(risk)
@@ -120,15 +120,16 @@
 	}
 }
 
-func (r *routingDuty) reply(reply request.Reply) {
+func (r *routingDuty) reply(now mono.Time, reply request.Reply) {
 	a := reply.Answer
 	r.logAnswered(a)
-	ch, ok := r.replies[reply.Caller]
+	waiting, ok := r.replies[reply.Caller]
 	if !ok {
 		return
 	}
+	r.stats.noteAnswer(a.Code, now-waiting.since)
 	delete(r.replies, reply.Caller)
-	ch <- a
+	waiting.reply <- a
 }
 
 // arrive hands a request to the gate, if there is one.
@@ -183,6 +184,7 @@
 // deadline passes, and it tells its caller so.
 func (r *routingDuty) answer(now mono.Time, a gate.Answer) {
 	if a.Answer.Code != result.OK {
+		r.stats.noteRefusal(a.Answer.Code)
 		r.logRefused(a.Answer)
 	}
 	if a.To == r.self {
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -99,7 +99,7 @@
 	// itself.
 	granting
 
-	replies map[request.Caller]chan *request.Answer
+	replies map[request.Caller]waitingCaller
 	sent    map[uint64]sending
 	over    bool // the daemon's session ended
 	origins map[host.Session]*peer.Conn
@@ -129,6 +129,13 @@
 	done sync.WaitGroup
 }
 
+// waitingCaller is where the answer to a caller goes, and since when the caller
+// waits.
+type waitingCaller struct {
+	reply chan *request.Answer
+	since mono.Time
+}
+
 // sending is a request that went to another daemon and is not answered yet.
 type sending struct {
 	id   string
@@ -159,13 +166,6 @@
 	gone     bool
 }
 
-type routingStats struct {
-	latency metrics.Histogram
-	service metrics.Histogram
-}
-
-const latencySample = 4096
-
 func newRoutingDuty(d *Daemon, cfg request.Config, hold handover.Config, registry metrics.Registry) *routingDuty {
 	r := &routingDuty{
 		self:        d.self,
@@ -181,7 +181,7 @@
 		holder:      handover.New(hold),
 		patience:    request.NewPatience(),
 		owners:      assignment.NewMap(),
-		replies:     make(map[request.Caller]chan *request.Answer),
+		replies:     make(map[request.Caller]waitingCaller),
 		sent:        make(map[uint64]sending),
 		origins:     make(map[host.Session]*peer.Conn),
 		merged:      make(map[key.Slice]int64),
@@ -197,9 +197,7 @@
 	r.balancer = balance.New(near, bootclock.Now())
 	cfg.Chooser = r.balancer
 	r.router = request.NewRouter(cfg)
-	r.stats.latency = metrics.NewHistogram(metrics.NewUniformSample(latencySample))
-	r.stats.service = metrics.NewHistogram(metrics.NewUniformSample(latencySample))
-	_ = registry.Register("routing.service_us", r.stats.service)
+	r.stats = newRoutingStats(registry)
 	return r
 }
 
@@ -288,6 +286,7 @@
 		return
 	}
 	r.nextForget = now.Add(forgetEvery)
+	r.gauge(now)
 	for seq, s := range r.sent {
 		if now.Sub(s.at) > forgetAfter {
 			delete(r.sent, seq)
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -73,16 +73,16 @@
 
 func (w submitted) routingWork(r *routingDuty, now mono.Time) {
 	s := w.submission
-	r.replies[s.Caller] = s.Reply
+	r.replies[s.Caller] = waitingCaller{reply: s.Reply, since: now}
 	s.Request.Target = r.patience.Target(s.Request, s.Asked)
 	r.router.Submit(now, s.Request, s.Deadline, s.Caller, &r.out)
 }
 
 func (w callerGone) routingWork(r *routingDuty, now mono.Time) {
 	r.router.CallerGone(now, w.caller, &r.out)
-	if ch, ok := r.replies[w.caller]; ok {
+	if waiting, ok := r.replies[w.caller]; ok {
 		delete(r.replies, w.caller)
-		ch <- &request.Answer{Code: result.Cancelled}
+		waiting.reply <- &request.Answer{Code: result.Cancelled}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,9 @@
 	Caller string `json:"caller"`
 	// Store is the address of the platform's store, "IP:port".
 	Store string `json:"store"`
+	// Metrics is a further address, "IP:port", that serves the daemon's metrics
+	// and nothing else. Default: none; the control address serves them too.
+	Metrics string `json:"metrics"`
 	// Peers are control addresses of some other daemons, "IP:port". A daemon
 	// that starts while the store can't be reached learns of the fleet from
 	// them. Default: none; such a daemon then waits for the store.
@@ -193,6 +196,11 @@
 			return err
 		}
 	}
+	if d.Metrics != "" {
+		if err := checkAddress("metrics", d.Metrics); err != nil {
+			return err
+		}
+	}
 	for i, peer := range d.Peers {
 		if err := checkAddress("peers["+strconv.Itoa(i)+"]", peer); err != nil {
 			return err
