--- a/idmemory/memory.go
+++ b/idmemory/memory.go
@@ -94,11 +94,15 @@
 
 // New returns an empty memory.
 func New(cfg Config) *Memory {
-	return &Memory{
-		cfg:     cfg,
-		ring:    make([]entry, cfg.MaxIDs),
-		index:   make(map[uint64]uint32, cfg.MaxIDs),
-		sliceOf: make(map[key.Slice]uint32),
+	return &Memory{cfg: cfg, sliceOf: make(map[key.Slice]uint32)}
+}
+
+// reserve takes the room for all ids with the first one: an app whose ids are
+// never used twice needs none.
+func (m *Memory) reserve() {
+	if m.ring == nil {
+		m.ring = make([]entry, m.cfg.MaxIDs)
+		m.index = make(map[uint64]uint32, m.cfg.MaxIDs)
 	}
 }
 
@@ -136,6 +140,7 @@
 // Begin remembers the id of a request that is let in at nowMs, milliseconds
 // since 1970. It returns false if there is no room: every id is in flight.
 func (m *Memory) Begin(s key.Slice, r *request.Request, nowMs int64) (Slot, bool) {
+	m.reserve()
 	if !m.makeRoom() {
 		return Slot{}, false
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	ringSize      = 1 << 14
+	ringSize      = 1 << 12
 	bufferBytes   = 1 << 16
 	flushInterval = 200 * time.Millisecond
 )
