--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -16,7 +16,8 @@
 var update = flag.Bool("update", false, "write the golden files anew")
 
 var (
-	logTime        = regexp.MustCompile(`ts=\S+`)
+	logTime        = regexp.MustCompile(`\bts=\S+`)
+	logService     = regexp.MustCompile(`service_ms=\d+`)
 	logAddress     = regexp.MustCompile(`address=\S+`)
 	logIncarnation = regexp.MustCompile(`/\d{10,}`)
 )
@@ -55,6 +56,7 @@
 // plainLog replaces what differs from run to run.
 func plainLog(text string) string {
 	text = logTime.ReplaceAllString(text, "ts=TIME")
+	text = logService.ReplaceAllString(text, "service_ms=N")
 	text = logAddress.ReplaceAllString(text, "address=ADDRESS")
 	return strings.TrimSpace(logIncarnation.ReplaceAllString(text, "/INCARNATION")) + "\n"
 }
--- a/internal/daemon/routing_log.go
+++ b/internal/daemon/routing_log.go
@@ -5,6 +5,7 @@
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
 )
 
 // Each decision about a request leaves a line. The fields are made only if
@@ -32,7 +33,8 @@
 		return
 	}
 	r.log.Event(event.RequestRefused, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
-		"epoch", a.Epoch, "attempt", a.Attempt)
+		"epoch", a.Epoch, "attempt", a.Attempt, "jobs", a.Jobs, "slots", a.Slots, "service_ms", a.Service.Milliseconds(),
+		"retry_after_ms", a.RetryAfter.Milliseconds())
 }
 
 func (r *routingDuty) logAnswered(a *request.Answer) {
@@ -40,5 +42,10 @@
 		return
 	}
 	r.log.Event(event.RequestAnswered, "id", a.ID, "code", uint16(a.Code), "result", a.Code.String(),
-		"owner", a.Owner, "epoch", a.Epoch, "attempt", a.Attempt)
+		"owner", a.Owner, "epoch", a.Epoch, "attempt", a.Attempt, "retry_after_ms", a.RetryAfter.Milliseconds())
+}
+
+// Rejected implements entry.Router.
+func (d *Daemon) Rejected(req *request.Request, err *result.Error) {
+	d.log.Event(event.RequestRejected, "id", req.ID, "code", uint16(err.Code), "result", err.Code.String(), "cause", err.Error())
 }
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -214,6 +214,7 @@
 // fill waits for a request's answer and writes it into the response.
 func (c *conn) fill(resp *fasthttp.Response, x *exchange) {
 	if x.refusal != nil {
+		c.server.router.Rejected(x.submission.Request, x.refusal)
 		c.server.protocol.Refuse(resp, x.submission.Request, x.refusal, x.pause)
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,8 @@
 	// Submit hands a request over. Exactly one answer is sent to the reply
 	// channel, which has room for it. It returns false if it took nothing.
 	Submit(Submission) bool
+	// Rejected says that a request never reached the router.
+	Rejected(r *request.Request, err *result.Error)
 	// Gone says that the caller of a submission has hung up.
 	Gone(caller request.Caller)
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -30,6 +30,8 @@
 
 func (fullRouter) Gone(request.Caller) {}
 
+func (fullRouter) Rejected(*request.Request, *result.Error) {}
+
 func refused(t *testing.T, path string, headers map[string]string) *fasthttp.Response {
 	t.Helper()
 	var req fasthttp.Request
