A leader that the store refuses gives the lead away; late requests give way soon

A request that was late already could wait in a queue for a second and then start with too little time.

Change: a leader whose calls the store fails for 0.6 s tells others, and one that reaches the store claims the lead. Late requests wait 0.6 s at most.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -276,10 +276,19 @@
 	j.wanted = g.wanted(now, r)
 	g.step(now, j, eventQueue, nil, out)
 	g.queueOf(r.Class).push(j)
-	g.setTimer(j, j.deadline)
+	g.setTimer(j, g.queuedUntil(now, j))
 	g.pump(now, out)
 }
 
+// queuedUntil is how long a request may wait for a slot: one that is late gives
+// way to others, and is told so long before its deadline.
+func (g *Gate) queuedUntil(now mono.Time, j *job) mono.Time {
+	if g.isLate(j.req) {
+		return min(j.deadline, now.Add(2*g.cfg.LateWait))
+	}
+	return j.deadline
+}
+
 func (g *Gate) queueOf(c request.Class) *queue {
 	if c == request.Urgent {
 		return &g.urgent
--- a/internal/daemon/frames.go
+++ b/internal/daemon/frames.go
@@ -47,6 +47,8 @@
 		return decoded(payload, func(m handover.Release) { f.d.placement.push(releaseReceived{m}) })
 	case wire.KindLoad:
 		return decoded(payload, func(m placement.LoadReport) { f.d.placement.push(loadReceived{m}) })
+	case wire.KindStuck:
+		return decoded(payload, func(m placement.Stuck) { f.d.placement.push(leaderStuck{m}) })
 	case wire.KindToken:
 		return decoded(payload, func(m handover.Token) { f.d.routing.ring.Push(tokenReceived{m}) })
 	case wire.KindHave, wire.KindAsk, wire.KindObjects:
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -58,6 +58,7 @@
 	// named returns the sessions that the daemon's map of owners names.
 	named   func() (map[host.Session]bool, error)
 	sweeper sweeper
+	health  storeHealth
 	early   bool              // An early tick is under way.
 	values  map[string][]byte // values of writes under way, by token
 	// leader and leads show the other duties who leads.
@@ -128,6 +129,7 @@
 			now := bootclock.Now()
 			p.step(now, placement.Tick{})
 			p.sweep(now)
+			p.tellStuck(now)
 		case <-p.stop:
 			return
 		}
@@ -298,6 +300,7 @@
 )
 
 func (w placementPutDone) placementWork(p *placementDuty, now mono.Time) {
+	p.health.note(now, w.answer.code)
 	kind, name, token := w.write.Kind, w.write.Name, w.write.Token
 	value := p.values[token]
 	delete(p.values, token)
@@ -318,6 +321,7 @@
 }
 
 func (w placementGetDone) placementWork(p *placementDuty, now mono.Time) {
+	p.health.note(now, w.answer.code)
 	found := w.answer.code == result.OK
 	missing := w.answer.code == result.StoreNotFound
 	if !found && !missing {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	ringSize      = 1 << 12
-	bufferBytes   = 1 << 16
+	ringSize = 1 << 12
+	// bufferBytes bounds what one write passes on. Readers of pipes take
+	// little at a time.
+	bufferBytes   = 1 << 12
 	flushInterval = 200 * time.Millisecond
 )
 
@@ -43,6 +45,20 @@
 	done    sync.WaitGroup
 }
 
+// wholeLines keeps a line from being split between two writes, as long as it
+// fits the buffer.
+type wholeLines struct{ out *bufio.Writer }
+
+// Write takes one line.
+func (w wholeLines) Write(line []byte) (int, error) {
+	if w.out.Available() < len(line) {
+		if err := w.out.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	return w.out.Write(line)
+}
+
 // ParseLevel reads a level's name: debug, info, warn or alarm.
 func ParseLevel(name string) (event.Level, error) {
 	for _, l := range []event.Level{event.Debug, event.Info, event.Warn, event.Alarm} {
@@ -61,7 +77,7 @@
 		minimum: minimum,
 		ring:    ring.New[line]("log", ringSize, registry),
 		out:     out,
-		logger:  kitlog.NewLogfmtLogger(out),
+		logger:  kitlog.NewLogfmtLogger(wholeLines{out}),
 		host:    string(id),
 		stop:    make(chan struct{}),
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,7 @@
 	KindObjects
 	KindAsk
 	KindToken
+	KindStuck
 )
 
 // Sizes of a frame in bytes.
--- a/placement/core.go
+++ b/placement/core.go
@@ -104,6 +104,8 @@
 		c.packMissing(now, ev)
 	case Released:
 		c.released(ev)
+	case Stuck:
+		c.stuck(ev)
 	case LoadSeen:
 		c.loadSeen(now, ev.Report)
 	default:
--- a/placement/leader.go
+++ b/placement/leader.go
@@ -61,6 +61,7 @@
 	begunAt     mono.Time
 	checked     bool // The object was read again for the claim to come.
 	vacant      bool
+	stuckTerm   uint64 // The term whose leader said that the store refuses it.
 	vacantSince mono.Time
 	asked       bool
 	askedAt     mono.Time
@@ -158,8 +159,11 @@
 // isVacant reports whether no session leads that could still be at work. A
 // leader whose record is unknown counts as at work: its record is older than
 // its claim, so it will be seen.
+//
+// A leader that said itself that the store does not take its writes leaves the
+// lead to whom the store takes one from.
 func (c *Core) isVacant() bool {
-	if c.lead.version == 0 {
+	if c.lead.version == 0 || c.lead.stuckTerm == c.lead.leader.Term {
 		return true
 	}
 	switch c.fleet.status(c.lead.leader.Session) {
@@ -169,6 +173,14 @@
 	return true
 }
 
+// stuck takes the word of the leader that it can't write.
+func (c *Core) stuck(ev Stuck) {
+	l := &c.lead
+	if l.version != 0 && ev.From == l.leader.Session && ev.From != c.cfg.Self && ev.Term == l.leader.Term {
+		l.stuckTerm = ev.Term
+	}
+}
+
 // rank returns this daemon's place among the live sessions in an order that
 // differs from term to term.
 func (c *Core) rank() int {
--- a/placement/leader_test.go
+++ b/placement/leader_test.go
@@ -132,3 +132,35 @@
 	must.LessEq(t, daemons/20, claims)
 	must.LessEq(t, 2*daemons, reads)
 }
+
+// A leader that says that the store does not take its writes is replaced,
+// though its session lives; a word about another term changes nothing.
+func TestALeaderThatIsStuckIsReplaced(t *testing.T) {
+	self := host.Session{Host: "a", Incarnation: 1}
+	leader := host.Session{Host: "b", Incarnation: 1}
+	claims := func(stuck Stuck) int {
+		c := New(Config{Self: self, Seed: 1})
+		now := mono.Time(1)
+		for i, s := range []host.Session{self, leader} {
+			c.Step(now, SessionSeen{Record: session.Record{Session: s, State: session.Live}, Version: uint64(i + 1)})
+		}
+		c.Step(now, LeaderSeen{Leader: Leader{Session: leader, Term: 4}, Version: 9})
+		c.Step(now, Tick{})
+		now = now.Add(2 * youngAge)
+		c.Step(now, stuck)
+		writes := 0
+		for range 20 {
+			now = now.Add(DefaultClaimStep)
+			for _, a := range c.Step(now, Tick{}) {
+				if w, ok := a.(Write); ok && w.Kind == LeaderKind {
+					must.Eq(t, 9, int(w.IfVersion))
+					writes++
+				}
+			}
+		}
+		return writes
+	}
+	must.Eq(t, 1, claims(Stuck{From: leader, Term: 4}))
+	must.Zero(t, claims(Stuck{From: leader, Term: 3}))
+	must.Zero(t, claims(Stuck{From: self, Term: 4}))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -165,6 +165,14 @@
 // exist, have been given. Packs that were not given since do not exist.
 type Listed struct{}
 
+// Stuck is a leader's word that the store does not take its writes, although
+// other daemons may reach the store: another may claim the lead.
+type Stuck struct {
+	_    struct{} `cbor:",toarray"`
+	From host.Session
+	Term uint64
+}
+
 // Released gives a release that a daemon told.
 type Released struct{ Release handover.Release }
 
@@ -199,6 +207,7 @@
 func (LeaderSeen) isEvent()  {}
 func (Listed) isEvent()      {}
 func (Released) isEvent()    {}
+func (Stuck) isEvent()       {}
 func (LoadSeen) isEvent()    {}
 func (Written) isEvent()     {}
 func (Refused) isEvent()     {}
