Replace a leader out of reach; take over what lost most of its witnesses

- A witness renews others while its own lease holds and for 10 s after.
One that is recorded lost therefore counts as over after that time, and a session without a majority of witnesses is taken over by any daemon.
- A first write in doubt for longer than half the time a final record stands is given up.

Ruled out: witnesses that stop with their own lease. In an outage of the store each lapse would bring the next.

--- a/event/placement.go
+++ b/event/placement.go
@@ -5,6 +5,7 @@
 	LeadershipWon    ID = 3001
 	LeadershipLost   ID = 3002
 	LeaderStuck      ID = 3003
+	LeaderOutOfReach ID = 3004
 	SliceAssigned    ID = 3010
 	HandoverNamed    ID = 3011
 	HandoverDropped  ID = 3012
@@ -30,6 +31,7 @@
 	{LeadershipWon, "leadership_won", Info, "term", "This daemon plans the placement from now on."},
 	{LeadershipLost, "leadership_lost", Info, "term", "Another daemon plans the placement, or this one stops."},
 	{LeaderStuck, "leader_stuck", Warn, "term failing_ms told", "This daemon leads, and the store does not take its writes: others are told, and one that reaches the store may claim the lead."},
+	{LeaderOutOfReach, "leader_out_of_reach", Warn, "leader term for_ms", "No connection to the leader can be opened, although it is not recorded lost: this daemon may claim the lead."},
 	{SliceAssigned, "slice_assigned", Info, "slice reason from to epoch", "A write gives a slice to an owner."},
 	{HandoverNamed, "handover_named", Info, "slice reason from next epoch", "A write names the next owner of a slice that its owner is to release."},
 	{HandoverDropped, "handover_dropped", Info, "slice reason owner epoch", "A write withdraws a handover; the owner keeps the slice."},
--- a/internal/daemon/lease_work.go
+++ b/internal/daemon/lease_work.go
@@ -49,6 +49,9 @@
 }
 
 func (w renewReceived) leaseWork(l *leaseDuty, now mono.Time) {
+	if !l.session.MayWitness(now) {
+		return
+	}
 	answer, ok := l.witness.Renew(now, w.renew)
 	if !ok {
 		return
--- a/internal/daemon/placement_duty.go
+++ b/internal/daemon/placement_duty.go
@@ -59,6 +59,7 @@
 	named   func() (map[host.Session]bool, error)
 	sweeper sweeper
 	health  storeHealth
+	reach   leaderReach
 	early   bool              // An early tick is under way.
 	values  map[string][]byte // values of writes under way, by token
 	// leader and leads show the other duties who leads.
@@ -130,6 +131,7 @@
 			p.step(now, placement.Tick{})
 			p.sweep(now)
 			p.tellStuck(now)
+			p.reachLeader(now)
 		case <-p.stop:
 			return
 		}
@@ -140,14 +142,15 @@
 	for _, action := range p.core.Step(now, ev) {
 		p.do(action)
 	}
-	p.publish()
+	p.publish(now)
 }
 
-func (p *placementDuty) publish() {
+func (p *placementDuty) publish(now mono.Time) {
 	p.leads.Store(p.core.Leads())
 	leader, ok := p.core.Leader()
 	if old := p.leader.Load(); ok && (old == nil || *old != leader) {
 		p.leader.Store(&leader)
+		p.reach.follow(now, leader)
 	}
 }
 
@@ -267,8 +270,14 @@
 	if err != nil {
 		return
 	}
-	if address := p.fleet.peerAddress(leader.Session); address != "" {
-		_, _ = p.peers.Send(address, frame, 0)
+	address := p.fleet.peerAddress(leader.Session)
+	if address == "" {
+		return
+	}
+	// What does not arrive is told again; a leader that is out of reach for
+	// long is replaced.
+	if conn, err := p.peers.Send(address, frame, 0); err != nil || !conn.IsOpen() {
+		p.reach.tried(now, false)
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -61,6 +61,11 @@
 	return c.transport.linkTo(c.address).sendOn(c, frame)
 }
 
+// IsOpen reports whether the connection is open; what is sent before waits.
+func (c *Conn) IsOpen() bool {
+	return c.open.Load()
+}
+
 func (c *Conn) write(frame []byte) error {
 	if c.outbox.bytes.Load()+c.buffered.Load() > maxOutboundBytes {
 		return &result.Error{Code: result.PeerUnreachable, Field: c.address, Detail: "too much waits for the peer"}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -71,6 +71,13 @@
 	}
 }
 
+func (l *link) reach() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(eventNeed)
+	return l.state == stateOpen
+}
+
 // sendOn sends on a connection of this link that was not open a moment ago.
 func (l *link) sendOn(conn *Conn, frame []byte) error {
 	l.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -180,6 +180,12 @@
 	return t.linkTo(address).send(frame, tag)
 }
 
+// Reach reports whether a connection to the peer is open, and begins to open
+// one if not.
+func (t *Transport) Reach(address string) bool {
+	return t.linkTo(address).reach()
+}
+
 func (t *Transport) linkTo(address string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/session/core.go
+++ b/session/core.go
@@ -60,6 +60,7 @@
 	writes   uint64
 	lease    lease
 	held     mono.Time
+	lastHeld mono.Time // The last step at which the lease held.
 	renewAt  mono.Time
 	checkAt  mono.Time // When the record may be read again to see if it ended.
 	members  []Member
@@ -78,7 +79,10 @@
 		writer: NewWriter(cfg.Timing, rng),
 		lease:  newLease(cfg.Timing.Lease),
 		held:   mono.Never,
-		probe:  probe{avoid: make(map[host.Session]mono.Time)},
+
+		lastHeld: mono.Never,
+
+		probe: probe{avoid: make(map[host.Session]mono.Time)},
 	}
 }
 
@@ -87,6 +91,14 @@
 	return now.Before(c.held)
 }
 
+// MayWitness reports whether the daemon may renew other sessions' leases at the
+// instant now: while its own lease holds and for Timing.WitnessOn after it was
+// last seen to hold. A session that is recorded as lost holds none, so that it
+// renews no other from that time on.
+func (c *Core) MayWitness(now mono.Time) bool {
+	return c.Holds(now) || c.lastHeld != mono.Never && now.Sub(c.lastHeld) < c.cfg.Timing.WitnessOn
+}
+
 // HeldUntil returns the instant from which Holds is false unless the lease is
 // renewed again; mono.Never if the session holds no lease.
 func (c *Core) HeldUntil() mono.Time {
@@ -113,11 +125,29 @@
 	if c.over() {
 		return nil
 	}
-	out := c.handle(now, ev)
+	out := c.createdTooLate(now)
+	if !c.over() {
+		out = append(out, c.handle(now, ev)...)
+	}
 	c.recount()
+	if c.Holds(now) {
+		c.lastHeld = now
+	}
 	return out
 }
 
+// createdTooLate ends a session whose first write has been in doubt for longer
+// than a record that ended is sure to stand.
+func (c *Core) createdTooLate(now mono.Time) []Action {
+	if c.state != "creating" || c.writer.Idle() || c.writer.Unsent() {
+		return nil
+	}
+	if now.Sub(c.writer.FirstSent()) < c.cfg.Timing.CreateWithin {
+		return nil
+	}
+	return c.gone(Versioned{Record: Record{State: Lost}})
+}
+
 func (c *Core) handle(now mono.Time, ev Event) []Action {
 	switch e := ev.(type) {
 	case Tick:
--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -229,6 +229,7 @@
 
 func timing(drop broken) session.Timing {
 	t := session.DefaultTiming()
+	t.CreateWithin = 3 * time.Second // The model deletes records much sooner.
 	if drop == leaseMargin {
 		t.Margin = 0
 	}
@@ -376,6 +377,9 @@
 
 func (p *process) onRenew(m session.Renew) {
 	f := p.node.f
+	if !p.holder.MayWitness(p.node.clock()) {
+		return
+	}
 	asked := m.Witness
 	if f.drop == witnessSession {
 		m.Witness = p.id
--- a/session/timing.go
+++ b/session/timing.go
@@ -28,6 +28,14 @@
 	// repeated; the pause doubles from one to the other, less a random part.
 	RetryMin time.Duration
 	RetryMax time.Duration
+	// WitnessOn is how long a session renews others after its own lease ended.
+	// It lets the others go on while the store is out and some hosts are lost,
+	// and delays the takeover of a session that lost most of its witnesses.
+	WitnessOn time.Duration
+	// CreateWithin is how long the first write of a record may stay in doubt.
+	// It must be well below DeleteAfter: a copy that is sent later could find
+	// the record taken over and deleted, and write the ended session anew.
+	CreateWithin time.Duration
 }
 
 // DefaultTiming returns the durations of a deployment. A margin of 200 ms
@@ -42,5 +50,13 @@
 		AvoidFor:     30 * time.Second,
 		RetryMin:     100 * time.Millisecond,
 		RetryMax:     5 * time.Second,
+		WitnessOn:    10 * time.Second,
+		CreateWithin: DeleteAfter / 2,
 	}
 }
+
+// Covered returns a duration of one clock, made long enough to have passed on
+// any other: Margin over Lease is what two clocks may differ by.
+func (t Timing) Covered(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*float64(t.Margin)/float64(t.Lease))
+}
--- a/takeover/core.go
+++ b/takeover/core.go
@@ -71,15 +71,15 @@
 	witness  *witness.Core
 	attempts map[host.Session]*attempt
 	observed map[host.Session]*observation
-	// witnessed and superseded are who renews whose lease, and which sessions
-	// renew none any more.
-	witnessed  map[host.Session]witnessed
-	superseded map[host.Session]bool
-	started    mono.Time // When the daemon's core was first ticked.
-	seq        uint64
-	writes     uint64
-	stale      uint64
-	out        outbox
+	// witnessed and over are who renews whose lease, and from when on a session
+	// that ended renews none any more.
+	witnessed map[host.Session]witnessed
+	over      map[host.Session]mono.Time
+	started   mono.Time // When the daemon's core was first ticked.
+	seq       uint64
+	writes    uint64
+	stale     uint64
+	out       outbox
 }
 
 // New returns a Core that seals by way of the daemon's witness.
@@ -91,8 +91,8 @@
 		attempts: make(map[host.Session]*attempt),
 		observed: make(map[host.Session]*observation),
 
-		witnessed:  make(map[host.Session]witnessed),
-		superseded: make(map[host.Session]bool),
+		witnessed: make(map[host.Session]witnessed),
+		over:      make(map[host.Session]mono.Time),
 
 		started: mono.Never,
 	}
@@ -136,7 +136,7 @@
 	c.witness.End(s)
 	delete(c.observed, s)
 	delete(c.witnessed, s)
-	delete(c.superseded, s)
+	delete(c.over, s)
 	if a := c.attempts[s]; a != nil {
 		c.take(now, a, "ended")
 	}
