--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -270,13 +270,18 @@
 			out = next
 		}
 		for id := range key.SliceID(slices) {
-			s := slice(id)
-			if released[s] {
-				must.False(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", id, "is held after its release"))
-			}
-			if c.Holds(now, s) {
-				must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", id))
-			}
+			m.check(t, c, now, slice(id), released[slice(id)], seed)
 		}
 	}
 }
+
+// check holds what the core says of a slice against what the target holds.
+func (m *modelTarget) check(t *testing.T, c *Core, now mono.Time, s key.Slice, released bool, seed uint64) {
+	t.Helper()
+	if released {
+		must.False(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", s, "is held after its release"))
+	}
+	if c.Holds(now, s) {
+		must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", s))
+	}
+}
--- /dev/null
+++ b/internal/daemon/placement_work.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
+	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/session"
+)
+
+// What the placement duty is handed.
+type (
+	placementPutDone struct {
+		write  placement.Write
+		answer storeAnswer
+	}
+	placementGetDone struct {
+		read   placement.Read
+		answer storeAnswer
+	}
+	synced struct {
+		sessions []objectstore.Object
+		packs    []objectstore.Object
+	}
+	sessionsChanged struct{ records []session.Versioned }
+	packChanged     struct{ pack packVersion }
+	leaderChanged   struct {
+		leader  placement.Leader
+		version uint64
+	}
+	appsChanged     struct{ apps []placement.App }
+	releaseReceived struct{ release handover.Release }
+	loadReceived    struct{ report placement.LoadReport }
+	ownRelease      struct{ release handover.Release }
+	ownLoad         struct{ report placement.LoadReport }
+)
+
+func (w placementPutDone) placementWork(p *placementDuty, now mono.Time) {
+	p.health.note(now, w.answer.code)
+	kind, name, token := w.write.Kind, w.write.Name, w.write.Token
+	value := p.values[token]
+	delete(p.values, token)
+	switch w.answer.code {
+	case result.OK:
+		version := w.answer.object.Version
+		p.step(now, placement.Written{Kind: kind, Name: name, Token: token, Version: version})
+		if value != nil {
+			p.onPack(name, version, value)
+		}
+	case result.StoreConflict:
+		p.log.Event(event.PackRefused, "name", name)
+		p.step(now, placement.Refused{Kind: kind, Name: name, Token: token})
+	default:
+		p.log.Event(event.PackDoubtful, "name", name, "token", token)
+		p.step(now, placement.Doubtful{Kind: kind, Name: name, Token: token})
+	}
+}
+
+func (w placementGetDone) placementWork(p *placementDuty, now mono.Time) {
+	p.health.note(now, w.answer.code)
+	found := w.answer.code == result.OK
+	missing := w.answer.code == result.StoreNotFound
+	if !found && !missing {
+		return
+	}
+	if w.read.Kind == placement.LeaderKind {
+		p.leaderRead(now, w.answer, found)
+		return
+	}
+	if found {
+		p.packRead(now, w.answer.object)
+		return
+	}
+	if app, first, ok := assignment.ParseName(w.read.Name); ok {
+		p.step(now, placement.PackMissing{App: app, First: first})
+	}
+}
+
+func (p *placementDuty) leaderRead(now mono.Time, answer storeAnswer, found bool) {
+	seen := placement.LeaderSeen{}
+	if found {
+		if json.Unmarshal(answer.object.Value, &seen.Leader) != nil {
+			return
+		}
+		seen.Version = answer.object.Version
+	}
+	p.step(now, seen)
+}
+
+func (p *placementDuty) packRead(now mono.Time, object objectstore.Object) {
+	pack, err := assignment.Decode(object.Value)
+	if err != nil {
+		p.log.Event(event.BadObject, "object", object.Kind+"/"+object.Name, "cause", err.Error())
+		return
+	}
+	p.step(now, placement.PackSeen{Pack: pack, Version: object.Version})
+}
+
+func (w synced) placementWork(p *placementDuty, now mono.Time) {
+	for _, object := range w.sessions {
+		if record, err := session.Decode(object.Value); err == nil {
+			p.step(now, placement.SessionSeen{Record: record, Version: object.Version})
+		}
+	}
+	for _, object := range w.packs {
+		p.packRead(now, object)
+	}
+	p.step(now, placement.Listed{})
+}
+
+func (w sessionsChanged) placementWork(p *placementDuty, now mono.Time) {
+	for _, v := range w.records {
+		p.step(now, placement.SessionSeen{Record: v.Record, Version: v.Version})
+		if v.Record.State != session.Live {
+			p.hasten()
+		}
+	}
+}
+
+func (w packChanged) placementWork(p *placementDuty, now mono.Time) {
+	if p.core.Leads() {
+		p.step(now, placement.PackSeen{Pack: w.pack.pack, Version: w.pack.version})
+	}
+}
+
+func (w leaderChanged) placementWork(p *placementDuty, now mono.Time) {
+	p.step(now, placement.LeaderSeen{Leader: w.leader, Version: w.version})
+}
+
+func (w appsChanged) placementWork(p *placementDuty, now mono.Time) {
+	p.step(now, placement.AppsChanged{Apps: w.apps})
+}
+
+func (w releaseReceived) placementWork(p *placementDuty, now mono.Time) {
+	p.step(now, placement.Released{Release: w.release})
+	p.hasten()
+}
+
+// hasten lets a round follow soon if this daemon leads.
+func (p *placementDuty) hasten() {
+	if p.early || !p.core.Leads() {
+		return
+	}
+	p.early = true
+	time.AfterFunc(earlyTick, func() { p.wait(tickDue{}) })
+}
+
+// tickDue is the time for an early tick.
+type tickDue struct{}
+
+func (tickDue) placementWork(p *placementDuty, now mono.Time) {
+	p.early = false
+	p.step(now, placement.Tick{})
+}
+
+func (w loadReceived) placementWork(p *placementDuty, now mono.Time) {
+	p.step(now, placement.LoadSeen{Report: w.report})
+}
+
+func (w ownRelease) placementWork(p *placementDuty, now mono.Time) {
+	p.tell(now, wire.KindReleased, w.release, placement.Released{Release: w.release})
+	p.hasten()
+}
+
+func (w ownLoad) placementWork(p *placementDuty, now mono.Time) {
+	p.tell(now, wire.KindLoad, w.report, placement.LoadSeen{Report: w.report})
+}
--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -5,8 +5,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"net"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -173,28 +171,11 @@
 	req.SetBody(body)
 	c.calls.Add(1)
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
-		return answer{}, callError(method, path, err)
+		return answer{}, objectstore.Unanswered(method, path, err)
 	}
 	return readAnswer(method, path, resp)
 }
 
-// A write is in doubt unless the connection was never made.
-func callError(method, path string, err error) error {
-	code := result.StoreDoubt
-	if method == fasthttp.MethodGet || neverSent(err) {
-		code = result.StoreUnavailable
-	}
-	return &result.Error{Code: code, Field: path, Cause: err}
-}
-
-func neverSent(err error) bool {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return true
-	}
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns)
-}
-
 func readAnswer(method, path string, resp *fasthttp.Response) (answer, error) {
 	version, _ := strconv.ParseUint(string(resp.Header.Peek(headerVersion)), 10, 64)
 	a := answer{version: version}
--- a/request/answer.go
+++ b/request/answer.go
@@ -242,10 +242,10 @@
 	out.Settles = append(out.Settles, Settlement{ID: c.req.ID, App: c.req.App, Key: c.req.Key, Outcome: result.Done})
 }
 
-// ended tells the chooser that a sending is over.
-func (r *Router) ended(now mono.Time, c *call, code result.Code, size int) {
+// ended tells the chooser that a sending is over without a gate's answer.
+func (r *Router) ended(now mono.Time, c *call, code result.Code) {
 	if c.req.Slice == NoSlice {
-		r.cfg.Chooser.Ended(c.to, now, Ended{Took: now.Sub(c.sentAt), Code: code, Bytes: size})
+		r.cfg.Chooser.Ended(c.to, now, Ended{Took: now.Sub(c.sentAt), Code: code})
 	}
 }
 
--- a/request/life.go
+++ b/request/life.go
@@ -263,7 +263,7 @@
 }
 
 func (r *Router) overdue(now mono.Time, c *call, out *Actions) {
-	r.ended(now, c, result.OutcomeUnknown, 0)
+	r.ended(now, c, result.OutcomeUnknown)
 	if c.req.Idempotent {
 		r.step(now, c, eventExpire, r.refusal(c, result.OutcomeUnknown), out)
 		return
--- a/request/router.go
+++ b/request/router.go
@@ -266,7 +266,7 @@
 		return
 	}
 	if c.state == stateSent {
-		r.ended(now, c, result.Cancelled, 0)
+		r.ended(now, c, result.Cancelled)
 	}
 	r.step(now, c, eventGone, nil, out)
 }
@@ -277,7 +277,7 @@
 	if !ok || c.state != stateSent {
 		return
 	}
-	r.ended(now, c, code, 0)
+	r.ended(now, c, code)
 	c.lastCode = code
 	c.lastAfter = r.cfg.RetryAfter
 	r.again(now, c, out)
@@ -305,7 +305,7 @@
 	if !ok || c.state != stateSent {
 		return
 	}
-	r.ended(now, c, result.PeerLost, 0)
+	r.ended(now, c, result.PeerLost)
 	r.lost(now, c, result.PeerLost, out)
 }
 
