--- a/cmd/gen-docs/pages_test.go
+++ b/cmd/gen-docs/pages_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/internal/settings"
+	"github.com/rhubarbring/rhubarbring/result"
 )
 
 const root = "../.."
@@ -86,6 +87,64 @@
 	must.SliceContainsAll(t, listed, fields(reflect.TypeFor[settings.Daemon](), ""))
 }
 
+var (
+	metricName  = regexp.MustCompile("`rhubarb_([a-z_]+?)(?:_RESULT)?`")
+	loggedName  = regexp.MustCompile("`([a-z]+_[a-z_]+)`")
+	quotedName  = regexp.MustCompile(`"([a-z]+[a-z_.]*)"`)
+	resultNames = regexp.MustCompile(`(?m)^\| ([a-z_, ]+) \| (yes|unknown) \|`)
+)
+
+// What the page of operations names is there: metrics as they stand in the
+// code, log events or fields of the code, and results with what they promise.
+func TestOperationsPageNamesWhatThereIs(t *testing.T) {
+	page := pages(t)["docs/OPERATIONS.md"]
+	known := quotedNames(t)
+	for _, m := range metricName.FindAllStringSubmatch(page, -1) {
+		must.MapContainsKey(t, known, m[1], must.Sprint("metric"))
+	}
+	events := make(map[string]bool)
+	for _, def := range event.All() {
+		events[def.Name] = true
+		for _, field := range strings.Fields(def.Fields) {
+			events[field] = true
+		}
+	}
+	for _, m := range loggedName.FindAllStringSubmatch(page, -1) {
+		is := events[m[1]] || known[m[1]] || strings.HasPrefix(m[1], "rhubarb_")
+		must.True(t, is, must.Sprintf("%s is no event and no field", m[1]))
+	}
+	promised := make(map[string]bool)
+	for _, def := range result.All() {
+		promised[def.Name] = def.Outcome == result.NotRun
+	}
+	rows := resultNames.FindAllStringSubmatch(page, -1)
+	must.Positive(t, len(rows))
+	for _, row := range rows {
+		for _, name := range strings.Split(row[1], ", ") {
+			must.MapContainsKey(t, promised, name)
+			must.Eq(t, promised[name], row[2] == "yes", must.Sprint(name))
+		}
+	}
+}
+
+// quotedNames returns the lower-case names that stand quoted in the code, with
+// underscores for dots.
+func quotedNames(t *testing.T) map[string]bool {
+	out := make(map[string]bool)
+	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		raw, err := os.ReadFile(path)
+		for _, m := range quotedName.FindAllStringSubmatch(string(raw), -1) {
+			out[strings.Trim(strings.ReplaceAll(m[1], ".", "_"), "_")] = true
+		}
+		return err
+	})
+	must.NoError(t, err)
+	return out
+}
+
 // fields returns the JSON names of a struct's fields and, after a dot, those
 // of the structs in it.
 func fields(of reflect.Type, prefix string) []string {
--- /dev/null
+++ b/grant/bench_test.go
@@ -0,0 +1,39 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/key"
+)
+
+// BenchmarkSecond is a second of a core whose target holds so many units: ten
+// ticks, and the renewals that fall due, all answered.
+func BenchmarkSecond(b *testing.B) {
+	for _, units := range []int{1, 16, 64} {
+		b.Run(fmt.Sprint(units), func(b *testing.B) {
+			c := New(DefaultConfig())
+			now := start
+			for i := range units {
+				c.Own(now.Add(-c.cfg.TokenWait), slice(key.SliceID(2*i)), 1)
+			}
+			var out Actions
+			grants := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 10 {
+					now = now.Add(100 * time.Millisecond)
+					c.SetLease(now.Add(lease))
+					out.Reset()
+					c.Tick(now, &out)
+					for _, g := range out.Grants {
+						c.Answered(now, g.Unit, Taken, &out)
+						grants++
+					}
+				}
+			}
+			b.ReportMetric(float64(grants)/float64(b.N), "grants/s")
+		})
+	}
+}
--- /dev/null
+++ b/routes/bench_test.go
@@ -0,0 +1,30 @@
+package routes_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/routes"
+)
+
+// BenchmarkResolve is the lookup of a request's route, by the number of routes
+// of its host name.
+func BenchmarkResolve(b *testing.B) {
+	for _, n := range []int{4, 64, 1024} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			doc := &document.Document{Apps: []document.App{{Name: "catalogue"}}}
+			for i := range n {
+				doc.Routes = append(doc.Routes, document.Route{
+					Name: fmt.Sprint(i), Host: "shop.example", PathPrefix: fmt.Sprintf("/part-%d/", i),
+					Split: []document.Share{{App: "catalogue", Weight: 1}},
+				})
+			}
+			table := routes.New(doc)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Resolve("shop.example", "/part-3/item/17")
+			}
+		})
+	}
+}
