Ask each gate once that had no room for a request

The router now hands the chooser all gates that it has tried, and answers its caller at once, with the gate's advice, when only those are left that had no room. A gate whose answer was lost may still be asked again if it is the only one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -178,18 +179,21 @@
 // one. The code is OK, TargetUnavailable if the app has no gate, or
 // LinkShareExhausted if only the other region has one and the share of the
 // link is used up.
-func (b *Balancer) Choose(app key.App, now mono.Time, budget time.Duration, size int, not host.Session) (host.Session, result.Code) {
+func (b *Balancer) Choose(app key.App, now mono.Time, budget time.Duration, size int, tried []host.Session) (host.Session, result.Code) {
 	p := b.apps[app]
 	if p == nil {
 		return host.Nobody, result.TargetUnavailable
 	}
-	near := b.nearest(p, now, not)
+	near := b.nearest(p, now, tried)
 	if near != nil && b.expected(near, now) <= part(budget) {
 		return near.Session, result.OK
 	}
-	far := b.pickTwo(p.tiers[otherRegion], nil, now, not)
+	far := b.pickTwo(p.tiers[otherRegion], nil, now, tried)
+	if near == nil && far == nil {
+		return again(p, tried)
+	}
 	if far == nil {
-		return only(near)
+		return near.Session, result.OK
 	}
 	if near != nil && b.expected(far, now) >= b.expected(near, now) {
 		return near.Session, result.OK
@@ -211,38 +215,47 @@
 	return budget - budget/5
 }
 
-func only(g *gate) (host.Session, result.Code) {
-	if g == nil {
-		return host.Nobody, result.TargetUnavailable
+// again returns the last of the gates that were tried and are still there.
+func again(p *pool, tried []host.Session) (host.Session, result.Code) {
+	for _, s := range slices.Backward(tried) {
+		if p.has(s) {
+			return s, result.OK
+		}
 	}
-	return g.Session, result.OK
+	return host.Nobody, result.TargetUnavailable
+}
+
+func (p *pool) has(s host.Session) bool {
+	for _, tier := range p.tiers {
+		if slices.ContainsFunc(tier, func(g *gate) bool { return g.Session == s }) {
+			return true
+		}
+	}
+	return false
 }
 
 // nearest compares one gate of the own zone with one of the rest of the
 // region, or two of either if the other has none.
-func (b *Balancer) nearest(p *pool, now mono.Time, not host.Session) *gate {
-	return b.pickTwo(p.tiers[sameZone], p.tiers[sameRegion], now, not)
+func (b *Balancer) nearest(p *pool, now mono.Time, tried []host.Session) *gate {
+	return b.pickTwo(p.tiers[sameZone], p.tiers[sameRegion], now, tried)
 }
 
 // pickTwo draws a gate from each list, or two from one if the other is empty,
 // and returns the one that is likely to answer first.
-func (b *Balancer) pickTwo(first, second []*gate, now mono.Time, not host.Session) *gate {
+func (b *Balancer) pickTwo(first, second []*gate, now mono.Time, tried []host.Session) *gate {
 	if len(first) == 0 {
 		first = second
 	}
 	if len(second) == 0 {
 		second = first
 	}
-	x := b.draw(first, now, not)
-	if x != nil {
-		not = x.Session
-	}
-	return b.better(x, b.draw(second, now, not), now)
+	x := b.draw(first, now, tried, nil)
+	return b.better(x, b.draw(second, now, tried, x), now)
 }
 
-// draw returns a random gate of a list that is not to be avoided, else any but
-// the one given, else that one.
-func (b *Balancer) draw(list []*gate, now mono.Time, not host.Session) *gate {
+// draw returns a random gate of a list that is not to be avoided, else any; nil
+// if all of them were tried or drawn.
+func (b *Balancer) draw(list []*gate, now mono.Time, tried []host.Session, drawn *gate) *gate {
 	if len(list) == 0 {
 		return nil
 	}
@@ -250,7 +263,7 @@
 	var fallback *gate
 	for i := range list {
 		g := list[(start+i)%len(list)]
-		if g.Session == not {
+		if g == drawn || slices.Contains(tried, g.Session) {
 			continue
 		}
 		if !now.Before(g.avoid) {
@@ -260,10 +273,7 @@
 			fallback = g
 		}
 	}
-	if fallback != nil {
-		return fallback
-	}
-	return list[start]
+	return fallback
 }
 
 func (b *Balancer) better(x, y *gate, now mono.Time) *gate {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -38,7 +38,7 @@
 var wideLink = balance.LinkConfig{BytesPerSecond: 1e6, Burst: 1e6}
 
 func choose(b *balance.Balancer, now mono.Time) (host.Session, result.Code) {
-	return b.Choose(simApp, now, 100*time.Millisecond, 1000, host.Nobody)
+	return b.Choose(simApp, now, 100*time.Millisecond, 1000, nil)
 }
 
 func answer(b *balance.Balancer, g balance.Gate, now mono.Time, took time.Duration) {
@@ -156,3 +156,20 @@
 		bal.Ended(to, now, request.Ended{Took: time.Millisecond, Code: result.OK, Bytes: 100})
 	}
 }
+
+// A gate that was tried is chosen only when no other is left, and then the
+// last one.
+func TestGatesThatWereTriedAreLeftOut(t *testing.T) {
+	b := twoRegions(wideLink, here, beside, overLink)
+	for _, tc := range []struct{ tried, want []host.Session }{
+		{[]host.Session{here.Session}, []host.Session{beside.Session, overLink.Session}},
+		{[]host.Session{here.Session, beside.Session}, []host.Session{overLink.Session}},
+		{[]host.Session{overLink.Session, beside.Session, here.Session}, []host.Session{here.Session}},
+	} {
+		for range 50 {
+			to, code := b.Choose(simApp, 1, 100*time.Millisecond, 1000, tc.tried)
+			must.Eq(t, result.OK, code)
+			must.SliceContains(t, tc.want, to)
+		}
+	}
+}
--- a/balance/naive_test.go
+++ b/balance/naive_test.go
@@ -17,7 +17,7 @@
 	next  int
 }
 
-func (r *roundRobin) Choose(key.App, mono.Time, time.Duration, int, host.Session) (host.Session, result.Code) {
+func (r *roundRobin) Choose(key.App, mono.Time, time.Duration, int, []host.Session) (host.Session, result.Code) {
 	r.next++
 	return r.gates[r.next%len(r.gates)].Session, result.OK
 }
@@ -32,8 +32,8 @@
 	loads map[host.Session]float64
 }
 
-func (l *leastReported) Choose(app key.App, now mono.Time, d time.Duration, n int, not host.Session) (host.Session, result.Code) {
-	best, _ := l.roundRobin.Choose(app, now, d, n, not)
+func (l *leastReported) Choose(app key.App, now mono.Time, d time.Duration, n int, tried []host.Session) (host.Session, result.Code) {
+	best, _ := l.roundRobin.Choose(app, now, d, n, tried)
 	for _, g := range l.gates {
 		if l.loads[g.Session] < l.loads[best] {
 			best = g.Session
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -212,9 +212,9 @@
 
 type chooserView struct{ w *world }
 
-func (v chooserView) Choose(_ key.App, _ mono.Time, _ time.Duration, _ int, not host.Session) (host.Session, result.Code) {
+func (v chooserView) Choose(_ key.App, _ mono.Time, _ time.Duration, _ int, tried []host.Session) (host.Session, result.Code) {
 	i := v.w.src.IntN(2)
-	if v.w.sites[i].self == not {
+	if len(tried) > 0 && v.w.sites[i].self == tried[len(tried)-1] {
 		i = 1 - i
 	}
 	return v.w.sites[i].self, result.OK
--- a/request/life.go
+++ b/request/life.go
@@ -153,11 +153,15 @@
 }
 
 func (r *Router) choose(now mono.Time, c *call, out *Actions) {
-	to, code := r.cfg.Chooser.Choose(c.req.App, now, r.patience(now, c), len(c.req.Body), c.to)
+	to, code := r.cfg.Chooser.Choose(c.req.App, now, r.patience(now, c), len(c.req.Body), c.tried)
 	if code != result.OK {
 		r.refuse(now, c, code, out)
 		return
 	}
+	if slices.Contains(c.full, to) {
+		r.refuse(now, c, c.lastCode, out) // No other gate is left.
+		return
+	}
 	r.sendTo(now, c, to, 0, out)
 }
 
@@ -311,9 +315,22 @@
 		return
 	}
 	delete(r.sends, c.req.Seq)
+	c.noteTried()
 	r.step(now, c, eventAgain, nil, out)
 }
 
+// noteTried keeps the chosen gate of the last sending, so that the next one
+// goes to another.
+func (c *call) noteTried() {
+	if c.req.Slice != NoSlice {
+		return
+	}
+	c.tried = append(c.tried, c.to)
+	if noRoom(c.lastCode) {
+		c.full = append(c.full, c.to)
+	}
+}
+
 // spentCode is what the caller is told when the retry budget is spent: the
 // failure itself if it leaves the outcome open.
 func (r *Router) spentCode(c *call) result.Code {
--- a/request/router.go
+++ b/request/router.go
@@ -33,9 +33,10 @@
 
 // Chooser chooses gates for requests that any gate of the app may run.
 type Chooser interface {
-	// Choose returns a gate other than the one given, or the code of the
-	// refusal: budget is the time left, size the bytes of the request.
-	Choose(app key.App, now mono.Time, budget time.Duration, size int, not host.Session) (host.Session, result.Code)
+	// Choose returns a gate, or the code of the refusal: budget is the time
+	// left, size the bytes of the request. It returns one of those that were
+	// tried only if the app has no other that can be had.
+	Choose(app key.App, now mono.Time, budget time.Duration, size int, tried []host.Session) (host.Session, result.Code)
 	// Sent counts a sending to a gate.
 	Sent(to host.Session, now mono.Time)
 	// Ended counts its end.
@@ -179,6 +180,10 @@
 	// refusals those for which a gate had no room.
 	arrivals int
 	refusals int
+	// tried are the chosen gates that it was sent to, and full those of them
+	// that had no room for it.
+	tried []host.Session
+	full  []host.Session
 	// inDoubt is the code of an earlier sending that may have run, or 0. Only
 	// an idempotent request is sent again after one.
 	inDoubt result.Code
