--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"strconv"
+
+	"github.com/rhubarbring/rhubarbring/internal/entry"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/routes"
+)
+
+// What the entry asks of the daemon: entry.Router.
+
+// Limits implements entry.Router.
+func (d *Daemon) Limits(app string) (entry.Limits, error) {
+	if d.fleet.document.Load() == nil {
+		return entry.Limits{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
+	}
+	a, ok := d.fleet.app(key.App(app))
+	if !ok {
+		return entry.Limits{}, &result.Error{Code: result.UnknownApp, Field: "app", Detail: strconv.Quote(app) + " is not in the document"}
+	}
+	return entry.Limits{
+		Keyed:           a.DividedByKey,
+		DefaultDeadline: a.Deadline.Default.Std(),
+		MaxDeadline:     a.Deadline.Maximum.Std(),
+	}, nil
+}
+
+// Resolve implements entry.Router.
+func (d *Daemon) Resolve(hostName, path string) (routes.Match, error) {
+	doc := d.fleet.document.Load()
+	if doc == nil {
+		return routes.Match{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
+	}
+	match, ok := doc.routes.Resolve(hostName, path)
+	if !ok {
+		return match, &result.Error{Code: result.UnknownRoute, Field: "path", Detail: "no route of the document leads there"}
+	}
+	return match, nil
+}
+
+// Submit implements entry.Router.
+func (d *Daemon) Submit(s entry.Submission) bool {
+	if d.over.Load() {
+		s.Reply <- &request.Answer{ID: s.Request.ID, Code: request.FinalCode(s.Request, result.Draining), Owner: string(d.self.Host)}
+		return true
+	}
+	return d.routing.ring.PushBelow(submissionLimit, submitted{s})
+}
+
+// Gone implements entry.Router.
+func (d *Daemon) Gone(caller request.Caller) {
+	d.routing.ring.Push(callerGone{caller})
+}
