--- a/internal/daemon/store_duty.go
+++ b/internal/daemon/store_duty.go
@@ -54,6 +54,7 @@
 	client objectstore.Store
 	log    *eventlog.Log
 	ring   *ring.Ring[storeCall]
+	took   metrics.Histogram // Time of each call, answered or not, in microseconds.
 	stop   chan struct{}
 	done   sync.WaitGroup
 
@@ -67,6 +68,7 @@
 		client: client,
 		log:    log,
 		ring:   ring.New[storeCall]("store", storeRingSize, registry),
+		took:   metrics.GetOrRegisterHistogram("store.call_us", registry, metrics.NewUniformSample(latencySample)),
 		stop:   make(chan struct{}),
 	}
 }
@@ -104,6 +106,7 @@
 
 func (s *storeDuty) make(call storeCall) storeAnswer {
 	answer := storeAnswer{object: objectstore.Object{Kind: call.kind, Name: call.name}}
+	began := time.Now()
 	var err error
 	switch call.op {
 	case opGet:
@@ -113,6 +116,7 @@
 	case opDelete:
 		err = s.client.Delete(call.kind, call.name, call.ifVersion)
 	}
+	s.took.Update(time.Since(began).Microseconds())
 	answer.code = objectstore.CodeOf(err)
 	s.note(storeOpNames[call.op], call.kind+"/"+call.name, err)
 	return answer
