A daemon whose session ended is not ready, and answers at once

Until the next one began the daemon had closed its callers' address and still said that it takes requests, for 5 s.

- CanRoute says that the session is over.
- The router answers what waits for an owner or for its next sending when the session ends, and sends nothing again; before, it went on until deadlines.

What is left of the 5 s is the wait for outcomes at risk to be saved: open.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -73,6 +73,8 @@
 // slices may be without an owner.
 func (d *Daemon) CanRoute() error {
 	switch {
+	case d.over.Load():
+		return &result.Error{Code: result.LeaseLapsed, Detail: "the session is over, and the next one has not begun"}
 	case d.stopping.Load():
 		return &result.Error{Code: result.Draining, Detail: "a planned stop is under way"}
 	case d.fleet.document.Load() == nil:
--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -312,6 +312,7 @@
 	if w.session == r.self {
 		r.holder.EndSession()
 		r.giveUpSent(now)
+		r.router.End(now, &r.out)
 		if r.gate != nil {
 			r.gate.OwnershipChanged(now, &r.gateOut)
 		}
--- a/request/life.go
+++ b/request/life.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -88,6 +89,10 @@
 
 // route sends the request to the host that may run it, or lets it wait.
 func (r *Router) route(now mono.Time, c *call, out *Actions) {
+	if r.over {
+		r.refuse(now, c, cmp.Or(c.lastCode, result.Draining), out)
+		return
+	}
 	if c.req.Slice == NoSlice {
 		r.choose(now, c, out)
 		return
@@ -302,11 +307,7 @@
 		r.finish(now, c, r.refusal(c, result.Cancelled), out)
 		return
 	}
-	if r.sendingBudget(now, c) <= 0 {
-		r.refuse(now, c, c.lastCode, out)
-		return
-	}
-	if !r.mayRepeat(c) {
+	if r.over || r.sendingBudget(now, c) <= 0 || !r.mayRepeat(c) {
 		r.refuse(now, c, c.lastCode, out)
 		return
 	}
--- a/request/router.go
+++ b/request/router.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -149,6 +151,7 @@
 	timers   timer.Queue[*call]
 	seq      uint64
 	counters Counters
+	over     bool // nothing is sent any more
 }
 
 // call is one request of one caller.
@@ -258,6 +261,28 @@
 	}
 }
 
+// End says that the session of this daemon is over: other daemons drop what it
+// sends. What waits to be sent is answered at once, and nothing is sent again.
+func (r *Router) End(now mono.Time, out *Actions) {
+	r.over = true
+	for _, c := range r.unsent() {
+		r.refuse(now, c, cmp.Or(c.lastCode, result.Draining), out)
+	}
+}
+
+// unsent returns the calls that wait for an owner or for their next sending, in
+// the order of their callers.
+func (r *Router) unsent() []*call {
+	var list []*call
+	for _, c := range r.callers {
+		if c.state == stateWaiting || c.state == statePaused {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *call) int { return cmp.Compare(a.caller, b.caller) })
+	return list
+}
+
 // CallerGone says that a caller hung up. A request that was never sent or is
 // idempotent is dropped; any other goes on, and its outcome is recorded.
 func (r *Router) CallerGone(now mono.Time, caller Caller, out *Actions) {
