--- a/internal/daemon/spread_document.go
+++ b/internal/daemon/spread_document.go
@@ -31,7 +31,6 @@
 // settings say so. A document comes into force by whichever way is faster: an
 // older version never replaces a newer one.
 func (s *spreadDuty) watchDocument() {
-	defer s.done.Done()
 	if !s.d.settings.Spread.WatchDocument {
 		return
 	}
--- a/internal/daemon/spread_duty.go
+++ b/internal/daemon/spread_duty.go
@@ -84,12 +84,15 @@
 }
 
 func (s *spreadDuty) start() {
-	s.done.Add(3)
+	s.done.Add(2)
 	go s.run()
 	go s.introduce()
 	go s.watchDocument()
 }
 
+// close ends the duty. It does not wait for watches in the store: one that is
+// under way takes seconds, hands nothing over any more, and would hold up the
+// daemon's next session.
 func (s *spreadDuty) close() {
 	close(s.stop)
 	s.done.Wait()
