--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -10,9 +10,7 @@
 	"github.com/rhubarbring/rhubarbring/routes"
 )
 
-// What the entry asks of the daemon: entry.Router.
-
-// Limits implements entry.Router.
+// Limits implements entry.Router: what the entry asks of the daemon.
 func (d *Daemon) Limits(app string) (entry.Limits, error) {
 	if d.fleet.document.Load() == nil {
 		return entry.Limits{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
