--- a/balance/balance.go
+++ b/balance/balance.go
@@ -176,9 +176,9 @@
 }
 
 // Choose returns a gate of the app that was not tried, or the last of those
-// that were if no other can be had. The code is OK, TargetUnavailable if the app has no gate, or
-// LinkShareExhausted if only the other region has one and the share of the
-// link is used up.
+// that were if no other can be had. The code is OK, TargetUnavailable if the
+// app has no gate, or LinkShareExhausted if only the other region has one and
+// the share of the link is used up.
 func (b *Balancer) Choose(app key.App, now mono.Time, budget time.Duration, size int, tried []host.Session) (host.Session, result.Code) {
 	p := b.apps[app]
 	if p == nil {
