Send orders only on connections that surely lead to the life they are for

The name in the order, added before, holds only if servers check it on orders, and not for a server that starts again under its name.

Ruled out: that servers ignore the name. Ruled out too: a health check of each new connection, which waits for a slot and would still take a life of the same name for the earlier one.

--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -261,6 +261,8 @@
 		r.newLife(now, a)
 	case r.target.instance != a.Instance:
 		r.newLife(now, a)
+	case r.granter != nil:
+		r.granter.Announced()
 	}
 	r.target.lastSeen = now
 	r.target.gone = false
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -23,8 +23,12 @@
 }
 
 // Granter is a Target that holds its keys itself for a time: it runs a request
-// only while it was granted the request's slice. Both calls wait for their end.
+// only while it was granted the request's slice. Grant and Release wait for
+// their end.
 type Granter interface {
+	// Announced tells that the life has announced itself once more. It does
+	// not wait.
+	Announced()
 	Grant(g grant.Grant) grant.Answer
 	Release(r grant.Release) (token string, answer grant.Answer)
 }
