--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -28,13 +28,15 @@
 
 // Announcement is what a target says of itself, once a second.
 type Announcement struct {
-	App          string  `json:"app"`
-	Address      string  `json:"address"`
-	Slots        int     `json:"slots"`
-	Connections  int     `json:"connections"`
-	ChecksGrants bool    `json:"checks_grants"`
-	State        string  `json:"state"`
-	Load         float64 `json:"load"`
+	App          string `json:"app"`
+	Address      string `json:"address"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	ChecksGrants bool   `json:"checks_grants"`
+	State        string `json:"state"`
+	// Load is the share of busy slots, 0 to 1; negative if the target does
+	// not say.
+	Load float64 `json:"load"`
 	// Instance changes with each start of the target's process; 0 if the
 	// target does not say.
 	Instance uint64 `json:"instance,omitempty"`
