Wait a moment for answers when a session is over

Its entry had been cut off from its witnesses, was taken over, and learnt so when the cut ended; it then gave up at once all that it had sent.

Change: the answers to what was sent are awaited for the 300 ms in which such a daemon goes on refusing requests; then the rest is given up.

Ruled out: the owner; it answered 6 ms later.

--- a/internal/daemon/routing_work.go
+++ b/internal/daemon/routing_work.go
@@ -60,6 +60,7 @@
 	// documentChanged is the document that came into force.
 	documentChanged struct{ document *document.Document }
 	sessionEnded    struct{ session host.Session }
+	sentGivenUp     struct{}
 	stopRequested   struct{}
 	// drainGate is the time from which the gate takes no more work.
 	drainGate struct{}
@@ -313,7 +314,7 @@
 func (w sessionEnded) routingWork(r *routingDuty, now mono.Time) {
 	if w.session == r.self {
 		r.holder.EndSession()
-		r.giveUpSent(now)
+		r.over = true
 		r.router.End(now, &r.out)
 		if r.gate != nil {
 			r.gate.OwnershipChanged(now, &r.gateOut)
@@ -333,10 +334,9 @@
 	return append(slices.Clone(r.retired), r.gate)
 }
 
-// giveUpSent ends the wait for other daemons' answers: they drop what a
+// sentGivenUp ends the wait for other daemons' answers: they drop what a
 // session sends that they know to be over.
-func (r *routingDuty) giveUpSent(now mono.Time) {
-	r.over = true
+func (sentGivenUp) routingWork(r *routingDuty, now mono.Time) {
 	for seq := range r.sent {
 		delete(r.sent, seq)
 		r.router.ConnectionLost(now, seq, &r.out)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -20,7 +20,8 @@
 	// leavePatience bounds the record of the end in the store.
 	leavePatience = 5 * time.Second
 	// abandonGrace is how long a daemon whose session ended goes on refusing
-	// requests before it closes its address.
+	// requests before it closes its address, and waits for the answers to
+	// those that it has sent.
 	abandonGrace = 300 * time.Millisecond
 	// savePatience bounds the wait for outcomes at risk to stand in the store
 	// before a daemon ends. Copies of them are on other hosts.
@@ -103,6 +104,7 @@
 	d.entry.Drain()
 	d.routing.ring.Wait(sessionEnded{session: d.self}, d.routing.stop)
 	time.Sleep(abandonGrace)
+	d.routing.ring.Wait(sentGivenUp{}, d.routing.stop)
 	d.entry.Stop(entryPatience)
 	d.await(savePatience, d.risk.saved)
 	d.closeDuties()
