Place by the speed of targets, and take jumps of load at once

The leader took all targets for equally fast, so that a hot slice would only have made another target as full; and a slice's load was smoothed with a weight of 0.2 for each second, so that it was seen late.

Change: reports give the number and the mean time of runs. The leader counts load in work, busy slots at a target of mean speed; a target's capacity is its slots times its pace. Paces change only beyond doubt (the error of a mean of so many runs). A full host's largest slice may go to the host with the most room although that one is then the most used, if both end below what the giver had. A load that more than doubles, by 0.3 of the slots, counts with 0.7. What callers were refused for is load but no run. Idle slices stay where they are.

--- a/internal/daemon/routing_report.go
+++ b/internal/daemon/routing_report.go
@@ -15,6 +15,7 @@
 	r.nextHotKey = now.Add(hotKeyEvery)
 	r.nextReport = now.Add(reportInterval(r.reportEvery, len(r.fleet.sessions.Load().records)))
 	r.reports++
+	runs, service := r.meter.Runs()
 	slices, keys := r.meter.Take(now, reportedKeys)
 	r.reportLoad(placement.LoadReport{
 		From:     r.self,
@@ -23,6 +24,8 @@
 		Target:   r.target.load,
 		Slices:   slices,
 		Keys:     keys,
+		Runs:     uint32(runs),
+		Service:  float32(service.Seconds() * 1000),
 	})
 }
 
--- a/loadmeter/loadmeter.go
+++ b/loadmeter/loadmeter.go
@@ -19,6 +19,8 @@
 // Meter adds up busy time since the last report. It belongs to one goroutine.
 type Meter struct {
 	since  mono.Time
+	runs   int
+	ran    time.Duration // Sum of the times of the runs.
 	slices map[key.SliceID]time.Duration
 	keys   map[string]time.Duration
 }
@@ -32,12 +34,30 @@
 
 func (m *Meter) reset(now mono.Time) {
 	m.since = now
+	m.runs, m.ran = 0, 0
 	m.slices = make(map[key.SliceID]time.Duration)
 	m.keys = make(map[string]time.Duration, trackedKeys)
 }
 
 // Add counts a run that kept a slot busy for a time.
 func (m *Meter) Add(slice key.SliceID, k string, busy time.Duration) {
+	m.runs++
+	m.ran += busy
+	m.Wanted(slice, k, busy)
+}
+
+// Runs returns how many runs were counted since the last Take, and their mean
+// time.
+func (m *Meter) Runs() (int, time.Duration) {
+	if m.runs == 0 {
+		return 0, 0
+	}
+	return m.runs, m.ran / time.Duration(m.runs)
+}
+
+// Wanted counts the time that a slot would have been busy with a request that
+// found no room.
+func (m *Meter) Wanted(slice key.SliceID, k string, busy time.Duration) {
 	m.slices[slice] += busy
 	if k != "" {
 		m.addKey(k, busy)
--- a/loadmeter/loadmeter_test.go
+++ b/loadmeter/loadmeter_test.go
@@ -43,3 +43,19 @@
 	must.SliceEmpty(t, keys)
 	must.Zero(t, m.Hottest(mono.Time(3*time.Second)))
 }
+
+// What found no room is load of its slice, but no run.
+func TestRunsAreTold(t *testing.T) {
+	m := loadmeter.New(1)
+	m.Add(1, "k", 100*time.Millisecond)
+	m.Add(2, "k", 300*time.Millisecond)
+	m.Wanted(2, "k", time.Second)
+	n, service := m.Runs()
+	must.Eq(t, 2, n)
+	must.Eq(t, 200*time.Millisecond, service)
+	slices, _ := m.Take(mono.Time(time.Second), 1)
+	must.Greater(t, float32(1.2), slices[1].Busy)
+	n, service = m.Runs()
+	must.Zero(t, n)
+	must.Zero(t, service)
+}
--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -146,6 +146,9 @@
 		if i := p.pick(giver, taker, price); i >= 0 {
 			return p.take(giver, taker, i), true
 		}
+		if i, taker := p.relieve(giver, price); i >= 0 {
+			return p.take(giver, taker, i), true
+		}
 		p.stuck[giver] = true
 	}
 	return Transfer{}, false
@@ -181,6 +184,53 @@
 	return best
 }
 
+// fullUse is the use from which callers wait at a host.
+const fullUse = 0.8
+
+// relieve returns the move of the largest slice of a host that is full to the
+// host that has the most room for it, if both are less used afterwards than the
+// giver was, by the price; else -1. So one slice that is too hot for its host
+// goes to a faster one, although it then is the most used one itself.
+func (p *plan) relieve(giver int, price float64) (slice, taker int) {
+	slice = p.largest(giver)
+	if slice < 0 || p.hosts[giver].Use() < fullUse {
+		return -1, -1
+	}
+	c := p.byHost[giver][slice]
+	taker = p.roomiest(giver, c.Load)
+	from, to := p.hosts[giver], p.hosts[taker]
+	from.Load -= c.Load
+	to.Load += c.Load
+	if max(from.Use(), to.Use()) > p.hosts[giver].Use()-price*p.mean {
+		return -1, -1
+	}
+	return slice, taker
+}
+
+// largest returns the largest candidate of a host, or -1.
+func (p *plan) largest(giver int) int {
+	largest := -1
+	for i, c := range p.byHost[giver] {
+		if largest < 0 || c.Load > p.byHost[giver][largest].Load {
+			largest = i
+		}
+	}
+	return largest
+}
+
+// roomiest returns the host, other than the giver, that is least used after it
+// took a load.
+func (p *plan) roomiest(giver int, load float64) int {
+	best, bestUse := -1, 0.0
+	for i, h := range p.hosts {
+		use := (h.Load + load) / h.Capacity
+		if i != giver && (best < 0 || use < bestUse) {
+			best, bestUse = i, use
+		}
+	}
+	return best
+}
+
 func (p *plan) take(giver, taker, i int) Transfer {
 	c := p.byHost[giver][i]
 	p.byHost[giver] = slices.Delete(p.byHost[giver], i, i+1)
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -30,7 +30,11 @@
 	keys    []string
 	busy    map[string]float64 // True load of each key, in slots.
 	targets map[host.Session]float32
-	noise   func() float64 // Factor on each slice's load in a report; nil for none.
+	// paces is how fast targets work; 1 if it is not given. Reports give the
+	// time of runs if saysService is set.
+	paces       map[host.Session]float64
+	saysService bool
+	noise       func() float64 // Factor on each slice's load in a report; nil for none.
 	// noRelease keeps owners from releasing what they are asked for.
 	noRelease bool
 }
@@ -40,6 +44,7 @@
 	f := &trialFleet{
 		core: New(Config{Self: self, Seed: 1, Policy: policy, StartWait: -1}), now: 1, app: app, slots: slots,
 		packs: map[string]*assignment.Pack{}, busy: map[string]float64{}, targets: map[host.Session]float32{},
+		paces: map[host.Session]float64{},
 	}
 	f.step(AppsChanged{Apps: []App{app}})
 	for i := range hosts {
@@ -174,7 +179,7 @@
 	for _, owner := range slices.SortedFunc(maps.Keys(reports), bySession) {
 		r := reports[owner]
 		for id, busy := range loads[owner] {
-			r.Slices = append(r.Slices, SliceLoad{ID: id, Busy: float32(busy)})
+			r.Slices = append(r.Slices, SliceLoad{ID: id, Busy: float32(busy / f.paceOf(owner))})
 		}
 		slices.SortFunc(r.Slices, func(a, b SliceLoad) int { return int(int64(a.ID) - int64(b.ID)) })
 		for i := range r.Slices {
@@ -182,6 +187,12 @@
 				r.Slices[i].Busy *= float32(f.noise())
 			}
 		}
+		if f.saysService {
+			r.Runs, r.Service = 100, float32(meanRunMs/f.paceOf(owner))
+			if f.noise != nil {
+				r.Service *= float32(1 + (f.noise()-1)/2)
+			}
+		}
 		if says, ok := f.targets[owner]; ok {
 			r.Target = says
 		}
@@ -189,6 +200,16 @@
 	}
 }
 
+// meanRunMs is the time of a run at a target of mean speed.
+const meanRunMs = 100
+
+func (f *trialFleet) paceOf(s host.Session) float64 {
+	if p, ok := f.paces[s]; ok {
+		return p
+	}
+	return 1
+}
+
 func bySession(a, b host.Session) int {
 	return strings.Compare(a.String(), b.String())
 }
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -86,6 +86,7 @@
 	a := r.a
 	a.stale = false
 	var slots float64
+	a.loads.pace()
 	for i := range a.hosts {
 		r.resetHost(&a.hosts[i])
 		slots += a.hosts[i].Capacity
@@ -111,7 +112,7 @@
 		share = 1
 	}
 	h.Warming = share < 1
-	h.Capacity = float64(info.slots) * share
+	h.Capacity = float64(info.slots) * share * r.a.loads.paceOf(h.Session)
 	h.Load, h.Slices = 0, 0
 }
 
@@ -133,7 +134,7 @@
 			to = at[next]
 		}
 		if to >= 0 {
-			a.hosts[to].add(a.loadOf(p.first + key.SliceID(i)))
+			a.hosts[to].add(a.loadOn(to, p.first+key.SliceID(i)))
 		}
 	}
 	for _, c := range p.pack.CarveOuts() {
@@ -142,7 +143,7 @@
 			to = a.place(c.Assigned.Next)
 		}
 		if to >= 0 {
-			a.hosts[to].add(a.loadOf(c.ID))
+			a.hosts[to].add(a.loadOn(to, c.ID))
 		}
 	}
 }
@@ -154,6 +155,12 @@
 	return a.loads.slices.of(id) + a.loads.idle
 }
 
+// loadOn returns the load of a slice on a host. The idle load goes with the
+// host's pace, so that idle slices are spread by slots whatever the speed.
+func (a *app) loadOn(to int32, id key.SliceID) float64 {
+	return a.loads.slices.of(id) + a.loads.idle*a.loads.paceOf(a.hosts[to].Session)
+}
+
 // movable returns the slices of hosts above a use that may be moved now.
 func (r *round) movable(use float64) []Candidate {
 	a := r.a
@@ -194,7 +201,7 @@
 	if r.pinned[id] || !r.untouched(p, id) {
 		return out
 	}
-	return append(out, Candidate{ID: id, Load: r.a.loadOf(id), Host: on})
+	return append(out, Candidate{ID: id, Load: r.a.loadOn(int32(on), id), Host: on})
 }
 
 // balance names next owners for slices of the most used hosts.
--- a/placement/load.go
+++ b/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -24,6 +25,10 @@
 	Slices []SliceLoad
 	// Keys gives the keys that keep the most slots busy.
 	Keys []KeyLoad
+	// Runs is how many runs ended at the target since the last report, and
+	// Service their mean time in milliseconds.
+	Runs    uint32
+	Service float32
 }
 
 // SliceLoad is the load that one slice caused.
@@ -49,6 +54,13 @@
 	maxBusyShare = 1.5
 	// reportWeight is the weight of a new report against the ones before.
 	reportWeight = 0.2
+	// jumpWeight is that weight where a slice's load jumps: to over jumpUp
+	// times what it was, or below one part in jumpDown, and by more than
+	// jumpShare of its host's slots. That is no noise, and callers wait.
+	jumpWeight = 0.7
+	jumpUp     = 2
+	jumpDown   = 3
+	jumpShare  = 0.3
 	// idleShare is the load that all slices together count for even if
 	// none is asked for, as a share of all slots. It keeps slices spread
 	// evenly while an app is idle, and noise from moving them.
@@ -60,6 +72,8 @@
 	slices  sliceLoads
 	reports map[host.Session]targetReport
 	keys    map[string]hotKey
+	times   map[host.Session]runTimes
+	paces   map[host.Session]float64
 	idle    float64 // Load that each slice counts for beside what was seen.
 }
 
@@ -82,6 +96,8 @@
 		slices:  newSliceLoads(slices),
 		reports: make(map[host.Session]targetReport),
 		keys:    make(map[string]hotKey),
+		times:   make(map[host.Session]runTimes),
+		paces:   make(map[host.Session]float64),
 	}
 }
 
@@ -97,9 +113,11 @@
 		return
 	}
 	scale, total := boundBusy(r, float64(h.slots))
+	a.loads.runs(r.From, r)
+	work := scale * a.loads.paceOf(r.From)
 	for _, s := range r.Slices {
 		if held, ok := a.at(s.ID); ok && held.Owner == r.From {
-			a.loads.slice(s, scale)
+			a.loads.slice(s, work, jumpShare*float64(h.slots))
 		}
 	}
 	sway := targetSway(float64(r.Target), total, float64(h.slots))
@@ -133,10 +151,15 @@
 	return min(max(target/seen, 1/maxTargetSway), maxTargetSway)
 }
 
-func (l *loads) slice(s SliceLoad, scale float64) {
+// slice takes the load of a slice, in work. A change below least is no jump.
+func (l *loads) slice(s SliceLoad, scale, least float64) {
 	busy := max(0, float64(s.Busy)) * scale
 	if old, ok := l.slices.get(s.ID); ok {
-		busy = old + (busy-old)*reportWeight
+		weight := reportWeight
+		if math.Abs(busy-old) > least && (busy > jumpUp*old || busy < old/jumpDown) {
+			weight = jumpWeight
+		}
+		busy = old + (busy-old)*weight
 	}
 	l.slices.set(s.ID, busy)
 }
@@ -168,6 +191,8 @@
 	for s, r := range l.reports {
 		if now.Sub(r.at) > age*4 {
 			delete(l.reports, s)
+			delete(l.times, s)
+			delete(l.paces, s)
 		}
 	}
 	for k, h := range l.keys {
--- a/placement/measure_test.go
+++ b/placement/measure_test.go
@@ -87,10 +87,18 @@
 }
 
 // Loads that only fluctuate move few slices: each slice's load is reported
-// with an error of up to a half, anew each round.
+// with an error of up to a half, anew each round, and each target's time of a
+// run, if it is told, with one of up to a quarter.
 func TestNoiseMovesFewSlices(t *testing.T) {
+	for _, saysService := range []bool{false, true} {
+		noiseMovesFewSlices(t, saysService)
+	}
+}
+
+func noiseMovesFewSlices(t *testing.T, saysService bool) {
 	for _, app := range []App{rayuelaApp(), kalderimiApp()} {
 		f := newTrialFleet(6, 12, app, &Balanced{})
+		f.saysService = saysService
 		f.zipf(0.6 * 6 * 12)
 		f.rounds()
 		f.ownerChanges()
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -11,10 +11,11 @@
 	Session host.Session
 	// Place is where it stands.
 	Place host.Place
-	// Capacity is in slots, less while the host warms up.
+	// Capacity is in slots of a target of mean speed, less while the host
+	// warms up.
 	Capacity float64
-	// Load is the load of the slices that the host owns or is to own, in
-	// slots.
+	// Load is the load of the slices that the host owns or is to own, in busy
+	// slots of a target of mean speed.
 	Load float64
 	// Slices is their number.
 	Slices int
