Leave slices that carry next to nothing where they are

Change: a slice of less than 0.004 of the giver's capacity is moved only to a host that has less than half the mean use, one that is new.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -20,6 +20,12 @@
 	// maxTries bounds the givers that are tried for one transfer. If none of
 	// the most used hosts has a slice that fits, the greatest use can't fall.
 	maxTries = 64
+	// leastShare is the part of the giver's capacity below which a slice's load
+	// is not worth a move, unless the taker has next to nothing.
+	leastShare = 0.004
+	// emptyShare is the part of the mean use below which a host has next to
+	// nothing: it is new.
+	emptyShare = 0.5
 	// maxPrice moves slices away from a host at twice the mean in any case.
 	maxPrice = 1.0
 )
@@ -169,11 +175,14 @@
 	return giver, taker
 }
 
-// pick returns the largest candidate whose move does not leave the taker more
-// used than the giver by over half the price, or -1.
+// pick returns the largest candidate that is worth a move and does not leave
+// the taker more used than the giver by over half the price, or -1.
 func (p *plan) pick(giver, taker int, price float64) int {
 	from, to := &p.hosts[giver], &p.hosts[taker]
 	best, bestLoad := -1, 0.0
+	if to.Use() > emptyShare*p.mean {
+		bestLoad = leastShare * from.Capacity
+	}
 	for i, c := range p.byHost[giver] {
 		after := (from.Load-c.Load)/from.Capacity - (to.Load+c.Load)/to.Capacity
 		if after < -price*p.mean/2 || c.Load <= bestLoad {
