Help a full host before the next round

Cause: a hot slice moved only two to five seconds after it got hot. Reports and rounds come once a second, a pace was believed late, and a slice that had just been moved for balance had to stay for four seconds.

Change: a daemon whose target had no room for five requests reports after 300 ms; a report of a full host brings the leader's next round forward, to a third of the time between two rounds at the earliest; a slice that fills its host may move again after a quarter of the time that others stay; a pace is believed from two thirds of the former doubt.

A key that asks for more than the fastest target can do stays refused in part; no placement mends that.

--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -153,6 +153,7 @@
 	}
 	for _, a := range answers {
 		if a.Answer.Code == result.QueueFull && a.Answer.ID == req.ID {
+			r.refusedFull++
 			r.meter.Wanted(req.Slice, req.Key, time.Duration(refusedPart*float64(a.Answer.Service)))
 		}
 	}
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -52,6 +52,11 @@
 	// wait for the next report.
 	hotKeyEvery  = 15 * time.Second
 	reportedKeys = 8
+	// fullEvery is the least time between two reports of a target that has no
+	// room, and fullRefusals the requests refused since the last that make
+	// one due.
+	fullEvery    = 300 * time.Millisecond
+	fullRefusals = 5
 )
 
 // routingWork is something for the routing duty to do.
@@ -119,6 +124,8 @@
 	reportEvery time.Duration
 	nextReport  mono.Time
 	nextHotKey  mono.Time
+	nextFull    mono.Time
+	refusedFull int // Requests for slices that found no room since the last report.
 	nextForget  mono.Time
 	// stopOwned is how many slices were owned when a planned stop began.
 	stopOwned atomic.Int64
--- a/internal/daemon/routing_report.go
+++ b/internal/daemon/routing_report.go
@@ -7,11 +7,14 @@
 	"github.com/rhubarbring/rhubarbring/placement"
 )
 
-// report tells the leader every so often how busy the target is.
+// report tells the leader every so often how busy the target is, and earlier
+// when slices may have to move.
 func (r *routingDuty) report(now mono.Time) {
-	if r.gate == nil || now.Before(r.nextReport) && !r.hasHotKey(now) {
+	if r.gate == nil || now.Before(r.nextReport) && !r.hasHotKey(now) && !r.isFull(now) {
 		return
 	}
+	r.refusedFull = 0
+	r.nextFull = now.Add(reportInterval(fullEvery, len(r.fleet.sessions.Load().records)))
 	r.nextHotKey = now.Add(hotKeyEvery)
 	r.nextReport = now.Add(reportInterval(r.reportEvery, len(r.fleet.sessions.Load().records)))
 	r.reports++
@@ -29,6 +32,12 @@
 	})
 }
 
+// isFull reports whether the target has had no room for several requests for
+// slices since the last report: their callers wait until slices move.
+func (r *routingDuty) isFull(now mono.Time) bool {
+	return r.refusedFull >= fullRefusals && !now.Before(r.nextFull)
+}
+
 // hasHotKey reports whether a key may have to be carved out: its load is at
 // half the document's bound. It looks every hotKeyEvery.
 func (r *routingDuty) hasHotKey(now mono.Time) bool {
--- a/placement/app.go
+++ b/placement/app.go
@@ -28,6 +28,7 @@
 	index       map[host.Session]int
 	stale       bool // The hosts' loads must be summed anew.
 	nextBalance mono.Time
+	lastBalance mono.Time
 }
 
 func newApp(params App) *app {
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -195,7 +195,7 @@
 }
 
 func (r *round) candidate(p *packInfo, id key.SliceID, on int, out []Candidate) []Candidate {
-	if moved, ok := r.a.movedAt[id]; ok && r.now.Sub(moved) < r.c.cfg.Settle {
+	if moved, ok := r.a.movedAt[id]; ok && r.now.Sub(moved) < r.settle(id, on) {
 		return out
 	}
 	if r.pinned[id] || !r.untouched(p, id) {
@@ -204,6 +204,18 @@
 	return append(out, Candidate{ID: id, Load: r.a.loadOn(int32(on), id), Host: on})
 }
 
+// settle is how long a slice stays where it is: less if it fills its host.
+func (r *round) settle(id key.SliceID, on int) time.Duration {
+	h := &r.a.hosts[on]
+	if h.Use() >= fullUse && r.a.loadOn(int32(on), id) >= fillsShare*h.Load {
+		return r.c.cfg.Settle / 4
+	}
+	return r.c.cfg.Settle
+}
+
+// fillsShare is the part of a full host's load from which one slice fills it.
+const fillsShare = 0.4
+
 // balance names next owners for slices of the most used hosts.
 func (r *round) balance() {
 	limit := r.a.params.MaxMoves - r.a.underWay()
--- a/placement/load.go
+++ b/placement/load.go
@@ -126,8 +126,20 @@
 		a.loads.key(now, r.From, k, scale, a.params.HotKeys.Share*float64(h.slots))
 	}
 	a.stale = true
+	if total >= fullUse*float64(h.slots) {
+		a.hurry(now, c.cfg.BalanceInterval)
+	}
+}
+
+// hurry brings the next round for balance forward: callers wait at a host.
+func (a *app) hurry(now mono.Time, interval time.Duration) {
+	a.nextBalance = min(a.nextBalance, max(now, a.lastBalance.Add(interval/hurryPart)))
 }
 
+// hurryPart is the part of the time between two rounds for balance that passes
+// at least.
+const hurryPart = 3
+
 // boundBusy returns the factor that keeps a report within what the slots can
 // bear, and the load after it.
 func boundBusy(r LoadReport, slots float64) (scale, total float64) {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -20,7 +20,7 @@
 	// use before it takes its place, and paceDoubt that part for one run; it
 	// falls with the root of their number, as the error of a mean does.
 	paceBand  = 0.2
-	paceDoubt = 3.0
+	paceDoubt = 2.0
 	// runsKept is the part of the runs known before that a report leaves.
 	runsKept = 0.8
 )
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -146,3 +146,21 @@
 	f.rounds()
 	must.LessEq(t, 12, f.ownerChanges())
 }
+
+// A host that reports that it is full does not wait for the next round: two
+// rounds, one to believe the report, are over in the time of one.
+func TestAFullHostIsHelpedEarly(t *testing.T) {
+	f, hot, slow := mixedFleet(t, true)
+	since := f.now
+	handedOver := func() bool {
+		_, owner := f.locate(f.view(), hot)
+		return owner != slow
+	}
+	for !handedOver() && f.now.Sub(since) < 5*DefaultBalanceInterval {
+		f.report()
+		f.now = f.now.Add(DefaultBalanceInterval / 10)
+		f.settle()
+	}
+	t.Logf("moved after %s", f.now.Sub(since))
+	must.LessEq(t, DefaultBalanceInterval, f.now.Sub(since))
+}
--- a/placement/round.go
+++ b/placement/round.go
@@ -69,6 +69,7 @@
 	}
 	r.place()
 	if due {
+		a.lastBalance = now
 		a.nextBalance = now.Add(c.cfg.BalanceInterval)
 		r.carve()
 		r.balance()
