Hurry only while there is room elsewhere

Change: a report of a full host brings the next round forward only while the hosts together have room for the load.

--- a/placement/load.go
+++ b/placement/load.go
@@ -126,7 +126,7 @@
 		a.loads.key(now, r.From, k, scale, a.params.HotKeys.Share*float64(h.slots))
 	}
 	a.stale = true
-	if total >= fullUse*float64(h.slots) {
+	if total >= fullUse*float64(h.slots) && a.hasRoom() {
 		a.hurry(now, c.cfg.BalanceInterval)
 	}
 }
@@ -136,6 +136,16 @@
 	a.nextBalance = min(a.nextBalance, max(now, a.lastBalance.Add(interval/hurryPart)))
 }
 
+// hasRoom reports whether the hosts could bear the load if it were spread.
+func (a *app) hasRoom() bool {
+	var load, capacity float64
+	for i := range a.hosts {
+		load += a.hosts[i].Load
+		capacity += a.hosts[i].Capacity
+	}
+	return load < fullUse*capacity
+}
+
 // hurryPart is the part of the time between two rounds for balance that passes
 // at least.
 const hurryPart = 3
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -164,3 +164,15 @@
 	t.Logf("moved after %s", f.now.Sub(since))
 	must.LessEq(t, DefaultBalanceInterval, f.now.Sub(since))
 }
+
+// While all hosts are full, moves help nobody: rounds keep their time.
+func TestNothingHurriesWhileAllAreFull(t *testing.T) {
+	f := newTrialFleet(4, 12, rayuelaApp(), &Balanced{})
+	f.zipf(1.2 * 4 * 12)
+	f.rounds()
+	a := f.core.apps[0]
+	next := a.nextBalance
+	f.now = f.now.Add(DefaultBalanceInterval / 2)
+	f.report()
+	must.Eq(t, next, a.nextBalance)
+}
