--- a/event/alarm.go
+++ b/event/alarm.go
@@ -21,8 +21,8 @@
 	{AlarmNotTaken, "alarm_not_taken", Warn, "id deliveries cause", "The receiver did not take the alarm; it is delivered again."},
 	{AlarmAcknowledged, "alarm_acknowledged", Info, "id who why", "A person acknowledged the alarm."},
 	{OutcomeMet, "outcome_met", Warn, "id app key slice owner epoch code cause why", "A request that may not be repeated has an unknown or late outcome. Settle it: rhubarb outcomes settle."},
-	{OutcomesSaved, "outcomes_saved", Info, "batch count after_ms", "Outcomes at risk stand in the store."},
-	{OutcomesWaiting, "outcomes_waiting", Warn, "batch count retry_ms", "Outcomes at risk could not be saved; two daemons hold them until the store answers."},
+	{OutcomesSaved, "outcomes_saved", Info, "batch", "Outcomes at risk stand in the store."},
+	{OutcomesWaiting, "outcomes_waiting", Warn, "batch count", "Outcomes at risk could not be saved; two daemons hold them until the store answers."},
 	{OutcomeUnkept, "outcome_unkept", Alarm, "id app key slice owner epoch code cause why", "The memory for outcomes at risk is full: this log line is the only record of this one."},
 	{OutcomesInherited, "outcomes_inherited", Warn, "batch count from", "The daemon that met these outcomes was lost; this one saves them."},
 }
--- a/event/process.go
+++ b/event/process.go
@@ -17,7 +17,7 @@
 )
 
 var processEvents = []Def{
-	{Started, "started", Info, "host zone incarnation", "The daemon started and has a session."},
+	{Started, "started", Info, "zone incarnation", "The daemon started and has a session."},
 	{Stopping, "stopping", Info, "reason", "A planned stop began; nothing in flight is cut off."},
 	{Stopped, "stopped", Info, "", "The daemon ended."},
 	{SettingsReloaded, "settings_reloaded", Info, "store needs_restart", "The settings file has changed. What is named needs a restart; the rest is in force."},
