Split five files by job

takeover/core.go into what it decides and what it takes in (input.go), request/life.go and repeat.go, balance/balance.go and choose.go, gate/run.go and origin.go, routing_work.go and routing_target.go. Functions moved unchanged.

--- /dev/null
+++ b/internal/daemon/routing_target.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+func (w announced) routingWork(r *routingDuty, now mono.Time) {
+	a := w.announcement
+	if a.Connections == 0 {
+		app, _ := r.fleet.app(key.App(a.App))
+		a.Connections = max(app.TargetConnections, a.Slots)
+	}
+	switch {
+	case r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address:
+		r.newGate(now, a)
+		r.newLife(now, a)
+	case r.target.instance != a.Instance:
+		r.newLife(now, a)
+	case r.granter != nil:
+		r.granter.Announced()
+	}
+	r.target.lastSeen = now
+	r.target.gone = false
+	r.target.load = float32(a.Load)
+	r.target.slots = a.Slots
+	r.gate.Announced(now, gate.Announcement{
+		Slots:        a.Slots,
+		Connections:  a.Connections,
+		ChecksGrants: a.ChecksGrants,
+		State:        targetState(a.State),
+		Instance:     a.Instance,
+		Load:         a.Load,
+		StopsRuns:    a.StopsRuns,
+		SaysCold:     a.SaysCold,
+	}, &r.gateOut)
+}
+
+func (r *routingDuty) newGate(now mono.Time, a control.Announcement) {
+	cfg := gate.DefaultConfig()
+	cfg.Self = r.self
+	cfg.App = key.App(a.App)
+	cfg.Owner = r
+	if app, ok := r.fleet.app(cfg.App); ok {
+		cfg.MaxQueued = app.QueueBound
+	}
+	old := r.gate
+	if old == nil {
+		r.gate = gate.New(cfg)
+	} else {
+		old.TargetGone(now, &r.gateOut)
+		r.retired = append(r.retired, old)
+		r.gate = old.Successor(cfg)
+	}
+	r.target = &localTarget{app: cfg.App}
+}
+
+func targetState(name string) gate.State {
+	switch name {
+	case control.StateCold:
+		return gate.Cold
+	case control.StateDraining:
+		return gate.Draining
+	default:
+		return gate.Warm
+	}
+}
