--- a/cmd/rhubarb/alarms.go
+++ b/cmd/rhubarb/alarms.go
@@ -22,7 +22,7 @@
 		Short: "List the alarms that nobody has acknowledged",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
@@ -48,7 +48,7 @@
 			if err := t.needWho(); err != nil {
 				return err
 			}
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -117,10 +117,7 @@
 			if err != nil {
 				return settings("VERSION", "\""+args[0]+"\" is no version", "take one of rhubarb history")
 			}
-			if err := t.needEnvironment(); err != nil {
-				return err
-			}
-			o, err := t.operator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/document.go
+++ b/cmd/rhubarb/document.go
@@ -118,10 +118,7 @@
 		Short: "List the versions of an environment's document, newest first",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := t.needEnvironment(); err != nil {
-				return err
-			}
-			o, err := t.operator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/documentstatus.go
+++ b/cmd/rhubarb/documentstatus.go
@@ -26,10 +26,7 @@
 --token it also says what became of the change of that token.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := t.needEnvironment(); err != nil {
-				return err
-			}
-			o, err := t.operator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/main.go
+++ b/cmd/rhubarb/main.go
@@ -87,6 +87,15 @@
 	return operator.New(t.store, t.timeout), nil
 }
 
+// environmentOperator returns the caller of the store, for commands that need
+// --environment.
+func (t *tool) environmentOperator() (*operator.Operator, error) {
+	if err := t.needEnvironment(); err != nil {
+		return nil, err
+	}
+	return t.operator()
+}
+
 // needEnvironment refuses a command without --environment.
 func (t *tool) needEnvironment() error {
 	if t.environment == "" {
--- a/cmd/rhubarb/outcomes.go
+++ b/cmd/rhubarb/outcomes.go
@@ -7,7 +7,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/rhubarbring/rhubarbring/internal/operator"
 	"github.com/rhubarbring/rhubarbring/outcome"
 )
 
@@ -23,14 +22,6 @@
 	return cmd
 }
 
-// outcomesOperator returns the operator, for commands that need --environment.
-func (t *tool) outcomesOperator() (*operator.Operator, error) {
-	if err := t.needEnvironment(); err != nil {
-		return nil, err
-	}
-	return t.operator()
-}
-
 func (t *tool) outcomesListCommand() *cobra.Command {
 	var all bool
 	cmd := &cobra.Command{
@@ -38,7 +29,7 @@
 		Short: "List the outcomes at risk that nobody has settled, oldest batch first",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
@@ -87,7 +78,7 @@
 		Short: "Show all that is known of one outcome at risk",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
@@ -128,7 +119,7 @@
 			if err := t.needWho(); err != nil {
 				return err
 			}
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/sessions.go
+++ b/cmd/rhubarb/sessions.go
@@ -50,7 +50,7 @@
 		Short: "List the session records of an environment as they stand in the store",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
@@ -135,7 +135,7 @@
 			if err := t.needWho(); err != nil {
 				return err
 			}
-			o, err := t.outcomesOperator()
+			o, err := t.environmentOperator()
 			if err != nil {
 				return err
 			}
