Leave only when the target surely holds nothing

Cause: a planned stop recorded its session as left when its time was over, or when nothing was in flight at the daemon, although the target beside it had not answered the releases yet. Others are granted the slices of a session that left at once.

Ruled out: late grants, whose hold is counted from when they were asked for; renewals beside a release, which wait for each other.

Change: a session is recorded as left only if every slice is released and the target's grants are answered as released, or over. Otherwise it is not, which is logged (planned_stop_cut), and it is taken over when its lease has ended.

Tests that fail without it: TestNothingIsReleasedBeforeTheTargetSaysSo and TestASessionThatMayHoldSlicesDoesNotLeave.

--- a/event/placement.go
+++ b/event/placement.go
@@ -21,6 +21,7 @@
 	SliceOverruled   ID = 3034
 	PlannedStopBegan ID = 3040
 	PlannedStopDone  ID = 3041
+	PlannedStopCut   ID = 3042
 	GrantAnswered    ID = 3050
 	GrantRenewed     ID = 3051
 	GrantRefused     ID = 3052
@@ -46,6 +47,7 @@
 	{DrainOverdue, "drain_overdue", Warn, "slice epoch in_flight", "A drain takes long; requests in flight are left to their deadlines."},
 	{SliceOverruled, "slice_overruled", Warn, "slice epoch newest", "A pack names another owner of a slice not released here: this session was recorded lost."},
 	{PlannedStopBegan, "planned_stop_began", Info, "owned", "This daemon stops and hands its slices over."},
+	{PlannedStopCut, "planned_stop_cut", Warn, "owned after_ms", "The time for a planned stop is over and slices are not surely released. The session is not recorded as left; it is taken over when its lease has ended."},
 	{PlannedStopDone, "planned_stop_done", Info, "released", "Every slice is released; the session is recorded as left."},
 	{GrantAnswered, "grant_answered", Info, "app first last epoch hold_ms token answer", "The target was asked to hold slices for a time, and answered or not."},
 	{GrantRenewed, "grant_renewed", Debug, "app first last epoch hold_ms token answer", "The target holds slices for a further time."},
--- a/grant/core.go
+++ b/grant/core.go
@@ -111,6 +111,20 @@
 	return !leaves
 }
 
+// Clear reports whether the target surely holds nothing at an instant, and is
+// not being asked to.
+func (c *Core) Clear(now mono.Time) bool {
+	if len(c.leaving) > 0 {
+		return false
+	}
+	for _, u := range c.units {
+		if u.calling || now.Before(u.bound) {
+			return false
+		}
+	}
+	return true
+}
+
 // Units returns the number of units.
 func (c *Core) Units() int {
 	return len(c.units)
--- a/internal/daemon/routing_duty.go
+++ b/internal/daemon/routing_duty.go
@@ -130,7 +130,10 @@
 	// stopOwned is how many slices were owned when a planned stop began.
 	stopOwned atomic.Int64
 	ready     atomic.Bool
-	idle      atomic.Bool
+	// allReleased says that a planned stop gave up every slice, and that the
+	// target surely holds none; idle, that nothing else is under way either.
+	allReleased atomic.Bool
+	idle        atomic.Bool
 
 	stop chan struct{}
 	done sync.WaitGroup
@@ -269,8 +272,10 @@
 
 // publish shows the other duties whether a planned stop may go on.
 func (r *routingDuty) publish() {
-	idle := r.holder.Stopped() && len(r.retired) == 0 && (r.gate == nil || r.gate.Idle())
-	r.idle.Store(idle)
+	clear := r.core == nil || r.core.Clear(bootclock.Now())
+	released := r.holder.Stopped() && clear
+	r.allReleased.Store(released)
+	r.idle.Store(released && len(r.retired) == 0 && (r.gate == nil || r.gate.Idle()))
 }
 
 func (r *routingDuty) tick() {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -43,14 +43,25 @@
 	d.routing.ring.Wait(stopRequested{}, d.routing.stop)
 	d.endCalls(began)
 	d.await(d.patience(began, ackPatience, 1), d.acknowledged)
+	d.leave(began)
+	d.await(d.patience(began, savePatience, 1), d.risk.saved)
+	d.closeDuties()
+	d.log.Event(event.Stopped)
+}
+
+// leave records the session as left, so that others get at once what it still
+// owns. That is not done while a target may hold some of it: then the session
+// is taken over like that of a lost one, when its lease has ended.
+func (d *Daemon) leave(began time.Time) {
+	if !d.routing.allReleased.Load() {
+		d.log.Event(event.PlannedStopCut, "owned", d.routing.stopOwned.Load(), "after_ms", time.Since(began).Milliseconds())
+		return
+	}
 	d.lease.wait(leaveSession{})
 	d.await(d.patience(began, leavePatience, 1), d.left)
 	if d.left() && d.routing.idle.Load() {
 		d.log.Event(event.PlannedStopDone, "released", d.routing.stopOwned.Load())
 	}
-	d.await(d.patience(began, savePatience, 1), d.risk.saved)
-	d.closeDuties()
-	d.log.Event(event.Stopped)
 }
 
 // endCalls hands the slices over and answers the callers. If the time of the
