Compare paces in the order of the hosts

Cause: sums of runs were taken in the order of a map, so that their last digits changed from run to run, and decisions at a threshold with them; a report with an endless time of runs would have kept a target at the least pace.

Change: paces are compared in the order of the hosts; mean times of an hour and more are not believed. Numbers that stood in the code have names.

--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -86,7 +86,7 @@
 	a := r.a
 	a.stale = false
 	var slots float64
-	a.loads.pace()
+	a.loads.comparePaces(a.hosts)
 	for i := range a.hosts {
 		r.resetHost(&a.hosts[i])
 		slots += a.hosts[i].Capacity
@@ -208,13 +208,18 @@
 func (r *round) settle(id key.SliceID, on int) time.Duration {
 	h := &r.a.hosts[on]
 	if h.Use() >= fullUse && r.a.loadOn(int32(on), id) >= fillsShare*h.Load {
-		return r.c.cfg.Settle / 4
+		return r.c.cfg.Settle / settlePart
 	}
 	return r.c.cfg.Settle
 }
 
-// fillsShare is the part of a full host's load from which one slice fills it.
-const fillsShare = 0.4
+const (
+	// fillsShare is the part of a full host's load from which one slice fills
+	// it.
+	fillsShare = 0.4
+	// settlePart is the part of the time to settle that such a slice stays.
+	settlePart = 4
+)
 
 // balance names next owners for slices of the most used hosts.
 func (r *round) balance() {
--- a/placement/load.go
+++ b/placement/load.go
@@ -113,7 +113,7 @@
 		return
 	}
 	scale, total := boundBusy(r, float64(h.slots))
-	a.loads.runs(r.From, r)
+	a.loads.noteRuns(r.From, r)
 	work := scale * a.loads.paceOf(r.From)
 	for _, s := range r.Slices {
 		if held, ok := a.at(s.ID); ok && held.Owner == r.From {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -21,6 +21,9 @@
 	// falls with the root of their number, as the error of a mean does.
 	paceBand  = 0.2
 	paceDoubt = 2.0
+	// longestRun bounds the mean time of a run that is believed, in
+	// milliseconds.
+	longestRun = 3_600_000
 	// runsKept is the part of the runs known before that a report leaves.
 	runsKept = 0.8
 )
@@ -36,10 +39,10 @@
 	return t.runs / t.ms
 }
 
-// runs takes what a report says of the target's runs. A target that ran nothing
-// keeps the pace that it had.
-func (l *loads) runs(from host.Session, r LoadReport) {
-	if r.Runs == 0 || !(r.Service > 0) {
+// noteRuns takes what a report says of the target's runs. A target that ran
+// nothing keeps the pace that it had.
+func (l *loads) noteRuns(from host.Session, r LoadReport) {
+	if r.Runs == 0 || !(r.Service > 0 && r.Service < longestRun) {
 		return
 	}
 	t := l.times[from]
@@ -50,15 +53,19 @@
 	}
 }
 
-// pace compares the targets anew. Paces that differ little from those in use
-// change nothing.
-func (l *loads) pace() {
+// comparePaces compares the targets of the hosts anew. Paces that differ little
+// from those in use change nothing.
+func (l *loads) comparePaces(hosts []HostLoad) {
 	var rates, runs float64
-	for _, t := range l.times {
-		rates += t.runs * t.rate()
-		runs += t.runs
+	for _, h := range hosts {
+		if t, ok := l.times[h.Session]; ok {
+			rates += t.runs * t.rate()
+			runs += t.runs
+		}
 	}
-	for s, t := range l.times {
+	for _, h := range hosts {
+		s := h.Session
+		t := l.times[s]
 		if t.runs < pacedRuns {
 			continue
 		}
