Let three tests wait for work in place of sleeping

Cause: TestTheEndOfASessionWaitsAMomentForAnswers, TestNothingIsReleasedBefore- TheTargetSaysSo and TestLostCallsAreGivenUpWhenTheStoreIsBack slept for 20 or 200 ms and hoped that the duty had got so far; a busy machine could make them pass without testing anything, or fail.

Change: the first two hand the duty a piece of work that is done after what they test, and that publishes; the third is told by its store that each call has begun. Assertions and bounds stay.

Before and after: three sleeps of 20, 200 and 20 ms; none. The sleeps in internal/bench are a load tool's own timing (the gap between sendings, a probe of the machine's delay, a stand-in's service time, a poll with a bound), and those of the platform's tests wait for the end of a real window of 200 ms.

--- a/internal/daemon/pair_test.go
+++ b/internal/daemon/pair_test.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/internal/settings"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/session"
 )
@@ -60,6 +61,22 @@
 	return p
 }
 
+// reached is work that only tells that all before it is done, and that what it
+// changed is published.
+type reached chan bool
+
+func (w reached) routingWork(r *routingDuty, _ mono.Time) {
+	r.publish()
+	close(w)
+}
+
+// reach waits until the duty has done the work that it was handed before.
+func (r *routingDuty) reach() {
+	w := make(reached)
+	r.ring.Push(w)
+	<-w
+}
+
 // targetAt makes the target at an address that of the owner.
 func (p *routingPair) targetAt(address string) {
 	p.owner.routing.ring.Push(announced{control.Announcement{
--- a/internal/daemon/session_end_test.go
+++ b/internal/daemon/session_end_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
@@ -27,7 +26,7 @@
 	go func() { told <- p.call(t, p.entry, "order-1", []byte("body")) }()
 	<-started
 	p.entry.routing.ring.Push(sessionEnded{session: p.entry.self})
-	time.Sleep(20 * time.Millisecond)
+	p.entry.routing.reach()
 	free <- true
 	must.Eq(t, result.OK, (<-told).Code)
 }
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -55,7 +55,7 @@
 	p, held := stopping(t)
 	d := p.owner
 	<-held.asked
-	time.Sleep(200 * time.Millisecond)
+	d.routing.reach()
 	must.False(t, d.routing.allReleased.Load())
 	held.release <- grant.Taken
 	d.await(5*time.Second, d.routing.allReleased.Load)
--- a/internal/daemon/store_duty_test.go
+++ b/internal/daemon/store_duty_test.go
@@ -34,14 +34,16 @@
 // before.
 type awayStore struct {
 	objectstore.Store
-	lost chan bool
-	back atomic.Bool
+	begun chan bool
+	lost  chan bool
+	back  atomic.Bool
 }
 
 func (s *awayStore) Get(string, string) (objectstore.Object, error) {
 	if s.back.Load() {
 		return objectstore.Object{Version: 7}, nil
 	}
+	s.begun <- true
 	<-s.lost
 	return objectstore.Object{}, &result.Error{Code: result.StoreUnavailable}
 }
@@ -50,7 +52,7 @@
 // for once it is back.
 func TestLostCallsAreGivenUpWhenTheStoreIsBack(t *testing.T) {
 	registry := metrics.NewRegistry()
-	store := &awayStore{lost: make(chan bool)}
+	store := &awayStore{begun: make(chan bool), lost: make(chan bool)}
 	defer close(store.lost)
 	duty := newStoreDuty(store, eventlog.New(io.Discard, event.Info, "a", registry), registry)
 	duty.start()
@@ -60,9 +62,9 @@
 	}
 	for range storeWorkers {
 		ask()
+		<-store.begun
 	}
 	duty.note("watch", "session", &result.Error{Code: result.StoreUnavailable})
-	time.Sleep(20 * time.Millisecond)
 	store.back.Store(true)
 	began := time.Now()
 	duty.note("watch", "session", nil)
