--- a/document/document.go
+++ b/document/document.go
@@ -82,6 +82,9 @@
 	// TargetsCheckGrants says that the targets are expected to check the
 	// grant of each request.
 	TargetsCheckGrants bool `json:"targets_check_grants"`
+	// GrantDelivery says how targets that hold slices for a time are granted
+	// them: GrantsByCall, also if it is empty, or GrantsByHeartbeat.
+	GrantDelivery GrantDelivery `json:"grant_delivery,omitempty"`
 	// QueueBound is the maximum number of requests that wait for one target.
 	QueueBound int `json:"queue_bound"`
 	// Weights are the weights of placement.
@@ -94,6 +97,17 @@
 	RetryBudget float64 `json:"retry_budget"`
 }
 
+// GrantDelivery is a way in which targets are granted slices.
+type GrantDelivery string
+
+const (
+	// GrantsByCall grants and takes back slices by calls to the target.
+	GrantsByCall GrantDelivery = "call"
+	// GrantsByHeartbeat names all slices that the target is to hold in the
+	// answer to each of its heartbeats.
+	GrantsByHeartbeat GrantDelivery = "heartbeat"
+)
+
 // Deadline gives the deadlines of an app's requests.
 type Deadline struct {
 	// Default applies to requests that name no deadline.
--- a/event/placement.go
+++ b/event/placement.go
@@ -2,30 +2,31 @@
 
 // Events of placement and handover.
 const (
-	LeadershipWon    ID = 3001
-	LeadershipLost   ID = 3002
-	LeaderStuck      ID = 3003
-	LeaderOutOfReach ID = 3004
-	SliceAssigned    ID = 3010
-	HandoverNamed    ID = 3011
-	HandoverDropped  ID = 3012
-	KeyCarvedOut     ID = 3013
-	KeyMerged        ID = 3014
-	PackApplied      ID = 3020
-	PackRefused      ID = 3021
-	PackDoubtful     ID = 3022
-	SliceAdmitted    ID = 3030
-	SliceDraining    ID = 3031
-	SliceReleased    ID = 3032
-	DrainOverdue     ID = 3033
-	SliceOverruled   ID = 3034
-	PlannedStopBegan ID = 3040
-	PlannedStopDone  ID = 3041
-	PlannedStopCut   ID = 3042
-	GrantAnswered    ID = 3050
-	GrantRenewed     ID = 3051
-	GrantRefused     ID = 3052
-	ReleaseAnswered  ID = 3053
+	LeadershipWon     ID = 3001
+	LeadershipLost    ID = 3002
+	LeaderStuck       ID = 3003
+	LeaderOutOfReach  ID = 3004
+	SliceAssigned     ID = 3010
+	HandoverNamed     ID = 3011
+	HandoverDropped   ID = 3012
+	KeyCarvedOut      ID = 3013
+	KeyMerged         ID = 3014
+	PackApplied       ID = 3020
+	PackRefused       ID = 3021
+	PackDoubtful      ID = 3022
+	SliceAdmitted     ID = 3030
+	SliceDraining     ID = 3031
+	SliceReleased     ID = 3032
+	DrainOverdue      ID = 3033
+	SliceOverruled    ID = 3034
+	PlannedStopBegan  ID = 3040
+	PlannedStopDone   ID = 3041
+	PlannedStopCut    ID = 3042
+	GrantAnswered     ID = 3050
+	GrantRenewed      ID = 3051
+	GrantRefused      ID = 3052
+	HeartbeatAnswered ID = 3056
+	ReleaseAnswered   ID = 3053
 )
 
 var placementEvents = []Def{
@@ -52,5 +53,6 @@
 	{GrantAnswered, "grant_answered", Info, "app first last epoch hold_ms token answer", "The target was asked to hold slices for a time. The answer field tells what it answered, if anything."},
 	{GrantRenewed, "grant_renewed", Debug, "app first last epoch hold_ms token answer", "The target holds slices for a further period."},
 	{GrantRefused, "grant_refused", Warn, "slice epoch", "The target knows a higher epoch of the slice. This daemon gives the slice up, and it is assigned anew."},
+	{HeartbeatAnswered, "heartbeat_answered", Debug, "held freed rows hold_ms deferred", "The target said with a heartbeat which ranges it holds and has freed. The answer grants rows of slices for a time, none if hold_ms is 0; deferred slices did not fit into it."},
 	{ReleaseAnswered, "release_answered", Info, "app first last epoch answer", "The target was asked to give slices up. The answer field tells what it answered, if anything."},
 }
--- a/grant/core.go
+++ b/grant/core.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -17,7 +16,7 @@
 	wanted    map[key.Slice]*wantedSlice
 	units     map[uint64]*unit
 	lastUnit  uint64
-	tokens    map[SliceEpoch]string // Previous owners' tokens, by epoch to grant, until used.
+	tokens    tokens
 	releasing map[key.Slice]pendingRelease
 }
 
@@ -57,7 +56,7 @@
 		leaseEnd:  mono.Never,
 		wanted:    make(map[key.Slice]*wantedSlice),
 		units:     make(map[uint64]*unit),
-		tokens:    make(map[SliceEpoch]string),
+		tokens:    make(tokens),
 		releasing: make(map[key.Slice]pendingRelease),
 	}
 }
@@ -80,8 +79,8 @@
 // SetToken stores the token that the previous owner's target returned when it
 // released a slice. The epoch is that of the grant to which the token belongs,
 // one above the previous owner's.
-func (c *Core) SetToken(s key.Slice, epoch uint64, token string) {
-	c.tokens[SliceEpoch{Slice: s, Epoch: epoch}] = token
+func (c *Core) SetToken(now mono.Time, s key.Slice, epoch uint64, token string) {
+	c.tokens.put(now, s, epoch, token)
 }
 
 // Revoke removes a slice that the session no longer owns and that another session
@@ -163,8 +162,7 @@
 	slices.SortFunc(ready, compareSlices)
 	var current *unit
 	for _, w := range ready {
-		token := c.tokens[w]
-		delete(c.tokens, w)
+		token := c.tokens.take(w)
 		delete(c.wanted, w.Slice)
 		if current != nil && follows(current.grant, w, token) {
 			current.grant.Range.Last = w.Slice.ID
@@ -187,8 +185,7 @@
 	if w.firstOwner || now.Sub(w.since) >= c.cfg.TokenWait {
 		return true
 	}
-	_, ok := c.tokens[SliceEpoch{Slice: s, Epoch: w.epoch}]
-	return ok
+	return c.tokens.has(SliceEpoch{Slice: s, Epoch: w.epoch})
 }
 
 // follows reports whether a slice extends the grant's range by one.
@@ -219,7 +216,7 @@
 	if u.calling || now.Before(u.due) || c.hasRelease(u.grant.Range) {
 		return
 	}
-	hold := c.holdTime(now)
+	hold := c.cfg.holdTime(now, c.leaseEnd)
 	if hold < c.cfg.MinHold {
 		return
 	}
@@ -229,14 +226,6 @@
 	out.Grants = append(out.Grants, u.grant)
 }
 
-// holdTime returns the duration of a grant sent now. It is short enough that a
-// target whose clock runs slow by Config.Drift ends it before the lease expires.
-func (c *Core) holdTime(now mono.Time) time.Duration {
-	left := c.leaseEnd.Sub(now) - c.cfg.Slack
-	safe := time.Duration(float64(left) / (1 + c.cfg.Drift))
-	return min(safe.Truncate(time.Millisecond), c.cfg.MaxHold)
-}
-
 // GrantAnswered handles the answer to the grant of a unit.
 func (c *Core) GrantAnswered(now mono.Time, number uint64, a Answer, out *Actions) {
 	u := c.units[number]
@@ -274,8 +263,7 @@
 // latestHoldEnd returns until when the target may hold a unit after a call that
 // ended now, by a clock that runs slow by Config.Drift.
 func (c *Core) latestHoldEnd(now mono.Time, u *unit) mono.Time {
-	slow := time.Duration(float64(u.grant.Hold) * (1 + c.cfg.Drift))
-	return now.Add(slow)
+	return now.Add(c.cfg.longestHold(u.grant.Hold))
 }
 
 // hasRelease reports whether a slice of the range is to be released.
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -100,6 +100,8 @@
 	// TokenWait is how long the grant of a slice that had another owner before
 	// waits for the token of that owner's release.
 	TokenWait time.Duration
+	// MaxAnswerBytes bounds the encoded rows of the answer to a heartbeat.
+	MaxAnswerBytes int
 }
 
 // DefaultConfig returns the default settings.
@@ -111,9 +113,26 @@
 		MinHold:   200 * time.Millisecond,
 		Retry:     100 * time.Millisecond,
 		TokenWait: 50 * time.Millisecond,
+
+		MaxAnswerBytes: 4000, // A target takes answers of up to 4 KiB with all their fields.
 	}
 }
 
+// holdTime returns the duration of a grant sent now under a lease. It is short
+// enough that a target whose clock runs slow by Drift ends it before the lease
+// expires.
+func (c Config) holdTime(now, leaseEnd mono.Time) time.Duration {
+	left := leaseEnd.Sub(now) - c.Slack
+	safe := time.Duration(float64(left) / (1 + c.Drift))
+	return min(safe.Truncate(time.Millisecond), c.MaxHold)
+}
+
+// longestHold returns how long a grant may last at a target whose clock runs
+// slow by Drift.
+func (c Config) longestHold(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold) * (1 + c.Drift))
+}
+
 // Actions holds the calls that the daemon must make, and the slices that were
 // released, or whose grant was refused. Calls for one unit are sequential: none
 // is requested before the previous one was answered.
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -87,7 +87,7 @@
 	c.SetOwned(start, slice(0), 2)
 	c.SetOwned(start, slice(1), 2)
 	must.SliceEmpty(t, tick(c, start).Grants)
-	c.SetToken(slice(0), 2, "t")
+	c.SetToken(start, slice(0), 2, "t")
 	out := tick(c, start)
 	must.Len(t, 1, out.Grants)
 	must.Eq(t, "t", out.Grants[0].Token)
--- /dev/null
+++ b/grant/heartbeat.go
@@ -0,0 +1,402 @@
+package grant
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+)
+
+const (
+	// answerTransit is how long the answer to a heartbeat takes to the target on
+	// the same host. Requests that are sent to the target earlier might overtake
+	// it.
+	answerTransit = 5 * time.Millisecond
+	// lostAnswersBeforeMiss is how many answers in a row may leave no trace in
+	// the next heartbeat before the target counts as refusing what they granted.
+	lostAnswersBeforeMiss = 2
+	// missesBeforeRefusal is how many grants of a slice the target must ignore,
+	// although it took others, before the grant counts as refused.
+	missesBeforeRefusal = 3
+)
+
+// HeartbeatCore decides what a target is granted that gets its slices in the
+// answers to its heartbeats. Each answer names everything that the target is to
+// hold; it releases what is left out. The daemon can't call such a target: each
+// change takes effect with a heartbeat.
+//
+// An answer may be lost, so that every answer counts as taken until a later
+// heartbeat of the same instance shows what the target holds. A slice that was
+// left out is released once a later heartbeat does not report it any more, or
+// once every grant of it has surely expired.
+//
+// A HeartbeatCore must be used by one goroutine. Each instance of the target needs
+// a new one, and only heartbeats of that instance, in their order, may be passed
+// to it.
+type HeartbeatCore struct {
+	cfg      Config
+	leaseEnd mono.Time
+	holdings map[key.Slice]*holding
+	tokens   tokens
+	rows     int // In the last answer.
+	// lastHeld is what the last heartbeat reported, at lastHeldAt. Until
+	// unknownUntil the target may hold any slice, granted by an earlier daemon on
+	// this host. Heartbeats say nothing of that: they may have been delayed from
+	// before this daemon started.
+	lastHeld     map[key.Slice]uint64
+	lastHeldAt   mono.Time
+	unknownUntil mono.Time
+	// lostAnswers is how many answers in a row left no trace in the heartbeat
+	// after them.
+	lostAnswers int
+	disabled    disabledChecks
+}
+
+// disabledChecks turns off single checks, so that tests of this package can show
+// that each one is needed.
+type disabledChecks struct {
+	drift       bool // The target's clock may run slow.
+	lostAnswers bool // An answer counts as taken until a heartbeat says otherwise.
+	waitForFree bool // A slice left out is held until the target reports otherwise.
+	epochs      bool // A slice reported at a lower epoch is not held at the new one.
+}
+
+// holding is a slice that the session owns, or that the target may still hold.
+type holding struct {
+	epoch uint64
+	token string // The previous owner's, until the target reports the slice.
+	// offered is set if the last answer granted the slice, and reported if the
+	// last heartbeat said that the target holds it at the epoch.
+	offered  bool
+	reported bool
+	misses   int
+	// withheld slices are left out of answers.
+	withheld bool
+	// release is the epoch of the requested release, 0 if none is requested.
+	release uint64
+	// freedToken is the token that the target returned when it released the slice.
+	freedToken string
+	// The target holds the slice from heldFrom until heldUntil, if it took the
+	// answer, and may hold it until mayHoldUntil.
+	heldFrom     mono.Time
+	heldUntil    mono.Time
+	mayHoldUntil mono.Time
+}
+
+// NewHeartbeatCore returns a HeartbeatCore for a target that holds nothing: an
+// instance that started while this daemon was running.
+func NewHeartbeatCore(cfg Config) *HeartbeatCore {
+	return &HeartbeatCore{
+		cfg:          cfg,
+		leaseEnd:     mono.Never,
+		holdings:     make(map[key.Slice]*holding),
+		tokens:       make(tokens),
+		unknownUntil: mono.Never,
+	}
+}
+
+// NewHeartbeatCoreForRunningTarget returns a HeartbeatCore for a target that may
+// have run before this daemon. It may hold what an earlier daemon granted, for as
+// long as any grant lasts.
+func NewHeartbeatCoreForRunningTarget(now mono.Time, cfg Config) *HeartbeatCore {
+	c := NewHeartbeatCore(cfg)
+	c.unknownUntil = now.Add(cfg.longestHold(cfg.MaxHold))
+	return c
+}
+
+// newHolding returns the holding of a slice that this session has not granted.
+func (c *HeartbeatCore) newHolding(s key.Slice, epoch uint64) *holding {
+	h := &holding{epoch: epoch, heldFrom: mono.Never, heldUntil: mono.Never, mayHoldUntil: c.unknownUntil}
+	if _, held := c.lastHeld[s]; held {
+		h.mayHoldUntil = c.lastHeldAt.Add(c.cfg.longestHold(c.cfg.MaxHold))
+	}
+	return h
+}
+
+// SetLease sets the instant at which the session's lease expires.
+func (c *HeartbeatCore) SetLease(until mono.Time) {
+	c.leaseEnd = until
+}
+
+// SetOwned adds a slice that the session owns at an epoch, or owns again after
+// Withhold.
+func (c *HeartbeatCore) SetOwned(_ mono.Time, s key.Slice, epoch uint64) {
+	h := c.holdings[s]
+	if h != nil && h.epoch == epoch {
+		h.withheld = h.release != 0
+		return
+	}
+	next := c.newHolding(s, epoch)
+	if h != nil {
+		next.mayHoldUntil = latest(next.mayHoldUntil, h.mayHoldUntil)
+	}
+	next.token = c.tokens.take(SliceEpoch{Slice: s, Epoch: epoch})
+	c.holdings[s] = next
+}
+
+// SetToken stores the token that the previous owner's target returned when it
+// released a slice. The epoch is that of the grant to which the token belongs,
+// one above the previous owner's.
+func (c *HeartbeatCore) SetToken(now mono.Time, s key.Slice, epoch uint64, token string) {
+	if h := c.holdings[s]; h != nil && h.epoch == epoch {
+		h.token = token
+		return
+	}
+	c.tokens.put(now, s, epoch, token)
+}
+
+// Revoke removes a slice that the session no longer owns and that another session
+// may own already, since the lease has ended and the grants have expired with it.
+func (c *HeartbeatCore) Revoke(s key.Slice) {
+	delete(c.holdings, s)
+}
+
+// Withhold leaves a slice out of the answers from now on, so that the target
+// begins no more requests for it once it has the next answer.
+func (c *HeartbeatCore) Withhold(s key.Slice) {
+	if h := c.holdings[s]; h != nil {
+		h.withheld = true
+	}
+}
+
+// RequestRelease requests the release of a slice. The slice appears in
+// Actions.Released once the target certainly does not hold it.
+func (c *HeartbeatCore) RequestRelease(_ mono.Time, s key.Slice, epoch uint64) {
+	h := c.holdings[s]
+	if h == nil {
+		h = c.newHolding(s, epoch)
+		c.holdings[s] = h
+	}
+	h.release = epoch
+	h.withheld = true
+}
+
+// Holds reports whether the target holds a slice at an instant, if the last
+// answer reached it, and the slice is not withheld.
+func (c *HeartbeatCore) Holds(now mono.Time, s key.Slice) bool {
+	h := c.holdings[s]
+	return h != nil && !h.withheld && !now.Before(h.heldFrom) && now.Before(h.heldUntil)
+}
+
+// HoldsNothing reports whether the target certainly holds nothing at an instant,
+// and no release is pending.
+func (c *HeartbeatCore) HoldsNothing(now mono.Time) bool {
+	for _, h := range c.holdings {
+		if h.release != 0 || now.Before(h.mayHoldUntil) {
+			return false
+		}
+	}
+	return true
+}
+
+// Units returns the number of rows in the last answer.
+func (c *HeartbeatCore) Units() int {
+	return c.rows
+}
+
+// Tick adds the slices to out whose release is requested and whose grants have
+// surely expired.
+func (c *HeartbeatCore) Tick(now mono.Time, out *Actions) {
+	for _, s := range c.sortedSlices() {
+		h := c.holdings[s]
+		if h.release == 0 || now.Before(h.mayHoldUntil) {
+			continue
+		}
+		delete(c.holdings, s)
+		out.Released = append(out.Released, ReleasedSlice{Slice: s, Epoch: h.release, Token: h.freedToken})
+	}
+}
+
+func (c *HeartbeatCore) sortedSlices() []key.Slice {
+	return slices.SortedFunc(maps.Keys(c.holdings), func(a, b key.Slice) int {
+		return cmp.Or(cmp.Compare(a.App, b.App), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// Observe handles the report of a heartbeat. The heartbeat must be newer than
+// every one before it: the target sent it after it had taken, or given up, the
+// answers to those.
+func (c *HeartbeatCore) Observe(now mono.Time, r Report, out *Actions) {
+	c.storeFreedTokens(r.Freed)
+	held := r.epochs()
+	countMisses := c.answerTaken(held)
+	c.lastHeld, c.lastHeldAt = held, now
+	for _, s := range c.sortedSlices() {
+		h := c.holdings[s]
+		epoch, isHeld := held[s]
+		switch {
+		case !isHeld:
+			h.mayHoldUntil = c.unknownUntil
+			c.observeMissing(s, h, countMisses, out)
+		case epoch == h.epoch || c.disabled.epochs:
+			h.reported, h.misses, h.token = true, 0, ""
+		default:
+			h.mayHoldUntil = latest(h.mayHoldUntil, now.Add(c.cfg.longestHold(c.cfg.MaxHold)))
+			c.observeMissing(s, h, countMisses, out)
+		}
+		if epoch > h.epoch {
+			refuse(s, h, out)
+		}
+	}
+	c.Tick(now, out)
+}
+
+// storeFreedTokens keeps the tokens of released slices for their next owners.
+func (c *HeartbeatCore) storeFreedTokens(freed []FreedRange) {
+	for _, f := range freed {
+		for id := f.Range.First; id <= f.Range.Last; id++ {
+			if h := c.holdings[key.Slice{App: f.Range.App, ID: id}]; h != nil && h.withheld {
+				h.freedToken = f.Token
+			}
+		}
+	}
+}
+
+// answerTaken reports whether slices that were granted in the last answer and
+// are not reported count as ignored by the target: it took others of the same
+// answer, or several answers in a row left no trace.
+func (c *HeartbeatCore) answerTaken(held map[key.Slice]uint64) bool {
+	missing, taken := false, false
+	for s, h := range c.holdings {
+		if !h.offered || h.reported {
+			continue
+		}
+		if held[s] == h.epoch {
+			taken = true
+		} else {
+			missing = true
+		}
+	}
+	if !missing || taken {
+		c.lostAnswers = 0
+		return taken
+	}
+	c.lostAnswers++
+	return c.lostAnswers > lostAnswersBeforeMiss
+}
+
+// observeMissing handles a slice that the target does not report at its epoch.
+func (c *HeartbeatCore) observeMissing(s key.Slice, h *holding, countMisses bool, out *Actions) {
+	if h.offered && !h.reported && countMisses {
+		h.misses++
+	}
+	h.reported = false
+	h.heldUntil = mono.Never
+	if h.misses >= missesBeforeRefusal {
+		refuse(s, h, out)
+	}
+}
+
+// refuse gives a slice up that the target does not take at its epoch, since it
+// has seen a higher one.
+func refuse(s key.Slice, h *holding, out *Actions) {
+	if h.withheld {
+		return
+	}
+	h.withheld = true
+	out.Refused = append(out.Refused, SliceEpoch{Slice: s, Epoch: h.epoch})
+}
+
+// Answer returns the answer to a heartbeat that arrived now. It counts as taken
+// from the moment at which it is returned, whether it reaches the target or not.
+func (c *HeartbeatCore) Answer(now mono.Time) HeartbeatAnswer {
+	hold := c.cfg.holdTime(now, c.leaseEnd)
+	if hold < c.cfg.MinHold || len(c.holdings) == 0 {
+		for _, h := range c.holdings {
+			h.offered = false
+		}
+		return HeartbeatAnswer{}
+	}
+	a := HeartbeatAnswer{Rows: c.fittingRows(), Hold: hold}
+	granted := make(map[key.Slice]bool)
+	for _, r := range a.Rows {
+		for id := r.Range.First; id <= r.Range.Last; id++ {
+			granted[key.Slice{App: r.Range.App, ID: id}] = true
+		}
+	}
+	for s, h := range c.holdings {
+		if granted[s] {
+			c.markOffered(now, h, hold)
+			continue
+		}
+		if !h.withheld {
+			a.Deferred++
+		}
+		h.offered = false
+		h.heldUntil = mono.Never
+		if c.disabled.waitForFree {
+			h.mayHoldUntil = mono.Never
+		}
+	}
+	c.rows = len(a.Rows)
+	return a
+}
+
+// markOffered records that an answer grants a slice for the given time.
+func (c *HeartbeatCore) markOffered(now mono.Time, h *holding, hold time.Duration) {
+	longest := c.cfg.longestHold(hold)
+	if c.disabled.drift {
+		longest = hold
+	}
+	if !h.reported {
+		h.heldFrom = now.Add(answerTransit)
+	}
+	h.offered = true
+	h.heldUntil = now.Add(hold - c.cfg.Slack)
+	if h.reported || !c.disabled.lostAnswers {
+		h.mayHoldUntil = latest(h.mayHoldUntil, now.Add(longest))
+	}
+}
+
+// fittingRows returns the rows of an answer that are within Config.MaxAnswerBytes.
+// Renewals come before new grants, and long rows before short ones.
+func (c *HeartbeatCore) fittingRows() []Row {
+	rows := append(c.renewals(), c.newGrants()...)
+	left := c.cfg.MaxAnswerBytes
+	for i := range rows {
+		left -= rows[i].size()
+		if left < 0 {
+			return rows[:i]
+		}
+	}
+	return rows
+}
+
+// renewals returns the rows of the slices that the target reports to hold.
+func (c *HeartbeatCore) renewals() []Row {
+	return c.rowsOf(func(h *holding) bool { return h.reported })
+}
+
+// newGrants returns the rows of the other slices. The target takes or refuses a
+// row as a whole, so that they share none with renewals, and those that it has
+// ignored before none with each other.
+func (c *HeartbeatCore) newGrants() []Row {
+	rows := c.rowsOf(func(h *holding) bool { return !h.reported && h.misses == 0 })
+	for _, s := range c.sortedSlices() {
+		if h := c.holdings[s]; !h.withheld && !h.reported && h.misses > 0 {
+			rows = append(rows, Row{Range: Range{App: s.App, First: s.ID, Last: s.ID}, Epoch: h.epoch, Token: h.token})
+		}
+	}
+	return rows
+}
+
+// rowsOf joins the matching slices that are not withheld into rows, the longest
+// first.
+func (c *HeartbeatCore) rowsOf(matches func(*holding) bool) []Row {
+	var rows []Row
+	for _, s := range c.sortedSlices() {
+		h := c.holdings[s]
+		if h.withheld || !matches(h) {
+			continue
+		}
+		if n := len(rows); n > 0 && rows[n-1].extend(s, h.epoch, h.token) {
+			continue
+		}
+		rows = append(rows, Row{Range: Range{App: s.App, First: s.ID, Last: s.ID}, Epoch: h.epoch, Token: h.token})
+	}
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(b.length(), a.length()) })
+	return rows
+}
--- /dev/null
+++ b/grant/heartbeat_model_test.go
@@ -0,0 +1,537 @@
+package grant
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/targetinstance"
+)
+
+// The model plays hosts, each with a daemon and a target that gets its slices
+// with heartbeats, and a leader that moves slices between them. Heartbeats and
+// answers are lost or late, targets crash and start again under the same name,
+// daemons are replaced, and leases end. No two targets may hold a slice at once.
+const (
+	fleetHosts  = 3
+	fleetSlices = 6
+	fleetStep   = 10 * time.Millisecond
+	fleetSteps  = 2500
+	leaseMargin = 200 * time.Millisecond
+	answerBound = time.Second // A target ignores an answer that takes longer.
+)
+
+// fleetRule is a rule that a run leaves out, to show that the model finds it.
+type fleetRule struct {
+	checks disabledChecks
+	// staleHeartbeats passes every heartbeat to the core, whatever its instance
+	// and sequence.
+	staleHeartbeats bool
+	// earlierDaemon takes a target that ran before the daemon for empty.
+	earlierDaemon bool
+}
+
+type fleetModel struct {
+	rng   *rand.Rand
+	rule  fleetRule
+	now   mono.Time
+	hosts [fleetHosts]*fleetHost
+	// slices is the leader's assignment.
+	slices    [fleetSlices]fleetAssignment
+	moved     int // Handovers with a release.
+	violation string
+}
+
+// fleetAssignment is the owner of a slice. A next owner is named when the slice is
+// to move, -1 if none is.
+type fleetAssignment struct {
+	owner, next int
+	session     int
+	epoch       uint64
+}
+
+type fleetHost struct {
+	m       *fleetModel
+	index   int
+	target  *fleetTarget
+	core    *HeartbeatCore
+	tracker targetinstance.Tracker
+	known   bool // The session has seen an instance of the target.
+	session int
+	// leaseEnd is when the session's lease ends; renewing is false while the
+	// daemon can't reach its witnesses.
+	leaseEnd  mono.Time
+	renewing  bool
+	releaseAt map[key.Slice]mono.Time // When the last request of a slice ends.
+	inbox     []fleetHeartbeat
+}
+
+// fleetTarget is one instance of a target.
+type fleetTarget struct {
+	born      int64
+	sequence  uint64
+	drift     float64
+	held      map[key.Slice]fleetHold
+	seen      map[key.Slice]uint64
+	freed     map[key.Slice]string
+	nextBeat  mono.Time
+	awaiting  uint64 // The sequence whose answer is awaited, 0 if none.
+	sentAt    mono.Time
+	answerAt  mono.Time // When the awaited answer arrives.
+	answer    HeartbeatAnswer
+	releasing bool
+}
+
+type fleetHold struct {
+	epoch   uint64
+	until   mono.Time
+	working mono.Time // Until when a request of the slice runs.
+	ending  bool
+}
+
+type fleetHeartbeat struct {
+	target   *fleetTarget
+	arrives  mono.Time
+	sequence uint64
+	report   Report
+}
+
+func runFleet(seed uint64, rule fleetRule) *fleetModel {
+	m := &fleetModel{rng: rand.New(rand.NewPCG(seed, 9)), rule: rule, now: start}
+	for i := range m.hosts {
+		m.hosts[i] = &fleetHost{m: m, index: i}
+		m.hosts[i].startTarget()
+		m.hosts[i].startSession()
+	}
+	for id := range m.slices {
+		m.slices[id] = fleetAssignment{owner: -1, next: -1}
+		m.assign(id, m.rng.IntN(fleetHosts))
+	}
+	for range fleetSteps {
+		m.now = m.now.Add(fleetStep)
+		m.step()
+		if m.violation != "" {
+			break
+		}
+	}
+	return m
+}
+
+func (m *fleetModel) step() {
+	m.disturb()
+	for id := range m.slices {
+		m.lead(id)
+	}
+	for _, h := range m.hosts {
+		h.step()
+	}
+	for id := range m.slices {
+		m.checkHolders(slice(key.SliceID(id)))
+	}
+}
+
+// disturb causes the failures of one step.
+func (m *fleetModel) disturb() {
+	h := m.hosts[m.rng.IntN(fleetHosts)]
+	switch m.rng.IntN(600) {
+	case 0:
+		h.startTarget()
+	case 1, 2:
+		h.startSession()
+	case 3:
+		h.renewing = false
+	case 4, 5, 6:
+		h.renewing = true
+	}
+}
+
+// lead moves a slice at times, and assigns the slices of a session whose lease has
+// ended to another.
+func (m *fleetModel) lead(id int) {
+	a := &m.slices[id]
+	h := m.hosts[a.owner]
+	switch {
+	case h.session == a.session && !m.now.Before(h.leaseEnd.Add(leaseMargin)):
+		m.takeOver(h)
+	case h.session == a.session && a.next < 0 && m.rng.IntN(150) == 0:
+		a.next = m.rng.IntN(fleetHosts)
+		h.handOver(slice(key.SliceID(id)))
+	}
+}
+
+// takeOver assigns the slices of a host's session, whose lease has ended, to
+// others. The host goes on with a new session.
+func (m *fleetModel) takeOver(h *fleetHost) {
+	lost := h.session
+	h.beginSession()
+	for id, a := range m.slices {
+		if a.owner == h.index && a.session == lost {
+			m.assign(id, m.rng.IntN(fleetHosts))
+		}
+	}
+}
+
+// assign makes a host the owner of a slice at the next epoch.
+func (m *fleetModel) assign(id, owner int) {
+	a := &m.slices[id]
+	h := m.hosts[owner]
+	*a = fleetAssignment{owner: owner, next: -1, session: h.session, epoch: a.epoch + 1}
+	h.core.SetOwned(m.now, slice(key.SliceID(id)), a.epoch)
+}
+
+func (m *fleetModel) fail(format string, args ...any) {
+	if m.violation == "" {
+		m.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+func (m *fleetModel) checkHolders(s key.Slice) {
+	var holders []int
+	for i, h := range m.hosts {
+		if h.target.holds(m.now, s) {
+			holders = append(holders, i)
+		}
+	}
+	if len(holders) > 1 {
+		m.fail("targets %v hold %s", holders, s)
+	}
+}
+
+// startTarget starts another instance of the target, under the same name. It has
+// nothing of the earlier one, whose heartbeats may still arrive.
+func (h *fleetHost) startTarget() {
+	born := int64(1)
+	if h.target != nil {
+		born = h.target.born + 1
+	}
+	h.target = &fleetTarget{
+		born: born, drift: h.m.rng.Float64() * 0.02, nextBeat: h.m.now.Add(fleetStep),
+		held: make(map[key.Slice]fleetHold), seen: make(map[key.Slice]uint64), freed: make(map[key.Slice]string),
+	}
+}
+
+// startSession replaces the daemon. Its successor takes over the slices of the
+// earlier session at once, since the target lives on.
+func (h *fleetHost) startSession() {
+	old := h.session
+	h.beginSession()
+	for id, a := range h.m.slices {
+		if a.owner == h.index && a.session == old && a.epoch > 0 {
+			h.m.assign(id, h.index)
+		}
+	}
+}
+
+// beginSession replaces the daemon by one that owns nothing.
+func (h *fleetHost) beginSession() {
+	h.session++
+	h.leaseEnd = h.m.now.Add(lease)
+	h.renewing = true
+	h.tracker, h.known = targetinstance.Tracker{}, false
+	h.releaseAt = make(map[key.Slice]mono.Time)
+	h.newCore(false)
+}
+
+func (h *fleetHost) newCore(newInstance bool) {
+	cfg := DefaultConfig()
+	cfg.MaxHold = lease
+	h.core = NewHeartbeatCore(cfg)
+	if !newInstance && !h.m.rule.earlierDaemon {
+		h.core = NewHeartbeatCoreForRunningTarget(h.m.now, cfg)
+	}
+	h.core.disabled = h.m.rule.checks
+}
+
+// handOver begins the handover of a slice. Its last request ends later.
+func (h *fleetHost) handOver(s key.Slice) {
+	h.core.Withhold(s)
+	h.releaseAt[s] = h.m.now.Add(time.Duration(h.m.rng.IntN(400)) * time.Millisecond)
+}
+
+func (h *fleetHost) step() {
+	m := h.m
+	if h.renewing && m.rng.IntN(30) == 0 {
+		h.leaseEnd = m.now.Add(lease)
+	}
+	h.core.SetLease(h.leaseEnd)
+	h.target.takeAnswer(m)
+	h.target.beat(h)
+	h.receive()
+	var out Actions
+	for s, at := range h.releaseAt {
+		if !m.now.Before(at) {
+			delete(h.releaseAt, s)
+			h.core.RequestRelease(m.now, s, m.slices[s.ID].epoch)
+		}
+	}
+	h.core.Tick(m.now, &out)
+	h.execute(out)
+}
+
+// receive handles the heartbeats that have arrived, also those that earlier
+// instances had sent.
+func (h *fleetHost) receive() {
+	var waiting []fleetHeartbeat
+	arrived := h.inbox
+	h.inbox = nil
+	for _, b := range arrived {
+		if b.arrives.After(h.m.now) {
+			waiting = append(waiting, b)
+			continue
+		}
+		h.handle(b)
+	}
+	h.inbox = append(h.inbox, waiting...)
+}
+
+func (h *fleetHost) handle(b fleetHeartbeat) {
+	m := h.m
+	known := h.known
+	h.known = true
+	verdict := h.tracker.Observe(m.now, targetinstance.Announcement{ID: "a", StartedMs: b.target.born, Sequence: b.sequence})
+	if m.rule.staleHeartbeats && verdict == targetinstance.Stale {
+		verdict = targetinstance.Current
+	}
+	switch verdict {
+	case targetinstance.Stale:
+		return
+	case targetinstance.NewInstance:
+		h.newCore(known)
+		h.core.SetLease(h.leaseEnd)
+		h.adoptInstance(known)
+	}
+	var out Actions
+	h.core.Observe(m.now, b.report, &out)
+	h.execute(out)
+	h.checkReported(b)
+	answer := h.core.Answer(m.now)
+	if longest := time.Duration(float64(answer.Hold) * 1.02); answer.Hold > 0 && m.now.Add(longest).After(h.leaseEnd) {
+		m.fail("a grant outlasts the lease")
+	}
+	b.target.deliver(m, b.sequence, answer)
+}
+
+// adoptInstance grants the owned slices to an instance of the target that the
+// daemon has not seen. If it replaces another one, they move to it at the next
+// epoch.
+func (h *fleetHost) adoptInstance(replaced bool) {
+	for id, a := range h.m.slices {
+		if a.owner != h.index || a.session != h.session {
+			continue
+		}
+		if replaced {
+			h.m.assign(id, h.index)
+			continue
+		}
+		h.core.SetOwned(h.m.now, slice(key.SliceID(id)), a.epoch)
+		if a.next >= 0 {
+			h.handOver(slice(key.SliceID(id)))
+		}
+	}
+}
+
+// checkReported compares what the core believes to be reported with the report.
+func (h *fleetHost) checkReported(b fleetHeartbeat) {
+	held := b.report.epochs()
+	for s, holding := range h.core.holdings {
+		if holding.reported && held[s] != holding.epoch {
+			h.m.fail("%s counts as held at epoch %d, the target reported %d", s, holding.epoch, held[s])
+		}
+	}
+}
+
+func (h *fleetHost) execute(out Actions) {
+	m := h.m
+	for _, r := range out.Released {
+		a := m.slices[r.Slice.ID]
+		if a.owner != h.index || a.session != h.session || a.epoch != r.Epoch {
+			continue
+		}
+		if h.target.holds(m.now, r.Slice) {
+			m.fail("%s is released while the target holds it", r.Slice)
+		}
+		m.moved++
+		next := max(a.next, 0)
+		if r.Token != "" {
+			m.hosts[next].core.SetToken(m.now, r.Slice, a.epoch+1, r.Token)
+		}
+		m.assign(int(r.Slice.ID), next)
+	}
+	for _, r := range out.Refused {
+		if a := m.slices[r.Slice.ID]; a.owner == h.index && a.session == h.session && a.epoch == r.Epoch {
+			h.handOver(r.Slice)
+		}
+	}
+}
+
+// holds reports whether the target would run a request of a slice, or runs one.
+func (t *fleetTarget) holds(now mono.Time, s key.Slice) bool {
+	h, ok := t.held[s]
+	return ok && (!h.ending && now.Before(h.until) || now.Before(h.working))
+}
+
+// expire drops the holds that are over.
+func (t *fleetTarget) expire(now mono.Time) {
+	t.releasing = false
+	for s, h := range t.held {
+		switch {
+		case t.holds(now, s):
+			t.releasing = t.releasing || h.ending
+		case h.ending:
+			t.freed[s] = "tok"
+			delete(t.held, s)
+		default:
+			delete(t.held, s)
+		}
+	}
+}
+
+// beat sends a heartbeat if one is due. The next one waits for its answer.
+func (t *fleetTarget) beat(h *fleetHost) {
+	now, rng := h.m.now, h.m.rng
+	t.expire(now)
+	if t.awaiting != 0 || now.Before(t.nextBeat) {
+		return
+	}
+	t.sequence++
+	t.awaiting, t.sentAt, t.answerAt = t.sequence, now, mono.Never
+	var report Report
+	for id := range key.SliceID(fleetSlices) {
+		r := Range{App: app, First: id, Last: id}
+		if hold, ok := t.held[slice(id)]; ok {
+			report.Held = append(report.Held, HeldRange{Range: r, Epoch: hold.epoch})
+		}
+		if token, ok := t.freed[slice(id)]; ok {
+			report.Freed = append(report.Freed, FreedRange{Range: r, Token: token})
+		}
+	}
+	b := fleetHeartbeat{target: t, sequence: t.sequence, report: report, arrives: now.Add(time.Duration(rng.IntN(3)) * fleetStep)}
+	switch rng.IntN(12) {
+	case 0:
+		return // Lost.
+	case 1, 2:
+		b.arrives = now.Add(time.Duration(rng.IntN(6000)) * time.Millisecond)
+	case 3:
+		h.inbox = append(h.inbox, b) // Arrives twice.
+		b.arrives = b.arrives.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+	}
+	h.inbox = append(h.inbox, b)
+}
+
+// deliver sends the answer to a heartbeat on its way to the target.
+func (t *fleetTarget) deliver(m *fleetModel, sequence uint64, a HeartbeatAnswer) {
+	if t.awaiting != sequence || t.answerAt != mono.Never {
+		return
+	}
+	t.answer = a
+	t.answerAt = m.now.Add(time.Duration(m.rng.IntN(3)) * fleetStep)
+	if m.rng.IntN(8) == 0 {
+		t.answerAt = m.now.Add(time.Duration(m.rng.IntN(1500)) * time.Millisecond)
+	}
+}
+
+// takeAnswer applies the awaited answer, or gives it up after answerBound.
+func (t *fleetTarget) takeAnswer(m *fleetModel) {
+	switch {
+	case t.awaiting == 0:
+		return
+	case m.now.Sub(t.sentAt) > answerBound:
+		t.awaiting, t.nextBeat = 0, m.now
+		return
+	case t.answerAt == mono.Never || t.answerAt.After(m.now):
+		return
+	}
+	t.awaiting = 0
+	t.apply(m, t.answer)
+	t.nextBeat = t.sentAt.Add(heartbeatInterval)
+	if t.releasing {
+		t.nextBeat = m.now.Add(100 * time.Millisecond)
+	}
+}
+
+// apply takes an answer: it releases what is left out and refuses rows with an
+// epoch below one that it has seen.
+func (t *fleetTarget) apply(m *fleetModel, a HeartbeatAnswer) {
+	clear(t.freed)
+	if a.Hold == 0 {
+		return
+	}
+	granted := make(map[key.Slice]bool)
+	until := t.sentAt.Add(time.Duration(float64(a.Hold) * (1 + t.drift)))
+	for _, r := range a.Rows {
+		if !t.accepts(r) {
+			continue
+		}
+		for id := r.Range.First; id <= r.Range.Last; id++ {
+			s := slice(id)
+			granted[s] = true
+			t.seen[s] = r.Epoch
+			t.held[s] = fleetHold{epoch: r.Epoch, until: until, working: t.held[s].working}
+		}
+	}
+	for s, h := range t.held {
+		if granted[s] || h.ending {
+			continue
+		}
+		h.ending = true
+		if !m.now.Before(h.until) {
+			continue
+		}
+		h.working = min(h.until, m.now.Add(time.Duration(m.rng.IntN(300))*time.Millisecond))
+		t.held[s] = h
+		t.releasing = true
+	}
+}
+
+func (t *fleetTarget) accepts(r Row) bool {
+	for id := r.Range.First; id <= r.Range.Last; id++ {
+		if t.seen[slice(id)] > r.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// fleetSeeds is the number of runs without a rule left out.
+var fleetSeeds = flag.Uint64("fleet-seeds", 300, "runs of the model of targets that get their slices with heartbeats")
+
+// A slice is held by one target at a time, whatever is lost or late.
+func TestHeartbeatGrantsHaveOneHolder(t *testing.T) {
+	moved := 0
+	for seed := range *fleetSeeds {
+		m := runFleet(seed, fleetRule{})
+		must.Eq(t, "", m.violation, must.Sprint("seed ", seed, " at ", m.now.Sub(start)))
+		moved += m.moved
+	}
+	must.Greater(t, 3*int(*fleetSeeds), moved, must.Sprint("slices moved"))
+}
+
+// Each check is needed: without it the model finds two holders, or a belief that
+// the target contradicts.
+func TestHeartbeatChecksAreNeeded(t *testing.T) {
+	rules := map[string]fleetRule{
+		"drift":            {checks: disabledChecks{drift: true}},
+		"lost answers":     {checks: disabledChecks{lostAnswers: true}},
+		"wait for freed":   {checks: disabledChecks{waitForFree: true}},
+		"epochs":           {checks: disabledChecks{epochs: true}},
+		"earlier daemon":   {earlierDaemon: true},
+		"stale heartbeats": {staleHeartbeats: true},
+	}
+	for name, rule := range rules {
+		t.Run(name, func(t *testing.T) {
+			for seed := range *fleetSeeds {
+				if m := runFleet(seed, rule); m.violation != "" {
+					t.Logf("seed %d: %s", seed, m.violation)
+					return
+				}
+			}
+			t.Error("no seed finds what this check prevents")
+		})
+	}
+}
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -1,30 +1,35 @@
 package daemon
 
 import (
+	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/key"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/targetinstance"
 )
 
 // HandleAnnouncement is Announce for targets that identify their instance, one
 // run of the target process, and whose announcements may arrive late. A stale
-// announcement has no effect.
-func (d *Daemon) HandleAnnouncement(a control.Announcement) error {
+// announcement has no effect. The report says what the target holds of the slices
+// that it is granted with heartbeats; the answer, what it is to hold.
+func (d *Daemon) HandleAnnouncement(a control.Announcement, report grant.Report) (grant.HeartbeatAnswer, error) {
 	d.targetMu.Lock()
 	defer d.targetMu.Unlock()
 	announced := targetinstance.Announcement{ID: a.InstanceName, StartedMs: a.StartedMs, Sequence: a.Sequence}
 	if d.targetTracker.Observe(bootclock.Now(), announced) == targetinstance.Stale {
-		return nil
+		return grant.HeartbeatAnswer{}, nil
 	}
 	if d.targetTracker.Leaving() {
 		a.State = control.StateDraining
 	}
 	a.Instance = instanceNumber(a)
 	d.lastAnnounced = a
-	_, err := d.Announce(a)
-	return err
+	if _, err := d.Announce(a); err != nil {
+		return grant.HeartbeatAnswer{}, err
+	}
+	return queryRouting(d, func(r *routingLoop, now mono.Time) grant.HeartbeatAnswer { return r.answerHeartbeat(now, report) })
 }
 
 // instanceNumber returns the number of the instance that an announcement names.
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -251,6 +251,7 @@
 		case handover.StopAdmitting:
 			changed = true
 			r.setNextOwner(a.Slice, a.Next)
+			r.withholdSlice(a)
 			r.log.Event(event.SliceDraining, "slice", a.Slice.String(), "epoch", a.Epoch, "next", a.Next.String())
 		case handover.SendRelease:
 			r.releaseSlice(now, a.Release)
--- a/internal/daemon/routing_confirm.go
+++ b/internal/daemon/routing_confirm.go
@@ -65,9 +65,7 @@
 	}
 	packsObserved{packs: []packVersion{{pack: pack, version: w.answer.object.Version}}}.handle(r, now)
 	for _, c := range pending {
-		if held, ok := r.owners.At(c.Slice); ok && held == c.To {
-			r.executeHolder(now, r.holder.ApplyChange(now, c))
-		}
+		r.beginHandover(now, c)
 	}
 }
 
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"github.com/rhubarbring/rhubarbring/assignment"
+	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
@@ -9,15 +11,23 @@
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/session"
 )
 
 // grantState is the part of the routing loop that grants slices to a target
 // which tracks them itself (a GrantHolder). Its fields are nil for other
 // targets.
 type grantState struct {
-	grantHolder  GrantHolder
-	grantCore    *grant.Core
-	grantActions grant.Actions
+	grantHolder GrantHolder
+	// granter is callGrants or heartbeatGrants, whichever is set.
+	granter         sliceGranter
+	callGrants      *grant.Core
+	heartbeatGrants *grant.HeartbeatCore
+	grantActions    grant.Actions
+	// heartbeatAt is when the target's last heartbeat was answered, and
+	// awaitingHeartbeat lists the handovers that begin with the next one.
+	heartbeatAt       mono.Time
+	awaitingHeartbeat []assignment.Change
 	// nextOwners holds the next owner of each slice that this session is
 	// releasing, if known.
 	nextOwners map[key.Slice]host.Session
@@ -26,6 +36,20 @@
 	releasedEpochs map[key.Slice]uint64
 }
 
+// sliceGranter decides which slices the target holds: a *grant.Core or a
+// *grant.HeartbeatCore.
+type sliceGranter interface {
+	SetLease(until mono.Time)
+	SetOwned(now mono.Time, s key.Slice, epoch uint64)
+	SetToken(now mono.Time, s key.Slice, epoch uint64, token string)
+	Revoke(s key.Slice)
+	RequestRelease(now mono.Time, s key.Slice, epoch uint64)
+	Holds(now mono.Time, s key.Slice) bool
+	HoldsNothing(now mono.Time) bool
+	Units() int
+	Tick(now mono.Time, out *grant.Actions)
+}
+
 // Tasks of the routing loop that concern grants.
 type (
 	grantAnswered struct {
@@ -46,7 +70,7 @@
 // slices yet. Slices that an earlier instance held are released, since another
 // instance may get them only at a higher epoch.
 func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement) {
-	earlier := r.grantCore != nil
+	earlier := r.granter != nil
 	if r.target.client != nil {
 		r.target.client.Close()
 	}
@@ -60,44 +84,75 @@
 	}
 	r.grantState = grantState{
 		grantHolder:    granter,
-		grantCore:      grant.New(grant.DefaultConfig()),
 		nextOwners:     make(map[key.Slice]host.Session),
 		releasedEpochs: make(map[key.Slice]uint64),
 	}
+	r.startGranting(now, earlier)
 	if earlier {
 		r.executeHolder(now, r.holder.DrainAll(now))
+	}
+}
+
+// startGranting starts to grant the owned slices to a target that holds them for
+// a time, in the way that the document in force says. Before there is a document,
+// no slice is owned. A target keeps the way with which it started. An instance
+// that replaced another one holds nothing yet.
+func (r *routingLoop) startGranting(now mono.Time, replaced bool) {
+	if r.grantHolder == nil || r.granter != nil {
 		return
 	}
+	app, known := r.fleet.app(r.target.app)
+	switch {
+	case !known:
+		return
+	case app.GrantDelivery == document.GrantsByHeartbeat:
+		r.heartbeatGrants = newHeartbeatCore(now, replaced)
+		r.granter = r.heartbeatGrants
+	default:
+		r.callGrants = grant.New(grant.DefaultConfig())
+		r.granter = r.callGrants
+	}
 	for _, h := range r.holder.Owned() {
-		r.grantCore.SetOwned(now, h.Slice, h.Epoch)
+		r.granter.SetOwned(now, h.Slice, h.Epoch)
+	}
+}
+
+// newHeartbeatCore returns the core for a target that gets its slices with
+// heartbeats. No grant of any daemon outlasts a lease.
+func newHeartbeatCore(now mono.Time, replaced bool) *grant.HeartbeatCore {
+	cfg := grant.DefaultConfig()
+	cfg.MaxHold = session.DefaultTiming().Lease
+	if replaced {
+		return grant.NewHeartbeatCore(cfg)
 	}
+	return grant.NewHeartbeatCoreForRunningTarget(now, cfg)
 }
 
 // targetHolds reports whether the target can run requests for a slice that the
 // session owns. A target that does not track its slices always can.
 func (r *routingLoop) targetHolds(now mono.Time, s key.Slice) bool {
-	return r.grantCore == nil || r.grantCore.Holds(now, s)
+	return r.granter == nil || r.granter.Holds(now, s)
 }
 
 // ownSlice starts granting a slice that the session now owns to the target.
 func (r *routingLoop) ownSlice(now mono.Time, s key.Slice, epoch uint64) {
-	if r.grantCore != nil {
+	if r.granter != nil {
 		delete(r.nextOwners, s)
-		r.grantCore.SetOwned(now, s, epoch)
+		r.granter.SetOwned(now, s, epoch)
 	}
 }
 
 // setNextOwner records which session gets a slice that is draining.
 func (r *routingLoop) setNextOwner(s key.Slice, next host.Session) {
-	if r.grantCore != nil {
+	if r.granter != nil {
 		r.nextOwners[s] = next
 	}
 }
 
 // dropSlice stops granting a slice that is assigned elsewhere at a newer epoch.
 func (r *routingLoop) dropSlice(s key.Slice) {
-	if r.grantCore != nil {
-		r.grantCore.Revoke(s)
+	if r.granter != nil {
+		r.granter.Revoke(s)
 	}
 }
 
@@ -105,21 +160,21 @@
 // the session released it.
 func (r *routingLoop) releaseSlice(now mono.Time, release handover.Release) {
 	s := key.Slice{App: release.App, ID: release.ID}
-	if r.grantCore == nil || r.releasedEpochs[s] == release.Epoch {
+	if r.granter == nil || r.releasedEpochs[s] == release.Epoch {
 		r.log.Event(event.SliceReleased, "slice", s.String(), "epoch", release.Epoch)
 		r.onReleased(release)
 		return
 	}
-	r.grantCore.RequestRelease(now, s, release.Epoch)
+	r.granter.RequestRelease(now, s, release.Epoch)
 }
 
 // tickGrants requests the grants and releases that are due.
 func (r *routingLoop) tickGrants(now mono.Time) {
-	if r.grantCore == nil {
+	if r.granter == nil {
 		return
 	}
-	r.grantCore.SetLease(r.leaseEnd())
-	r.grantCore.Tick(now, &r.grantActions)
+	r.granter.SetLease(r.leaseEnd())
+	r.granter.Tick(now, &r.grantActions)
 	r.executeGrants(now)
 }
 
@@ -127,10 +182,10 @@
 	out := r.grantActions
 	r.grantActions = grant.Actions{}
 	for _, g := range out.Grants {
-		go r.callGrant(r.grantCore, r.grantHolder, g)
+		go r.callGrant(r.callGrants, r.grantHolder, g)
 	}
 	for _, release := range out.Releases {
-		go r.callRelease(r.grantCore, r.grantHolder, release)
+		go r.callRelease(r.callGrants, r.grantHolder, release)
 	}
 	r.finishReleases(out.Released)
 	for _, refused := range out.Refused {
@@ -150,7 +205,7 @@
 
 func (w grantAnswered) handle(r *routingLoop, now mono.Time) {
 	g := w.grant
-	if w.core != r.grantCore {
+	if w.core != r.callGrants {
 		return
 	}
 	id := event.GrantAnswered
@@ -159,27 +214,27 @@
 	}
 	r.log.Event(id, "app", string(g.Range.App), "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
 		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.answer.String())
-	r.grantCore.GrantAnswered(now, g.Unit, w.answer, &r.grantActions)
+	r.callGrants.GrantAnswered(now, g.Unit, w.answer, &r.grantActions)
 	r.executeGrants(now)
 }
 
 func (w releaseAnswered) handle(r *routingLoop, now mono.Time) {
-	if w.core != r.grantCore {
+	if w.core != r.callGrants {
 		return
 	}
 	rel := w.release
 	r.log.Event(event.ReleaseAnswered, "app", string(rel.Range.App), "first", uint32(rel.Range.First), "last", uint32(rel.Range.Last),
 		"epoch", rel.Epoch, "answer", w.answer.String())
-	r.grantCore.ReleaseAnswered(now, rel, w.token, w.answer, &r.grantActions)
+	r.callGrants.ReleaseAnswered(now, rel, w.token, w.answer, &r.grantActions)
 	r.executeGrants(now)
 }
 
 func (w tokenReceived) handle(r *routingLoop, now mono.Time) {
-	if r.grantCore == nil {
+	if r.granter == nil {
 		return
 	}
 	for id := w.token.First; id <= w.token.Last; id++ {
-		r.grantCore.SetToken(key.Slice{App: w.token.App, ID: id}, w.token.Epoch+1, w.token.Token)
+		r.granter.SetToken(now, key.Slice{App: w.token.App, ID: id}, w.token.Epoch+1, w.token.Token)
 	}
 	r.tickGrants(now)
 }
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -288,7 +288,7 @@
 // publishStopState makes the progress of a planned stop available to
 // Daemon.Stop.
 func (r *routingLoop) publishStopState() {
-	targetReleased := r.grantCore == nil || r.grantCore.HoldsNothing(bootclock.Now())
+	targetReleased := r.granter == nil || r.granter.HoldsNothing(bootclock.Now())
 	released := r.holder.Stopped() && targetReleased
 	r.allReleased.Store(released)
 	r.idle.Store(released && len(r.retiredGates) == 0 && (r.gate == nil || r.gate.Idle()))
@@ -301,6 +301,7 @@
 	r.executeHolder(now, r.holder.Tick(now))
 	r.tickGates(now)
 	r.tickGrants(now)
+	r.tickHeartbeatHandovers(now)
 	r.expireSent(now)
 	r.chargeControlBytes(now)
 	r.report(now)
--- a/internal/daemon/routing_metrics.go
+++ b/internal/daemon/routing_metrics.go
@@ -87,8 +87,8 @@
 	if d := r.fleet.document.Load(); d != nil {
 		s.document.Update(int64(d.stored.Version))
 	}
-	if r.grantCore != nil {
-		s.grantUnits.Update(int64(r.grantCore.Units()))
+	if r.granter != nil {
+		s.grantUnits.Update(int64(r.granter.Units()))
 	}
 	if r.gate != nil {
 		load := r.gate.Load(now)
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -244,11 +244,12 @@
 	r.executeHolder(now, r.holder.ApplyChange(now, c))
 }
 
-func (w documentChanged) handle(r *routingLoop, _ mono.Time) {
+func (w documentChanged) handle(r *routingLoop, now mono.Time) {
 	r.elapsed.Reset()
 	for _, a := range w.document.Apps {
 		r.owners.SetNumericKeys(a.Name, a.KeyNumbers)
 	}
+	r.startGranting(now, false)
 }
 
 func (w sessionEnded) handle(r *routingLoop, now mono.Time) {
