Send written versions to the relays, so that their watches may be slow

Each write of a pack or of a record woke the relay of every zone.

Ruled out: reading the store less often without telling anybody; a takeover or a move would then reach other zones 2 s late.

Change: a daemon that wrote an object sends the new version to the relay of each zone, which passes it down its tree, as a difference where there is one. Such a message raises no revision, since other changes may be missing. The relays' watches of these kinds start at most every 2 s in a series of changes and bring what was lost. The daemons' own watches of the configuration have the rate limit that the relays' had, 2 a second in a series: a storm of versions is read in batches, well within configApply.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -35,6 +37,7 @@
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/retry"
 	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/spread"
 	"github.com/rhubarbring/rhubarbring/targetinstance"
 )
 
@@ -216,13 +219,13 @@
 	}, d.registry)
 	d.placement = newPlacementLoop(d, seed, d.registry)
 	d.spread = newSpreadLoop(d, seed, d.registry)
+	d.store.onWritten = d.objectWritten
 	d.routing.onReleased = func(r handover.Release) { d.placement.push(localRelease{r}) }
 	d.routing.onLoadReport = func(r placement.LoadReport) { d.placement.push(localLoad{r}) }
 	d.risk = newRiskLoop(d, seed, d.registry)
 	d.routing.onTargetGone = d.targetGone
 	d.routing.onRisk = d.raiseRisk
 	d.routing.onSettled = d.logSettlement
-	d.placement.onPackWritten = d.packWritten
 	d.placement.assignedSessions = d.assignedSessions
 }
 
@@ -248,9 +251,13 @@
 	return queryRouting(d, func(r *routingLoop, _ mono.Time) map[host.Session]bool { return r.assignedSessions() })
 }
 
-// packWritten passes a pack that this daemon wrote to the spread loop.
-func (d *Daemon) packWritten(name string, version uint64, value []byte) {
-	d.spread.ring.Push(objectWritten{objectstore.Object{Name: name, Version: version, Value: value}})
+// objectWritten passes an object that this daemon wrote to the spread loop if it
+// is of a kind that daemons exchange. If the ring is full, the relays' watches
+// bring it.
+func (d *Daemon) objectWritten(o objectstore.Object) {
+	if o.Kind != document.Kind && slices.Contains(spreadKinds, spread.Kind(o.Kind)) {
+		d.spread.ring.Push(objectWritten{o})
+	}
 }
 
 // Self returns the daemon's session.
--- a/internal/daemon/placement_loop.go
+++ b/internal/daemon/placement_loop.go
@@ -50,17 +50,13 @@
 	log    *eventlog.Log
 	ring   *ring.Ring[placementTask]
 	core   *placement.Core
-	// onPackWritten is called for each pack that this daemon wrote to the
-	// store, so that its own slices need not wait for the watch.
-	onPackWritten func(name string, version uint64, value []byte)
 	// assignedSessions returns the sessions that the daemon's map of owners
 	// contains.
 	assignedSessions func() (map[host.Session]bool, error)
 	sweeper          sweeper
 	storeHealth      storeHealth
 	leaderReach      leaderReach
-	earlyTickPending bool              // An early tick is scheduled.
-	pendingValues    map[string][]byte // values of pending pack writes, by token
+	earlyTickPending bool // An early tick is scheduled.
 	// leader and leads make the current leader available to the other loops.
 	leader atomic.Pointer[placement.Leader]
 	leads  atomic.Bool
@@ -70,17 +66,16 @@
 
 func newPlacementLoop(d *Daemon, seed uint64, registry metrics.Registry) *placementLoop {
 	return &placementLoop{
-		self:          d.self,
-		fleet:         d.fleet,
-		peers:         d.peers,
-		store:         d.store,
-		client:        d.client,
-		log:           d.log,
-		ring:          ring.New[placementTask]("placement", placementRingSize, registry),
-		core:          placement.New(placementConfig(d, seed)),
-		pendingValues: make(map[string][]byte),
-		sweeper:       sweeper{finalSince: make(map[host.Session]mono.Time)},
-		stop:          make(chan struct{}),
+		self:    d.self,
+		fleet:   d.fleet,
+		peers:   d.peers,
+		store:   d.store,
+		client:  d.client,
+		log:     d.log,
+		ring:    ring.New[placementTask]("placement", placementRingSize, registry),
+		core:    placement.New(placementConfig(d, seed)),
+		sweeper: sweeper{finalSince: make(map[host.Session]mono.Time)},
+		stop:    make(chan struct{}),
 	}
 }
 
@@ -177,9 +172,6 @@
 }
 
 func (p *placementLoop) write(a placement.Write) {
-	if a.Kind == assignment.Kind {
-		p.pendingValues[a.Token] = a.Value
-	}
 	p.store.enqueue(storeCall{
 		op: opPut, kind: a.Kind, name: a.Name, ifVersion: a.IfVersion, value: a.Value,
 		done: func(answer storeAnswer) { p.pushWait(placementPutDone{write: a, answer: answer}) },
--- a/internal/daemon/placement_tasks.go
+++ b/internal/daemon/placement_tasks.go
@@ -45,15 +45,9 @@
 func (w placementPutDone) handle(p *placementLoop, now mono.Time) {
 	p.storeHealth.record(now, w.answer.code)
 	kind, name, token := w.write.Kind, w.write.Name, w.write.Token
-	value := p.pendingValues[token]
-	delete(p.pendingValues, token)
 	switch w.answer.code {
 	case result.OK:
-		version := w.answer.object.Version
-		p.step(now, placement.WriteAccepted{Kind: kind, Name: name, Token: token, Version: version})
-		if value != nil {
-			p.onPackWritten(name, version, value)
-		}
+		p.step(now, placement.WriteAccepted{Kind: kind, Name: name, Token: token, Version: w.answer.object.Version})
 	case result.StoreConflict:
 		p.log.Event(event.PackRefused, "name", name)
 		p.step(now, placement.WriteRejected{Kind: kind, Name: name, Token: token})
--- a/internal/daemon/spread_document.go
+++ b/internal/daemon/spread_document.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/spread"
@@ -36,7 +38,9 @@
 		return
 	}
 	revision, known := uint64(0), false
+	limiter := &watchLimiter{rate: cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)}
 	for !s.stopped() {
+		s.sleep(limiter.reserve(bootclock.Now()))
 		var err error
 		if known {
 			revision, err = s.watchDocumentOnce(revision)
--- a/internal/daemon/spread_loop.go
+++ b/internal/daemon/spread_loop.go
@@ -222,7 +222,10 @@
 func (s *spreadLoop) watchDelay(kind spread.Kind) time.Duration {
 	p, ok := s.watchLimiters[kind]
 	if !ok {
-		p = &watchLimiter{rate: cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)}
+		p = &watchLimiter{rate: writtenWatchRate}
+		if kind == document.Kind {
+			p.rate = cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)
+		}
 		s.watchLimiters[kind] = p
 	}
 	return p.reserve(bootclock.Now())
--- a/internal/daemon/spread_tasks.go
+++ b/internal/daemon/spread_tasks.go
@@ -80,12 +80,10 @@
 	})
 }
 
-// The pack takes effect at once for the slices of this daemon. Other daemons
-// receive it from their zone's relay, which watches the store.
+// The version takes effect here at once, and goes to the relays of all zones.
 func (w objectWritten) handle(s *spreadLoop, now mono.Time) {
-	if err := s.adoptPack(spread.Object{Name: w.object.Name, Version: w.object.Version, Value: w.object.Value}); err == nil {
-		s.distribute(now)
-	}
+	o := spread.Object{Name: w.object.Name, Version: w.object.Version, Value: w.object.Value}
+	s.step(now, spread.Written{Kind: spread.Kind(w.object.Kind), Object: o})
 }
 
 func spreadObjects(items []objectstore.Object) []spread.Object {
--- a/internal/daemon/store_executor.go
+++ b/internal/daemon/store_executor.go
@@ -58,8 +58,11 @@
 	log      *eventlog.Log
 	ring     *ring.Ring[storeCall]
 	callTime metrics.Histogram // Time of each call, answered or not, in microseconds.
-	stop     chan struct{}
-	done     sync.WaitGroup
+	// onWritten is called for each object that was written, after its call was
+	// answered.
+	onWritten func(objectstore.Object)
+	stop      chan struct{}
+	done      sync.WaitGroup
 
 	mu           sync.Mutex
 	downSince    time.Time // zero while the store answers
@@ -72,11 +75,12 @@
 
 func newStoreExecutor(client objectstore.Store, log *eventlog.Log, registry metrics.Registry) *storeExecutor {
 	return &storeExecutor{
-		client:   client,
-		log:      log,
-		ring:     ring.New[storeCall]("store", storeRingSize, registry),
-		callTime: metrics.GetOrRegisterHistogram("store.call_us", registry, metrics.NewUniformSample(latencySampleSize)),
-		stop:     make(chan struct{}),
+		client:    client,
+		log:       log,
+		ring:      ring.New[storeCall]("store", storeRingSize, registry),
+		callTime:  metrics.GetOrRegisterHistogram("store.call_us", registry, metrics.NewUniformSample(latencySampleSize)),
+		onWritten: func(objectstore.Object) {},
+		stop:      make(chan struct{}),
 
 		lastAnswered: time.Now(),
 		recovered:    make(chan struct{}),
@@ -108,7 +112,11 @@
 	for {
 		select {
 		case call := <-s.ring.Items():
-			call.done(s.execute(call))
+			answer := s.execute(call)
+			call.done(answer)
+			if call.op == opPut && answer.code == result.OK {
+				s.onWritten(objectstore.Object{Kind: call.kind, Name: call.name, Version: answer.object.Version, Value: call.value})
+			}
 		case <-s.stop:
 			return
 		}
--- a/internal/daemon/watch_limiter.go
+++ b/internal/daemon/watch_limiter.go
@@ -13,6 +13,9 @@
 	// relay in batches.
 	watchBurst = 4
 	watchRate  = 2.0
+	// writtenWatchRate is the rate for the kinds that daemons write. Their writers
+	// send each version to the relays, so that a watch only brings what was lost.
+	writtenWatchRate = 0.5
 )
 
 // watchLimiter limits the rate of watches with a token bucket, one token for
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,8 +89,8 @@
 	// SlowWatchWait is how long a relay's watch of any kind but documents waits
 	// in the store. Default: 2s.
 	SlowWatchWait document.Duration `json:"slow_watch"`
-	// WatchesPerSecond is how many watches of a kind a relay starts per second
-	// while changes follow each other closely. Default: 2.
+	// WatchesPerSecond is how many watches of the document a daemon starts per
+	// second while changes follow each other closely. Default: 2.
 	WatchesPerSecond float64 `json:"watch_rate"`
 	// WatchDocument makes the daemon watch the document in the store itself
 	// too, for fleets so small that the store can bear the load. Default:
--- a/spread/core.go
+++ b/spread/core.go
@@ -182,6 +182,8 @@
 		c.listed(now, ev)
 	case StoreFailed:
 		c.storeFailed(ev)
+	case Written:
+		c.written(now, ev)
 	}
 	return c.out
 }
--- a/spread/event.go
+++ b/spread/event.go
@@ -6,8 +6,8 @@
 	"github.com/rhubarbring/rhubarbring/host"
 )
 
-// Event is an input to Core.Step: Tick, Members, Received, Watched, Listed or
-// StoreFailed.
+// Event is an input to Core.Step: Tick, Members, Received, Watched, Listed,
+// StoreFailed or Written.
 type Event interface{ event() }
 
 // Tick is a heartbeat. The code around the Core sends one every
@@ -50,12 +50,19 @@
 // StoreFailed answers a Watch or List that failed.
 type StoreFailed struct{ Kind Kind }
 
+// Written is a version of an object that this daemon itself wrote to the store.
+type Written struct {
+	Kind   Kind
+	Object Object
+}
+
 func (Tick) event()        {}
 func (Members) event()     {}
 func (Received) event()    {}
 func (Watched) event()     {}
 func (Listed) event()      {}
 func (StoreFailed) event() {}
+func (Written) event()     {}
 
 // Action is an output of Core.Step: Send, Watch, Unwatch, List, Adopt or CaughtUp.
 type Action interface{ action() }
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -133,6 +133,10 @@
 	if int(m.Kind) >= len(c.states) {
 		return
 	}
+	if m.isWritten() {
+		c.handleWritten(now, from, m)
+		return
+	}
 	i := int(m.Kind)
 	c.askedAt[i] = mono.Never
 	before := c.states[i].revision
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -33,7 +33,9 @@
 	storeless  *node
 	trace      func(*node, string)
 	violations []string
-	wrote      mono.Time
+	// writersTell has half of the session records written by daemons.
+	writersTell bool
+	wrote       mono.Time
 	// deadlinesChecked counts the documents whose bound was checked.
 	deadlinesChecked int
 
--- a/spread/message.go
+++ b/spread/message.go
@@ -86,7 +86,7 @@
 }
 
 // Objects carries changes of one kind: all changes after one revision up to
-// another, or a part of a snapshot.
+// another, a part of a snapshot or, if UpTo is 0, a version that a daemon wrote.
 type Objects struct {
 	_ struct{} `cbor:",toarray"`
 	// Kind is a position in Config.Kinds.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -23,7 +23,7 @@
 		case draw < 15:
 			f.writeDocument()
 		case draw < 25:
-			f.store.writeSession(f.rand.IntN(30), f.rand.IntN(3) == 0)
+			f.writeSession()
 		case draw < 37:
 			f.restart(f.nodes[f.rand.IntN(len(f.nodes))], time.Second+time.Duration(f.rand.Int64N(int64(time.Second))))
 		case draw < 40:
@@ -52,9 +52,27 @@
 	})
 }
 
+// writeSession writes or deletes a session record. With writersTell, half of the
+// writes come from daemons, which send the version to the relays.
+func (f *fleet) writeSession() {
+	if f.store.down {
+		return
+	}
+	record, deleted := f.rand.IntN(30), f.rand.IntN(3) == 0
+	if f.writersTell && !deleted && f.rand.IntN(2) == 0 {
+		f.writeFrom(f.nodes[f.rand.IntN(len(f.nodes))], sessionKey(record))
+		return
+	}
+	f.store.writeSession(record, deleted)
+}
+
+func sessionKey(i int) Key {
+	return Key{sessions, fmt.Sprintf("s%02d", i)}
+}
+
 func (s *fakeStore) writeSession(i int, deleted bool) {
 	if !s.down {
-		s.write(Key{sessions, fmt.Sprintf("s%02d", i)}, deleted)
+		s.write(sessionKey(i), deleted)
 	}
 }
 
@@ -75,9 +93,11 @@
 		zones, perZone int
 		seeds          uint64
 		length         time.Duration
+		writersTell    bool
 	}{
-		{4, 4, 12, 5 * time.Minute},
-		{4, 75, 1, time.Minute},
+		{4, 4, 12, 5 * time.Minute, false},
+		{4, 4, 12, 5 * time.Minute, true},
+		{4, 75, 1, time.Minute, true},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprint(c.zones*c.perZone), func(t *testing.T) {
@@ -85,6 +105,7 @@
 				f := newFleet(seed, c.zones, c.perZone)
 				f.store.write(testDocument, false)
 				f.loss = 0.05
+				f.writersTell = c.writersTell
 				runWithFaults(f, c.length)
 				must.SliceEmpty(t, f.violations, must.Sprintf("seed %d", seed))
 				must.Positive(t, f.deadlinesChecked)
--- a/spread/store_test.go
+++ b/spread/store_test.go
@@ -19,6 +19,10 @@
 	down     bool
 	upSince  mono.Time
 	pending  []pendingWatch
+	// watchPause is how long a watch waits before it is sent.
+	watchPause time.Duration
+	// muted makes watches answer only when their wait is over.
+	muted bool
 }
 
 type loggedChange struct {
@@ -56,7 +60,7 @@
 	waiting := s.pending
 	s.pending = nil
 	for _, w := range waiting {
-		if w.watch.Kind != k.Kind {
+		if w.watch.Kind != k.Kind || s.muted {
 			s.pending = append(s.pending, w)
 			continue
 		}
@@ -98,6 +102,20 @@
 }
 
 func (s *fakeStore) watch(n *node, a Watch) {
+	if s.watchPause == 0 {
+		s.startWatch(n, a)
+		return
+	}
+	n.calls[a.Kind]++
+	call, core := n.calls[a.Kind], n.core
+	s.fleet.schedule(s.watchPause, func() {
+		if n.alive && n.core == core && n.calls[a.Kind] == call {
+			s.startWatch(n, a)
+		}
+	})
+}
+
+func (s *fakeStore) startWatch(n *node, a Watch) {
 	call, ok := s.beginCall(n, a.Kind)
 	if !ok {
 		return
--- a/spread/tree.go
+++ b/spread/tree.go
@@ -18,7 +18,10 @@
 	fanout     int
 	members    []host.Session
 	otherZones []host.Session
-	suspects   map[host.Session]mono.Time
+	// otherRelays has the first daemon of each other zone: its relay, unless that
+	// daemon does not answer in its zone.
+	otherRelays []host.Session
+	suspects    map[host.Session]mono.Time
 }
 
 // set replaces the members: the live daemons of the own zone in the order of
@@ -30,12 +33,16 @@
 	})
 	t.members = t.members[:0]
 	t.otherZones = t.otherZones[:0]
+	t.otherRelays = t.otherRelays[:0]
 	taken := make(map[host.Zone]int)
 	for _, m := range sorted {
 		if m.Zone == t.zone {
 			t.members = append(t.members, m.Session)
 			continue
 		}
+		if taken[m.Zone] == 0 {
+			t.otherRelays = append(t.otherRelays, m.Session)
+		}
 		if taken[m.Zone] < peersPerOtherZone {
 			taken[m.Zone]++
 			t.otherZones = append(t.otherZones, m.Session)
