Reserve the link between regions for answers when their requests are sent

Servers of the price lists were lost in the south, and 50 to 118 requests a second of their app crossed the regions, downloads of 90 KB among them. The share of the link was charged with an answer only when it had arrived, and saved up 2 s of it.

Ruled out: a paused gate (two gates in different zones showed the same), the queue of the gate (the delay is there with waiting subtracted, and in one direction only).

Change: a request reserves the expected bytes of its answer; the real size takes their place when the request ends. Half a second of the share may be saved up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -227,7 +227,7 @@
 		g.sentSinceStated = 0
 	}
 	if g.tier == otherRegion {
-		b.link.Charge(now, Answers, e.Bytes+perMessageOverhead)
+		b.link.Settle(now, e.Bytes+perMessageOverhead)
 	}
 	switch e.Code {
 	case result.PeerUnreachable, result.PeerLost, result.Draining, result.TargetUnavailable:
--- a/balance/link.go
+++ b/balance/link.go
@@ -33,7 +33,8 @@
 }
 
 // LinkBudget is a token bucket for a daemon's share of the link between
-// regions. It counts the bytes by purpose and limits the requests. Answers and
+// regions. It counts the bytes by purpose and limits the requests. A request
+// reserves the expected bytes of its answer, which come later. Answers and
 // control messages can't be refused: they are charged even if that makes the
 // bucket negative, and requests are refused until it has refilled.
 type LinkBudget struct {
@@ -41,6 +42,10 @@
 	tokens     float64
 	refilledAt mono.Time
 	bytes      [purposeCount]uint64
+	// reserved is the sum of the bytes that are reserved for the answers to
+	// awaited requests.
+	reserved float64
+	awaited  int
 }
 
 // NewLink returns a LinkBudget with a full bucket.
@@ -55,21 +60,36 @@
 	l.tokens = min(l.tokens, cfg.Burst)
 }
 
-// Take charges n bytes of a request and returns true if the bucket holds at
-// least n plus the expected bytes of the answer. A request larger than the burst
+// Take charges n bytes of a request, reserves the expected bytes of the answer
+// and returns true if the bucket holds as much. A request larger than the burst
 // is let through once the bucket is full, so that a small share delays it but
-// never blocks it for good; the bucket is negative afterwards. The answer itself
-// is charged by Charge when it arrives.
+// never blocks it for good; the bucket is negative afterwards. Settle must be
+// called once the request has ended.
 func (l *LinkBudget) Take(now mono.Time, n, answer int) bool {
 	l.refill(now)
 	if l.tokens < min(float64(n+answer), l.cfg.Burst) {
 		return false
 	}
-	l.tokens -= float64(n)
+	l.tokens -= float64(n + answer)
+	l.reserved += float64(answer)
+	l.awaited++
 	l.bytes[Requests] += uint64(n)
 	return true
 }
 
+// Settle charges the bytes of an answer in place of what was reserved for one.
+// The reservations of all awaited requests count as equal.
+func (l *LinkBudget) Settle(now mono.Time, n int) {
+	l.Charge(now, Answers, n)
+	if l.awaited == 0 {
+		return
+	}
+	part := l.reserved / float64(l.awaited)
+	l.awaited--
+	l.reserved -= part
+	l.tokens = min(l.tokens+part, l.cfg.Burst)
+}
+
 // Charge charges bytes that can't be refused.
 func (l *LinkBudget) Charge(now mono.Time, p Purpose, n int) {
 	l.refill(now)
--- a/internal/daemon/gates.go
+++ b/internal/daemon/gates.go
@@ -17,7 +17,7 @@
 	bitsPerByte = 8
 	// linkBurst sizes the burst of the link budget: the bytes of the link share
 	// that accumulate in this time can be sent at once.
-	linkBurst = 2 * time.Second
+	linkBurst = 500 * time.Millisecond
 )
 
 // gatesChanged makes the routing loop rebuild the list of gates from the
