Let requests wait for the heartbeat that brings their slice

Ruled out: asking for earlier heartbeats (nothing makes a target call earlier); granting before the old owner's target has released.

Change: gate.SliceWaiters. An idempotent request for a slice that comes within half of its time waits and is passed to the gate when the answer has reached the target, with its limits reduced by the wait. Others are refused at once as before: the gate drops requests that are not idempotent and out of the order of their numbers.

--- a/grant/heartbeat.go
+++ b/grant/heartbeat.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// answerTransit is how long the answer to a heartbeat takes to the target on
+	// AnswerTransit is how long the answer to a heartbeat takes to the target on
 	// the same host. Requests that are sent to the target earlier might overtake
 	// it.
-	answerTransit = 5 * time.Millisecond
+	AnswerTransit = 5 * time.Millisecond
 	// lostAnswersBeforeMiss is how many answers in a row may leave no trace in
 	// the next heartbeat before the target counts as refusing what they granted.
 	lostAnswersBeforeMiss = 2
@@ -181,6 +181,20 @@
 	return h != nil && !h.withheld && !now.Before(h.heldFrom) && now.Before(h.heldUntil)
 }
 
+// HeldFrom returns when the target is expected to hold a slice, if its next
+// heartbeat comes at the given instant. It returns false if the slice is not to be
+// granted.
+func (c *HeartbeatCore) HeldFrom(now, nextHeartbeat mono.Time, s key.Slice) (mono.Time, bool) {
+	h := c.holdings[s]
+	if h == nil || h.withheld {
+		return 0, false
+	}
+	if h.offered && now.Before(h.heldFrom) {
+		return h.heldFrom, true
+	}
+	return nextHeartbeat.Add(AnswerTransit), true
+}
+
 // HoldsNothing reports whether the target certainly holds nothing at an instant,
 // and no release is pending.
 func (c *HeartbeatCore) HoldsNothing(now mono.Time) bool {
@@ -342,7 +356,7 @@
 		longest = hold
 	}
 	if !h.reported {
-		h.heldFrom = now.Add(answerTransit)
+		h.heldFrom = now.Add(AnswerTransit)
 	}
 	h.offered = true
 	h.heldUntil = now.Add(hold - c.cfg.Slack)
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -90,9 +90,7 @@
 
 func (r *routingLoop) cancel(now mono.Time, c request.SendCancel) {
 	if c.To == r.self {
-		if r.gate != nil {
-			r.gate.CancelReceived(now, r.self, c.Cancel, &r.gateActions)
-		}
+		r.cancelAtGate(now, r.self, c.Cancel)
 		return
 	}
 	s, ok := r.sentRequests[c.Cancel.Seq]
@@ -104,6 +102,14 @@
 	}
 }
 
+// cancelAtGate ends a request that waits or runs here.
+func (r *routingLoop) cancelAtGate(now mono.Time, from host.Session, c request.Cancel) {
+	if r.sliceWaiters.Cancel(from, c.Seq) || r.gate == nil {
+		return
+	}
+	r.gate.CancelReceived(now, from, c, &r.gateActions)
+}
+
 // ack tells a gate which of its answers reached their callers. If an
 // acknowledgement is lost and this daemon is lost later, the gate reports an
 // outcome as at risk although it is known.
@@ -135,9 +141,15 @@
 	waiting.reply <- a
 }
 
-// deliverToGate passes a request to the gate, or refuses it if there is no gate
-// yet.
+// deliverToGate passes a request to the gate, unless it waits for its slice first.
 func (r *routingLoop) deliverToGate(now mono.Time, from host.Session, req *request.Request) {
+	if !r.waitForSlice(now, from, req) {
+		r.passToGate(now, from, req)
+	}
+}
+
+// passToGate passes a request to the gate, or refuses it if there is no gate yet.
+func (r *routingLoop) passToGate(now mono.Time, from host.Session, req *request.Request) {
 	if r.gate != nil {
 		before := len(r.gateActions.Answers)
 		r.gate.RequestReceived(now, wallMs(), from, req, &r.gateActions)
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
@@ -27,6 +29,7 @@
 	// heartbeatAt is when the target's last heartbeat was answered, and
 	// awaitingHeartbeat lists the handovers that begin with the next one.
 	heartbeatAt       mono.Time
+	heartbeatInterval time.Duration // Between the last two that were not early.
 	awaitingHeartbeat []assignment.Change
 	// nextOwners holds the next owner of each slice that this session is
 	// releasing, if known.
--- a/internal/daemon/routing_heartbeat_test.go
+++ b/internal/daemon/routing_heartbeat_test.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/settings"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -44,7 +45,7 @@
 	h.r.onReleased = func(rel handover.Release) { h.released = append(h.released, rel) }
 	d.lease.leaseEndsAt.Store(int64(h.now.Add(time.Minute)))
 	h.r.holder.SetLease(h.now.Add(time.Minute))
-	doc := &document.Document{Apps: []document.App{{Name: "katalog", DividedByKey: true, Slices: 1, GrantDelivery: document.GrantsByHeartbeat}}}
+	doc := &document.Document{Apps: []document.App{{Name: "katalog", DividedByKey: true, Slices: 1, QueueBound: 24, GrantDelivery: document.GrantsByHeartbeat}}}
 	d.fleet.adopt(&document.Stored{Version: 1}, doc)
 	targetAnnounced{control.Announcement{App: "katalog", Address: "held", Slots: 12, ChecksGrants: true, State: control.StateWarm, Instance: 1}}.handle(h.r, h.now)
 	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1})
@@ -139,3 +140,43 @@
 	h.r.sessionOver = true
 	must.Eq(t, grant.HeartbeatAnswer{}, h.heartbeat(time.Second, grant.Report{}))
 }
+
+func (h *heartbeatHost) deliver(seq uint64) {
+	h.r.deliverToGate(h.now, h.r.self, &request.Request{
+		ID: "a", App: "katalog", Seq: seq, Epoch: 1, Idempotent: true, FreshID: true, Budget: 3 * time.Second,
+	})
+}
+
+// A request for a slice that the target gets with its next heartbeat waits for it
+// and then runs. It is not refused, since every gate would refuse it until then.
+func TestRequestWaitsForHeartbeat(t *testing.T) {
+	h := newHeartbeatHost(t)
+	h.r.heartbeatAt = h.now // A heartbeat before the slice was owned.
+	h.deliver(1)
+	h.deliver(2)
+	must.Eq(t, 2, h.r.sliceWaiters.Len())
+	must.SliceEmpty(t, h.r.gateActions.Answers)
+	h.r.cancelAtGate(h.now, h.r.self, request.Cancel{Seq: 2})
+	h.heartbeat(500*time.Millisecond, grant.Report{})
+	h.r.deliverWaiters(h.now)
+	must.SliceEmpty(t, h.r.gateActions.Starts, must.Sprint("the answer is on its way"))
+	h.now = h.now.Add(grant.AnswerTransit)
+	h.r.deliverWaiters(h.now)
+	must.SliceEmpty(t, h.r.gateActions.Answers)
+	must.Len(t, 1, h.r.gateActions.Starts)
+	must.Eq(t, 1, h.r.gateActions.Starts[0].Request.Seq)
+}
+
+// A request does not wait for a slice that is being handed over, nor after the
+// session has ended.
+func TestRequestDoesNotWaitForLostSlice(t *testing.T) {
+	h := newHeartbeatHost(t)
+	h.r.heartbeatAt = h.now
+	h.deliver(1)
+	h.r.sessionOver = true
+	h.r.deliverWaiters(h.now)
+	must.Zero(t, h.r.sliceWaiters.Len())
+	must.Len(t, 1, h.r.gateActions.Answers)
+	h.deliver(2)
+	must.Len(t, 2, h.r.gateActions.Answers)
+}
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -95,6 +95,9 @@
 	owners              *assignment.Map
 	gate                *gate.Gate // nil until a target has announced itself
 	target              *localTarget
+	// sliceWaiters holds requests whose slices the target gets with its next
+	// heartbeat.
+	sliceWaiters *gate.SliceWaiters
 	// retiredGates are the gates of earlier targets that still have runs.
 	retiredGates []*gate.Gate
 	// onReleased is called for each release; it goes to the placement leader.
@@ -211,6 +214,7 @@
 		entryConns:     make(map[host.Session]*peer.Conn),
 		mergedAtMs:     make(map[key.Slice]int64),
 		unconfirmed:    make(map[string][]assignment.Change),
+		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
 		meter:          loadmeter.New(bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
@@ -302,6 +306,7 @@
 	r.tickGates(now)
 	r.tickGrants(now)
 	r.tickHeartbeatHandovers(now)
+	r.deliverWaiters(now)
 	r.expireSent(now)
 	r.chargeControlBytes(now)
 	r.report(now)
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -97,9 +97,7 @@
 }
 
 func (w cancelReceived) handle(r *routingLoop, now mono.Time) {
-	if r.gate != nil {
-		r.gate.CancelReceived(now, w.from.Session(), w.cancel, &r.gateActions)
-	}
+	r.cancelAtGate(now, w.from.Session(), w.cancel)
 }
 
 func (w ackReceived) handle(r *routingLoop, _ mono.Time) {
@@ -138,6 +136,7 @@
 		return
 	}
 	delete(r.entryConns, from)
+	r.sliceWaiters.DropFrom(from)
 	for _, g := range r.gates() {
 		g.EntryDisconnected(now, from, &r.gateActions)
 	}
