Hand slices over without a read where the pack comes from its writer

Cause: an owner that is told to hand a slice over first reads the pack from the store, so that it keeps the slice while the store is down.

Change: a pack that its writer sent has just been written; its handovers begin at once, unless this daemon's own last call to the store failed. Documents are never taken from a writer: they are staged.

Test: TestSliceIsNotReleasedWhileStoreIsDown has both cases.

--- a/internal/daemon/routing_confirm.go
+++ b/internal/daemon/routing_confirm.go
@@ -14,8 +14,9 @@
 
 // requiresRelease reports whether a change makes this daemon release a slice. A
 // release cannot be undone, and the slice gets its next owner only by a write
-// to the store. Therefore the pack is first read from the store: while the
-// store is down, the slice stays here and is served.
+// to the store. Therefore the pack is first read from the store, unless it came
+// from its writer just now: while the store is down, the slice stays here and is
+// served.
 func (r *routingLoop) requiresRelease(c assignment.Change) bool {
 	next := c.To.Next
 	return !c.Merged && c.To.Owner == r.self && !next.IsZero() && next != r.self
--- a/internal/daemon/routing_confirm_test.go
+++ b/internal/daemon/routing_confirm_test.go
@@ -37,13 +37,14 @@
 	r.holder.SetLease(now + mono.Time(1<<40))
 	slice := key.Slice{App: "catalogue", ID: 0}
 	pack := assignment.NewPack("catalogue", 1, 0)
+	epoch, written := uint64(1), false
 	observePack := func(version uint64, next host.Session) []byte {
-		must.True(t, pack.Set(0, assignment.Ownership{Owner: d.self, Epoch: 1, Next: next}))
+		must.True(t, pack.Set(0, assignment.Ownership{Owner: d.self, Epoch: epoch, Next: next}))
 		raw, err := pack.Encode()
 		must.NoError(t, err)
 		seen, err := assignment.Decode(raw)
 		must.NoError(t, err)
-		packsObserved{packs: []packVersion{{pack: seen, version: version}}}.handle(r, now)
+		packsObserved{packs: []packVersion{{pack: seen, version: version, written: written}}}.handle(r, now)
 		return raw
 	}
 	observePack(1, host.NoSession)
@@ -58,5 +59,18 @@
 	packRead{name: name, answer: storeAnswer{code: result.OK, object: object}}.handle(r, now)
 	must.False(t, r.holder.Admits(now, slice).Admitted())
 	must.SliceLen(t, 1, released)
+	// A pack that comes from its writer shows that the store takes writes, unless
+	// this daemon's own calls fail.
+	epoch, written = 2, true
+	observePack(3, host.NoSession)
+	d.store.recordResult("get", "x", &result.Error{Code: result.StoreUnavailable})
+	observePack(4, host.Session{Host: "h2", Incarnation: 1})
+	must.True(t, r.holder.Admits(now, slice).Admitted())
+	d.store.recordResult("get", "x", nil)
+	epoch = 3
+	observePack(5, host.NoSession)
+	observePack(6, host.Session{Host: "h2", Incarnation: 1})
+	must.False(t, r.holder.Admits(now, slice).Admitted())
+	must.SliceLen(t, 2, released)
 	close(r.stop) // Ends the pending retry.
 }
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -66,10 +66,12 @@
 	drainGate struct{}
 )
 
-// packVersion is a pack with its object version in the store.
+// packVersion is a pack with its object version in the store. It is written if it
+// came from the daemon that wrote it, just after the store had taken it.
 type packVersion struct {
 	pack    *assignment.Pack
 	version uint64
+	written bool
 }
 
 func (w requestSubmitted) handle(r *routingLoop, now mono.Time) {
@@ -197,7 +199,7 @@
 func (w packsObserved) handle(r *routingLoop, now mono.Time) {
 	for _, p := range w.packs {
 		for _, change := range r.owners.PutPack(p.pack, p.version) {
-			r.applyChange(now, change)
+			r.applyChange(now, change, p.written)
 		}
 	}
 	r.router.MapChanged(now, &r.routerActions)
@@ -230,17 +232,21 @@
 }
 
 // applyChange passes a change of an assignment to the holder. A change that
-// requires a release is confirmed with the store first.
-func (r *routingLoop) applyChange(now mono.Time, c assignment.Change) {
+// requires a release is confirmed with the store first, unless its writer has just
+// done so.
+func (r *routingLoop) applyChange(now mono.Time, c assignment.Change, written bool) {
 	if c.Merged {
 		r.mergedAtMs[key.Slice{App: c.Slice.App, ID: c.Parent}] = wallMs()
 	}
 	r.history.add(wallMs(), c)
-	if r.requiresRelease(c) {
+	switch {
+	case !r.requiresRelease(c):
+		r.executeHolder(now, r.holder.ApplyChange(now, c))
+	case written && r.store.reachable():
+		r.beginHandover(now, c)
+	default:
 		r.confirmChange(c)
-		return
 	}
-	r.executeHolder(now, r.holder.ApplyChange(now, c))
 }
 
 func (w documentChanged) handle(r *routingLoop, now mono.Time) {
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -28,7 +28,7 @@
 	case session.ObjectKind:
 		err = s.adoptSession(a.Object)
 	case assignment.Kind:
-		err = s.adoptPack(a.Object)
+		err = s.adoptPack(a.Object, a.Written)
 	case placement.LeaderKind:
 		err = s.adoptLeader(a)
 	}
@@ -78,7 +78,7 @@
 	return nil
 }
 
-func (s *spreadLoop) adoptPack(o spread.Object) error {
+func (s *spreadLoop) adoptPack(o spread.Object, written bool) error {
 	if o.Deleted {
 		return nil
 	}
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	s.adopted.packs = append(s.adopted.packs, packVersion{pack: pack, version: o.Version})
+	s.adopted.packs = append(s.adopted.packs, packVersion{pack: pack, version: o.Version, written: written})
 	return nil
 }
 
--- a/spread/adopt.go
+++ b/spread/adopt.go
@@ -58,6 +58,13 @@
 	c.emit(Adopt{Key: Key{Kind: c.cfg.Kinds[i], Name: o.Name}, Object: o})
 }
 
+// adoptWritten adopts a newly stored version that came from its writer.
+func (c *Core) adoptWritten(i int, name string) {
+	if c.caughtUp {
+		c.emit(Adopt{Key: Key{Kind: c.cfg.Kinds[i], Name: name}, Object: c.states[i].objects[name].object, Written: true})
+	}
+}
+
 // adoptStaged adopts the staged versions that another daemon holds too, or that
 // have been staged for maxStagingTime. A version that has been replaced by a newer
 // one is dropped.
--- a/spread/event.go
+++ b/spread/event.go
@@ -95,6 +95,9 @@
 type Adopt struct {
 	Key    Key
 	Object Object
+	// Written reports that the version came from its writer, whose write the store
+	// has just taken.
+	Written bool
 }
 
 // CaughtUp reports that the daemon has caught up since it started. It follows
--- a/spread/written.go
+++ b/spread/written.go
@@ -8,15 +8,16 @@
 // A daemon that has written an object to the store sends the new version to the
 // relay of each zone, which passes it down its tree. The relays' watches need
 // not be quick then: they only make up for what was lost. Such a message says
-// nothing of other objects, so that it raises no revision.
+// nothing of other objects, so that it raises no revision. Objects of the first
+// kind are not sent so: operators write them, and they are staged.
 
 // written handles the version of an object that this daemon wrote to the store.
 func (c *Core) written(now mono.Time, ev Written) {
 	i := c.kindIndex(ev.Kind)
-	if i < 0 || c.states[i].put(ev.Object) != putApplied {
+	if i <= 0 || c.states[i].put(ev.Object) != putApplied {
 		return
 	}
-	c.stageOrAdopt(now, i, ev.Object.Name, false)
+	c.adoptWritten(i, ev.Object.Name)
 	to := c.tree.otherRelays
 	if _, ranked := c.tree.rank(); len(ranked) > 0 {
 		to = append(to[:len(to):len(to)], ranked[0])
@@ -29,13 +30,16 @@
 // the next watch or heartbeat brings the object.
 func (c *Core) handleWritten(now mono.Time, from host.Session, m *Objects) {
 	i := int(m.Kind)
+	if i == 0 {
+		return
+	}
 	for _, o := range m.Items {
 		if c.cfg.Accept != nil && !c.cfg.Accept(Key{Kind: c.cfg.Kinds[i], Name: o.Name}) {
 			continue
 		}
 		switch c.states[i].put(o) {
 		case putApplied:
-			c.stageOrAdopt(now, i, o.Name, false)
+			c.adoptWritten(i, o.Name)
 			c.sendWritten(i, o.Name, c.children(now), from)
 		case putBaseMismatch:
 			c.needWhole[i] = true
