Keep large answers from filling the host's own link

The hosts of that app have links of 14 Mbit/s, which carry 19 downloads of 90 KB a second; eight of them are asked for some 250. Everything else that such a host sends waited behind them: checks that orders wait for, renewals of leases, heartbeats.

Change: gate.HostLink. The gate's daemon knows the capacity of its host's link from the settings (host_link_mbps) and the mean answer of each route. A request of another daemon whose large answer the link can't carry within 0.2 s beyond its run is refused when it comes, with the time after which there is room, and goes to another gate. Small answers are never refused, nor requests that must not run twice: these may be duplicates, which only the gate can tell. Three quarters of the link count.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -326,6 +326,14 @@
 	return g.cfg.RetryAfter
 }
 
+// RefuseFull refuses a request that the target has not seen, since something else
+// on the way of its answer has no room.
+func (g *Gate) RefuseFull(now mono.Time, from host.Session, r *request.Request, retryAfter time.Duration, out *Actions) {
+	g.counters.Arrived++
+	w := waiter{from: from, attempt: r.Attempt, seq: r.Seq}
+	g.refuseRequest(now, w, r, result.QueueFull, Admission{}, max(retryAfter, g.cfg.MinRetryAfter), out)
+}
+
 // refuseRequest answers an attempt that is not admitted.
 func (g *Gate) refuseRequest(now mono.Time, w waiter, r *request.Request, code result.Code, adm Admission, retryAfter time.Duration, out *Actions) {
 	g.counters.Refused++
--- a/gate/target.go
+++ b/gate/target.go
@@ -252,6 +252,11 @@
 	e.add(took)
 }
 
+// ServiceTime returns the mean service time of a route, 0 if it is not known.
+func (g *Gate) ServiceTime(route string) time.Duration {
+	return g.serviceTimeOf(route).mean()
+}
+
 // serviceTimeOf returns the moving average of a route's service time. It is
 // empty, with mean 0, for a route that was never served, so that its requests
 // are tried.
--- a/internal/daemon/gates.go
+++ b/internal/daemon/gates.go
@@ -14,7 +14,11 @@
 )
 
 const (
-	bitsPerByte = 8
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
+	// hostLinkShare is the part of the host's link that answers may fill. The rest
+	// is for what the daemon sends as an entry, and for the target's host itself.
+	hostLinkShare = 0.75
 	// linkBurst sizes the burst of the link budget: the bytes of the link share
 	// that accumulate in this time can be sent at once.
 	linkBurst = 500 * time.Millisecond
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -151,6 +151,10 @@
 // passToGate passes a request to the gate, or refuses it if there is no gate yet.
 func (r *routingLoop) passToGate(now mono.Time, from host.Session, req *request.Request) {
 	if r.gate != nil {
+		if wait, ok := r.reserveHostLink(now, from, req); !ok {
+			r.gate.RefuseFull(now, from, req, wait, &r.gateActions)
+			return
+		}
 		before := len(r.gateActions.Answers)
 		r.gate.RequestReceived(now, wallMs(), from, req, &r.gateActions)
 		r.meterRefusal(req, r.gateActions.Answers[before:])
@@ -160,6 +164,17 @@
 	r.gateActions.Answers = append(r.gateActions.Answers, gate.Answer{To: from, Answer: a})
 }
 
+// reserveHostLink reserves room on this host's link for the answer to a request of
+// another daemon. If there is none it returns false and after which time there
+// will be. A request that is not idempotent is never refused here: it may be a
+// duplicate, which only the gate can tell.
+func (r *routingLoop) reserveHostLink(now mono.Time, from host.Session, req *request.Request) (time.Duration, bool) {
+	if r.hostLink == nil || from == r.self || !req.Idempotent {
+		return 0, true
+	}
+	return r.hostLink.Reserve(now, from, req.Seq, req.Route, r.gate.ServiceTime(req.Route))
+}
+
 // meterRefusal adds load to the slice of a request that was refused because the
 // target's queue was full, so that the slice can move to another daemon although
 // none of its requests run. Callers repeat refused requests, so each refusal
@@ -210,6 +225,9 @@
 		r.router.Answered(now, r.self, a.Answer, &r.routerActions)
 		return
 	}
+	if r.hostLink != nil {
+		r.hostLink.Answered(now, a.To, a.Answer.Seq, len(a.Answer.Body)+len(a.Answer.Header), a.Answer.Code == result.OK)
+	}
 	conn, ok := r.entryConns[a.To]
 	if !ok {
 		return
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -98,6 +98,8 @@
 	// sliceWaiters holds requests whose slices the target gets with its next
 	// heartbeat.
 	sliceWaiters *gate.SliceWaiters
+	// hostLink limits large answers; nil if the settings name no link.
+	hostLink *gate.HostLink
 	// retiredGates are the gates of earlier targets that still have runs.
 	retiredGates []*gate.Gate
 	// onReleased is called for each release; it goes to the placement leader.
@@ -218,6 +220,9 @@
 		meter:          loadmeter.New(bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
+	if mbps := d.settings.HostLinkMbps; mbps > 0 {
+		r.hostLink = gate.NewHostLink(mbps * hostLinkShare * bitsPerMegabit / bitsPerByte)
+	}
 	cfg.Self = d.self
 	cfg.Map = r
 	balancerConfig := balance.DefaultConfig()
@@ -322,6 +327,9 @@
 	}
 	r.nextExpiry = now.Add(expiryInterval)
 	r.updateGauges(now)
+	if r.hostLink != nil {
+		r.hostLink.Expire(now)
+	}
 	for seq, s := range r.sentRequests {
 		if now.Sub(s.at) > sentRetention {
 			delete(r.sentRequests, seq)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,6 +147,10 @@
 	Stop PlannedStop `json:"stop"`
 	// Spread sets how documents and assignments are distributed to the daemon.
 	Spread Spread `json:"spread"`
+	// HostLinkMbps is the capacity of the host's link in megabits per second.
+	// Requests with large answers are refused while it is full. Default: 0, not
+	// limited.
+	HostLinkMbps float64 `json:"host_link_mbps"`
 	// Seed is the seed of the daemon's random number generators. Some of them
 	// also use the time of the start. Default: 0.
 	Seed uint64 `json:"seed"`
@@ -225,6 +229,9 @@
 			return err
 		}
 	}
+	if d.HostLinkMbps < 0 {
+		return newError("host_link_mbps", "the capacity is below 0", "write the megabits per second, or leave the field out")
+	}
 	if d.DebugAddress == "" {
 		return nil
 	}
