Queue no more than the slots before the first run; end withdrawn reservations

Until a run has ended no wait can be estimated, so that everything was queued up to the bound, and most of it missed its deadline. Now no more wait than there are slots until then; the others are refused and may come back. Test: 100 requests at once for 9 slots: 9 run, 9 wait, 82 are refused at once; before, none was refused (the test fails without the change).

HostLink kept the reservation of a request that was withdrawn, since it gets no answer, for 30 s: callers who leave would have kept others from the link. It ends with the cancellation and with the loss of the entry daemon (TestWithdrawnRequestsReleaseReservations).

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -199,6 +199,9 @@
 	if excess := g.excessWait(now, r, wait); excess > 0 {
 		return result.QueueFull, g.retryAfterExcess(now, r, excess)
 	}
+	if r.LatencyTarget > 0 && g.queueFullUntried(now) {
+		return result.QueueFull, g.cfg.MinRetryAfter
+	}
 	q := g.queueOf(r.Class)
 	if q.len() >= g.cfg.MaxQueued || q.bodyBytes+len(r.Body) > g.cfg.MaxQueuedBytes {
 		return result.QueueFull, max(wait, g.cfg.RetryAfter)
@@ -206,6 +209,13 @@
 	return result.OK, 0
 }
 
+// queueFullUntried reports whether as many requests wait as there are slots while no
+// run has ended yet. Until one has, no wait can be estimated, and a gate that has
+// just started would queue more than its target serves before their deadlines.
+func (g *Gate) queueFullUntried(now mono.Time) bool {
+	return !g.serviceTime.seen && g.urgent.len()+g.normal.len() >= g.usableSlots(now)
+}
+
 // missesDeadline reports whether a request will likely miss its deadline, given
 // its wait for a slot and the time left. An idle target gets requests whatever
 // its estimated service time, since otherwise a high estimate would never be
--- a/gate/host_link.go
+++ b/gate/host_link.go
@@ -15,7 +15,7 @@
 	// host's link.
 	maxLinkWait = 200 * time.Millisecond
 	// reservationTimeout is after when a reservation is dropped whose request was
-	// never answered, since its caller had left. It exceeds any deadline.
+	// never answered. It exceeds any deadline.
 	reservationTimeout = 30 * time.Second
 )
 
@@ -64,8 +64,10 @@
 			return time.Duration(excess / l.bytesPerSecond * float64(time.Second)), false
 		}
 	}
+	key := awaitedAnswer{from: from, seq: seq}
+	l.release(key)
 	l.reserved += size
-	l.awaited[awaitedAnswer{from: from, seq: seq}] = reservation{route: route, bytes: size, at: now}
+	l.awaited[key] = reservation{route: route, bytes: size, at: now}
 	return 0, true
 }
 
@@ -74,14 +76,8 @@
 func (l *HostLink) Answered(now mono.Time, from host.Session, seq uint64, bytes int, fromTarget bool) {
 	l.carry(now)
 	l.queued += float64(bytes)
-	key := awaitedAnswer{from: from, seq: seq}
-	r, ok := l.awaited[key]
-	if !ok {
-		return
-	}
-	delete(l.awaited, key)
-	l.reserved -= r.bytes
-	if !fromTarget {
+	r, ok := l.release(awaitedAnswer{from: from, seq: seq})
+	if !ok || !fromTarget {
 		return
 	}
 	mean, known := l.sizes[r.route]
@@ -93,12 +89,33 @@
 	}
 }
 
+// Cancel ends the reservation of a request that was withdrawn.
+func (l *HostLink) Cancel(from host.Session, seq uint64) {
+	l.release(awaitedAnswer{from: from, seq: seq})
+}
+
+// DropFrom ends the reservations of an entry daemon that is lost.
+func (l *HostLink) DropFrom(from host.Session) {
+	for key := range l.awaited {
+		if key.from == from {
+			l.release(key)
+		}
+	}
+}
+
+// release ends a reservation, if there is one, and returns it.
+func (l *HostLink) release(key awaitedAnswer) (reservation, bool) {
+	r, ok := l.awaited[key]
+	delete(l.awaited, key)
+	l.reserved -= r.bytes
+	return r, ok
+}
+
 // Expire drops the reservations of requests that were never answered.
 func (l *HostLink) Expire(now mono.Time) {
 	for key, r := range l.awaited {
 		if now.Sub(r.at) >= reservationTimeout {
-			l.reserved -= r.bytes
-			delete(l.awaited, key)
+			l.release(key)
 		}
 	}
 }
--- a/gate/host_link_test.go
+++ b/gate/host_link_test.go
@@ -100,3 +100,20 @@
 	must.Zero(t, l.reserved)
 	must.Eq(t, priceList, l.sizes["list"])
 }
+
+// Requests that are withdrawn get no answer. Their reservations end at once, or a
+// burst of callers that leave would keep others from the link.
+func TestWithdrawnRequestsReleaseReservations(t *testing.T) {
+	l := NewHostLink(hostLinkBytes)
+	l.sizes["list"] = priceList
+	for seq := range uint64(3) {
+		_, ok := l.Reserve(waitStart, waitEntry, seq, "list", 150*time.Millisecond)
+		must.True(t, ok)
+	}
+	l.Cancel(waitEntry, 0)
+	l.Cancel(waitEntry, 0)
+	must.Eq(t, 2*priceList, l.reserved)
+	l.DropFrom(waitEntry)
+	must.Zero(t, l.reserved)
+	must.MapEmpty(t, l.awaited)
+}
--- a/gate/overtaking_test.go
+++ b/gate/overtaking_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
 )
 
 // kind is one kind of requests of a load that a gate is tested with.
@@ -113,3 +114,28 @@
 	must.LessEq(t, before["order"].refused, order.refused, must.Sprint("refused"))
 	must.GreaterEq(t, before["check"].inTime, check.inTime)
 }
+
+// The load: the callers of a host's slices come back at once after its daemon was
+// restarted, 100 requests within 50 ms for 9 slots, each run taking 380 ms while
+// the target is cold, with 1 s until their deadlines. No more wait than the slots
+// can take next; the others are told at once and can come back.
+func TestStartedGateQueuesNoMoreThanItsSlots(t *testing.T) {
+	f := newWarmFixture(9)
+	started, refused := 0, 0
+	for i := range 100 {
+		f.arrive(startTime.Add(time.Duration(i)*time.Millisecond/2), request.Normal, func(r *request.Request) {
+			r.Route, r.LatencyTarget = "browse", 400*time.Millisecond
+		})
+		started += len(f.out.Starts)
+		for _, a := range f.out.Answers {
+			must.Eq(t, result.QueueFull, a.Answer.Code)
+			must.Positive(t, a.Answer.RetryAfter)
+			refused++
+		}
+	}
+	must.Eq(t, 9, started)
+	must.Eq(t, 100-2*9, refused)
+	f.out.Reset()
+	f.gate.TargetAnswered(startTime.Add(380*time.Millisecond), 1, TargetAnswer{Status: 200}, &f.out)
+	must.Len(t, 1, f.out.Starts, must.Sprint("a queued request follows"))
+}
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -104,6 +104,9 @@
 
 // cancelAtGate ends a request that waits or runs here.
 func (r *routingLoop) cancelAtGate(now mono.Time, from host.Session, c request.Cancel) {
+	if r.hostLink != nil {
+		r.hostLink.Cancel(from, c.Seq)
+	}
 	if r.sliceWaiters.Cancel(from, c.Seq) || r.gate == nil {
 		return
 	}
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -139,6 +139,9 @@
 	}
 	delete(r.entryConns, from)
 	r.sliceWaiters.DropFrom(from)
+	if r.hostLink != nil {
+		r.hostLink.DropFrom(from)
+	}
 	for _, g := range r.gates() {
 		g.EntryDisconnected(now, from, &r.gateActions)
 	}
