Log slices that did not fit into the answer to a heartbeat

The issue asks that what waits is counted and logged; the count stood in a line of level debug only, which deployments do not write. grants_deferred (3057) is a warning. No decision changes.

--- a/event/placement.go
+++ b/event/placement.go
@@ -26,6 +26,7 @@
 	GrantRenewed      ID = 3051
 	GrantRefused      ID = 3052
 	HeartbeatAnswered ID = 3056
+	GrantsDeferred    ID = 3057
 	ReleaseAnswered   ID = 3053
 )
 
@@ -54,5 +55,6 @@
 	{GrantRenewed, "grant_renewed", Debug, "app first last epoch hold_ms token answer", "The target holds slices for a further period."},
 	{GrantRefused, "grant_refused", Warn, "slice epoch", "The target knows a higher epoch of the slice. This daemon gives the slice up, and it is assigned anew."},
 	{HeartbeatAnswered, "heartbeat_answered", Debug, "held freed rows hold_ms deferred", "The target said with a heartbeat which ranges it holds and has freed. The answer grants rows of slices for a time, none if hold_ms is 0; deferred slices did not fit into it."},
+	{GrantsDeferred, "grants_deferred", Warn, "rows deferred", "Slices of this daemon did not fit into the answer to its target's heartbeat, whose size is bounded. They are not served until others are released or join into longer ranges."},
 	{ReleaseAnswered, "release_answered", Info, "app first last epoch answer", "The target was asked to give slices up. The answer field tells what it answered, if anything."},
 }
--- a/internal/daemon/routing_heartbeat.go
+++ b/internal/daemon/routing_heartbeat.go
@@ -45,7 +45,7 @@
 	if !r.holder.Admits(now, s).Admitted() || r.heartbeatGrants.Holds(now, s) {
 		return false
 	}
-	next := latest(r.heartbeatAt.Add(cmp.Or(r.heartbeatInterval, defaultHeartbeatInterval)), now)
+	next := max(r.heartbeatAt.Add(cmp.Or(r.heartbeatInterval, defaultHeartbeatInterval)), now)
 	heldAt, ok := r.heartbeatGrants.HeldFrom(now, next, s)
 	return ok && r.sliceWaiters.Add(now, from, req, heldAt)
 }
@@ -65,7 +65,8 @@
 	}
 }
 
-// noteHeartbeat records the arrival of a heartbeat.
+// noteHeartbeat records the arrival of a heartbeat. A longer gap than the default
+// means that heartbeats were lost, and not that they come less often.
 func (r *routingLoop) noteHeartbeat(now mono.Time) {
 	if gap := now.Sub(r.heartbeatAt); r.heartbeatAt != 0 && gap >= earlyHeartbeat {
 		r.heartbeatInterval = min(gap, defaultHeartbeatInterval)
@@ -73,10 +74,6 @@
 	r.heartbeatAt = now
 }
 
-func latest(a, b mono.Time) mono.Time {
-	return max(a, b)
-}
-
 // beginHandover begins the handover of a slice to its next owner. A target that
 // gets its slices with heartbeats can't be told of it before its next heartbeat,
 // and serves the slice until then.
@@ -129,6 +126,9 @@
 	time.AfterFunc(grant.AnswerTransit, func() { r.ring.Push(slicesHeld{}) }) // Else the next tick delivers.
 	r.log.Event(event.HeartbeatAnswered, "held", len(report.Held), "freed", len(report.Freed), "rows", len(a.Rows),
 		"hold_ms", a.Hold.Milliseconds(), "deferred", a.Deferred)
+	if a.Deferred > 0 {
+		r.log.Event(event.GrantsDeferred, "rows", len(a.Rows), "deferred", a.Deferred)
+	}
 	return a
 }
 
