Send session records by their writers only in fleets of up to 100 sessions

Each daemon writes its record several times as it starts, and each version went one by one to all others; relays' watches bring many at once.

Fleets of up to 100 sessions are as before this commit.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -255,6 +255,9 @@
 // is of a kind that daemons exchange. If the ring is full, the relays' watches
 // bring it.
 func (d *Daemon) objectWritten(o objectstore.Object) {
+	if o.Kind == session.ObjectKind && d.fleet.isLarge() {
+		return
+	}
 	if o.Kind != document.Kind && slices.Contains(spreadKinds, spread.Kind(o.Kind)) {
 		d.spread.ring.Push(objectWritten{o})
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -106,6 +106,18 @@
 	return out
 }
 
+// largeFleet is the number of session records from which their writers no longer
+// send them to the relays. Each daemon writes several when it starts: sent one by
+// one to all others, they would take more of a large fleet's time than watches,
+// which bring many at once.
+const largeFleet = 100
+
+// isLarge reports whether the fleet has so many sessions that their records come
+// by watches only.
+func (f *fleet) isLarge() bool {
+	return len(f.sessions.Load().records) > largeFleet
+}
+
 // adopt puts a document in force if its version is higher than that of the
 // current one. It reports whether it did.
 func (f *fleet) adopt(stored *document.Stored, doc *document.Document) bool {
--- a/internal/daemon/spread_loop.go
+++ b/internal/daemon/spread_loop.go
@@ -222,15 +222,24 @@
 func (s *spreadLoop) watchDelay(kind spread.Kind) time.Duration {
 	p, ok := s.watchLimiters[kind]
 	if !ok {
-		p = &watchLimiter{rate: writtenWatchRate}
-		if kind == document.Kind {
-			p.rate = cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)
-		}
+		p = &watchLimiter{}
 		s.watchLimiters[kind] = p
 	}
+	p.rate = s.watchRateOf(kind)
 	return p.reserve(bootclock.Now())
 }
 
+// watchRateOf returns how many watches of a kind may follow each other in a second.
+func (s *spreadLoop) watchRateOf(kind spread.Kind) float64 {
+	switch {
+	case kind == document.Kind:
+		return cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)
+	case kind == session.ObjectKind && s.d.fleet.isLarge():
+		return recordWatchRate
+	}
+	return writtenWatchRate
+}
+
 // watch runs one watch of the store, after a delay. It runs on its own
 // goroutine.
 func (s *spreadLoop) watch(a spread.Watch, number uint64, delay time.Duration) {
--- a/internal/daemon/watch_limiter.go
+++ b/internal/daemon/watch_limiter.go
@@ -16,6 +16,9 @@
 	// writtenWatchRate is the rate for the kinds that daemons write. Their writers
 	// send each version to the relays, so that a watch only brings what was lost.
 	writtenWatchRate = 0.5
+	// recordWatchRate is the rate for session records in a large fleet, whose
+	// writers do not send them.
+	recordWatchRate = 10.0
 )
 
 // watchLimiter limits the rate of watches with a token bucket, one token for
