Test that the host's link never refuses requests that must run once

A refusal says "not run", which would be false for a duplicate of a running request. The test pins it; no code but tests changes. A test's comment told a measurement and now says what it guards against.

--- a/internal/daemon/routing_heartbeat_test.go
+++ b/internal/daemon/routing_heartbeat_test.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -180,3 +181,21 @@
 	h.deliver(2)
 	must.Len(t, 2, h.r.gateActions.Answers)
 }
+
+// The host's link refuses only requests of other daemons that may be repeated. One
+// that must run once at most may be a duplicate of a request that is running, and
+// the refusal would say that it has not run.
+func TestHostLinkRefusesOnlyIdempotentRequests(t *testing.T) {
+	h := newHeartbeatHost(t)
+	other := host.Session{Host: "h2", Incarnation: 1}
+	h.r.hostLink = gate.NewHostLink(1000)
+	h.r.hostLink.Reserve(h.now, other, 1, "list", 0)
+	h.r.hostLink.Answered(h.now, other, 1, 90_000, true)
+	reserved := func(from host.Session, idempotent bool) bool {
+		_, ok := h.r.reserveHostLink(h.now, from, &request.Request{Seq: 2, Route: "list", Idempotent: idempotent})
+		return ok
+	}
+	must.False(t, reserved(other, true))
+	must.True(t, reserved(other, false))
+	must.True(t, reserved(h.r.self, true))
+}
--- a/internal/daemon/written_test.go
+++ b/internal/daemon/written_test.go
@@ -17,8 +17,8 @@
 	"github.com/rhubarbring/rhubarbring/session"
 )
 
-// At 295 hosts, session records that each writer sent to all others took twice the
-// processor time of a start. In a large fleet only packs and the leader's object
+// Guards against starts of large fleets whose time goes into records that each
+// writer sends to all others: in a large fleet only packs and the leader's object
 // are sent by their writers, and records come by quicker watches.
 func TestLargeFleetSendsNoSessionRecords(t *testing.T) {
 	for _, hosts := range []int{largeFleet, largeFleet + 1} {
