Put stored documents in force whatever their size

Hosts that started afterwards had no document at all and answered 503.

Cause: a version is checked twice, by the store when the operator writes it and by each daemon when it reads it, and the daemon's bounds were narrower: 256 KiB for the document, 4,096 routes, names of 48 lower-case letters. These bounds were made for documents that a person writes. The translated document of 1,400 routes has 270,880 bytes. A daemon refused it as a whole and kept the version before, while the operator had been told that the change is acknowledged.

Ruled out: that the version came too late (no document_in_force after 8 s) and that the version after it replaced it while it was staged (both were refused, each twice on each host).

Change: Stored.Document decodes strictly (no unknown field) and runs the checks of references, deadlines and weights, to which those of an empty split and of weights below 1 are added, since lookups divide by the sum. Schema and bounds stay where a person writes a document: validate, plan, apply, promote.

Why it works: the bounds that remain are those without which a lookup would fail. TestStoredDocumentThatDaemonsCannotUseIsRefused holds what is still refused.

--- a/document/parse.go
+++ b/document/parse.go
@@ -7,7 +7,8 @@
 	"unicode/utf8"
 )
 
-// MaxBytes is the largest document that is accepted.
+// MaxBytes is the largest document that Parse accepts. Stored documents may be
+// larger.
 const MaxBytes = 256 << 10
 
 // Parse reads and checks a document. It returns the document if there are no
--- a/document/plan_test.go
+++ b/document/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -125,3 +126,37 @@
 	_, err = document.DecodeStored(value)
 	must.ErrorIs(t, err, &result.Error{Code: result.HashMismatch})
 }
+
+func TestStoredDocumentThatDaemonsCannotUseIsRefused(t *testing.T) {
+	doc := mustParse(t, example(t, "rayuela"))
+	route := document.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Timeout: document.Duration(time.Second), MaxAttempts: 1, Split: []document.WeightedApp{{App: doc.Apps[0].Name, Weight: 1}}}
+	contentWith := func(change func(*document.Route)) string {
+		changed, r := *doc, route
+		r.Split = slices.Clone(route.Split)
+		change(&r)
+		changed.Routes = []document.Route{r}
+		raw, err := json.Marshal(&changed)
+		must.NoError(t, err)
+		return string(raw)
+	}
+	good := contentWith(func(*document.Route) {})
+	cases := []struct{ name, content, want string }{
+		{"good", good, ""},
+		{"field of a newer version", strings.Replace(good, `"alarm"`, `"alert":1,"alarm"`, 1), "unknown field"},
+		{"no app", contentWith(func(r *document.Route) { r.Split = nil }), "it lists no app"},
+		{"unknown app", contentWith(func(r *document.Route) { r.Split[0].App = "other" }), "no app has this name"},
+		{"weight", contentWith(func(r *document.Route) { r.Split[0].Weight = 0 }), "it is below 1"},
+		{"timeout", contentWith(func(r *document.Route) { r.Timeout = 0 }), "it is shorter than"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := (&document.Stored{Content: c.content}).Document()
+			if c.want == "" {
+				must.NoError(t, err)
+				return
+			}
+			must.ErrorIs(t, err, &result.Error{Code: result.BadDocument})
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
--- a/document/route.go
+++ b/document/route.go
@@ -68,7 +68,13 @@
 		c.add(at+".path_prefix", "it does not begin and end with a slash", `write a prefix such as "/book/"`)
 	}
 	c.duration(at+".timeout", r.Timeout, MinDeadline, MaxDeadline)
+	if len(r.Split) == 0 {
+		c.add(at+".split", "it lists no app", "list an app with its weight")
+	}
 	for j, s := range r.Split {
+		if s.Weight < 1 {
+			c.add(fmt.Sprintf("%s.split[%d].weight", at, j), "it is below 1", "write a weight of 1 or more")
+		}
 		if !apps[s.App] {
 			c.add(fmt.Sprintf("%s.split[%d].app", at, j), "no app has this name", "name one of the apps")
 		}
--- a/document/stored.go
+++ b/document/stored.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -121,8 +122,19 @@
 	return longest
 }
 
-// Document parses the stored content.
+// Document decodes the stored content and checks what daemons rely on. It does
+// not apply the bounds that the schema and MaxBytes set for what a person
+// writes: whoever wrote this version to the store has accepted it, so that
+// refusing it would keep an older version in force.
 func (s *Stored) Document() (*Document, error) {
-	doc, problems := Parse([]byte(s.Content))
-	return doc, problems.Err()
+	doc := &Document{}
+	dec := json.NewDecoder(strings.NewReader(s.Content))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(doc); err != nil {
+		return nil, &result.Error{Code: result.BadDocument, Field: "content", Detail: "the stored content does not decode", Cause: err}
+	}
+	if problems := check(doc); len(problems) > 0 {
+		return nil, problems.Err()
+	}
+	return doc, nil
 }
