Answer not_configured, not unknown_route, for what a refused version may have

Cause: a daemon that refuses a version keeps the one before and forgot that there is a newer one. 404 was its answer to every route that the document in force lacks.

Change: the highest refused version is kept. While it is above the version in force, routes and apps that the latter lacks are answered not_configured (503, a true "not run"). Routes that it has are served as before.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -24,6 +24,9 @@
 	// caught up. They serve only to look up peer addresses.
 	bootstrap atomic.Pointer[[]session.Record]
 	document  atomic.Pointer[documentInForce]
+	// refusedVersion is the highest version of the document that this daemon
+	// could not put in force, or 0.
+	refusedVersion atomic.Uint64
 }
 
 // sessionDirectory is an immutable snapshot of the known sessions.
@@ -135,6 +138,19 @@
 	return true
 }
 
+// refuse records a version of the document that can't be put in force.
+func (f *fleet) refuse(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusedVersion.Store(max(f.refusedVersion.Load(), version))
+}
+
+// hasNewest reports whether d is the newest version of the document that this
+// daemon knows of.
+func (f *fleet) hasNewest(d *documentInForce) bool {
+	return f.refusedVersion.Load() <= d.stored.Version
+}
+
 func (f *fleet) app(name key.App) (document.App, bool) {
 	d := f.document.Load()
 	if d == nil {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -13,10 +13,14 @@
 // AppLimits implements entry.Router. It returns the app's deadline limits and
 // whether it is divided by key, from the document in force.
 func (d *Daemon) AppLimits(app string) (entry.Limits, error) {
-	if d.fleet.document.Load() == nil {
+	doc := d.fleet.document.Load()
+	if doc == nil {
 		return entry.Limits{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
 	}
-	a, ok := d.fleet.app(key.App(app))
+	a, ok := doc.apps[key.App(app)]
+	if !ok && !d.fleet.hasNewest(doc) {
+		return entry.Limits{}, &result.Error{Code: result.NotConfigured, Field: "app", Detail: "a newer document is not in force here"}
+	}
 	if !ok {
 		return entry.Limits{}, &result.Error{Code: result.UnknownApp, Field: "app", Detail: strconv.Quote(app) + " is not in the document"}
 	}
@@ -27,13 +31,18 @@
 	}, nil
 }
 
-// Resolve implements entry.Router.
+// Resolve implements entry.Router. A route that is not in the document in force
+// is unknown only if that is the newest version: one that this daemon could not
+// put in force may have the route.
 func (d *Daemon) Resolve(hostName, path string) (routes.Match, error) {
 	doc := d.fleet.document.Load()
 	if doc == nil {
 		return routes.Match{}, &result.Error{Code: result.NotConfigured, Detail: "no document is in force yet"}
 	}
 	match, ok := doc.routes.Resolve(hostName, path)
+	if !ok && !d.fleet.hasNewest(doc) {
+		return match, &result.Error{Code: result.NotConfigured, Field: "path", Detail: "a newer document is not in force here"}
+	}
 	if !ok {
 		return match, &result.Error{Code: result.UnknownRoute, Field: "path", Detail: "no route of the document leads there"}
 	}
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -47,6 +47,7 @@
 	}
 	doc, err := stored.Document()
 	if err != nil {
+		s.d.fleet.refuse(stored.Version)
 		s.d.log.Event(event.DocumentRefused, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "cause", err.Error())
 		return nil
 	}
