--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -145,6 +145,14 @@
 	f.refusedVersion.Store(max(f.refusedVersion.Load(), version))
 }
 
+// isNewDocument reports whether a version of the document is neither in force,
+// replaced nor refused, so that it is worth decoding. Every version arrives more
+// than once: from the store, the parent and other peers.
+func (f *fleet) isNewDocument(version uint64) bool {
+	inForce := f.document.Load()
+	return version != f.refusedVersion.Load() && (inForce == nil || version > inForce.stored.Version)
+}
+
 // hasNewest reports whether d is the newest version of the document that this
 // daemon knows of.
 func (f *fleet) hasNewest(d *documentInForce) bool {
--- a/internal/daemon/refused_document_test.go
+++ b/internal/daemon/refused_document_test.go
@@ -40,3 +40,18 @@
 	_, err = d.Resolve("new.example", "/a/")
 	must.Eq(t, result.UnknownRoute, objectstore.CodeOf(err))
 }
+
+func TestVersionThatArrivesAgainIsNotDecodedAgain(t *testing.T) {
+	p := newRoutingPair(t, event.Info)
+	raw, err := os.ReadFile("../../examples/rayuela.json")
+	must.NoError(t, err)
+	broken := strings.Replace(string(raw), `"alarm"`, `"alarms"`, 1)
+	adoptContent(t, p.entry, 2, string(raw))
+	adoptContent(t, p.entry, 2, broken)
+	adoptContent(t, p.entry, 4, broken)
+	adoptContent(t, p.entry, 4, broken)
+	adoptContent(t, p.entry, 3, string(raw))
+	must.Eq(t, 3, p.entry.fleet.document.Load().stored.Version)
+	p.entry.log.Close()
+	must.Eq(t, 1, strings.Count(p.logs[0].String(), "document_refused"))
+}
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if !s.d.fleet.isNewDocument(stored.Version) {
+		return nil
+	}
 	doc, err := stored.Document()
 	if err != nil {
 		s.d.fleet.refuse(stored.Version)
