Leave out single routes that can't be used, not the whole configuration

Cause: a cell that could not be decoded (a weight of 0.5), a route to a service that is gone, a share of weight 0, a timeout above 30 s or none at all made the daemon refuse the whole version, which the store had accepted.

Shares of weight 0 get nothing; timeouts are at most document.MaxDeadline.

--- a/document/route.go
+++ b/document/route.go
@@ -41,42 +41,82 @@
 	Weight int `json:"weight"`
 }
 
-func (c *checker) routes() {
-	names := make(map[string]int)
-	prefixes := make(map[[2]string]int)
-	apps := make(map[key.App]bool)
-	for _, a := range c.doc.Apps {
-		apps[a.Name] = true
+// DropUnusableRoutes removes the routes that the checks of a document refuse, and
+// returns their problems. Of routes that exclude each other the first stays.
+func (d *Document) DropUnusableRoutes() Problems {
+	var dropped Problems
+	c := newRouteChecker(d)
+	kept := d.Routes[:0]
+	for i, r := range d.Routes {
+		problems := c.problemsOf(i, r)
+		if len(problems) > 0 {
+			dropped = append(dropped, problems...)
+			continue
+		}
+		c.add(i, r)
+		kept = append(kept, r)
 	}
+	d.Routes = kept
+	return dropped
+}
+
+func (c *checker) routes() {
+	rc := newRouteChecker(c.doc)
 	for i, r := range c.doc.Routes {
-		at := fmt.Sprintf("routes[%d]", i)
-		if first, twice := names[r.Name]; twice && r.Name != "" {
-			c.add(at+".name", fmt.Sprintf("routes[%d] has the same name", first), "give each route a name of its own")
-		}
-		names[r.Name] = i
-		prefix := [2]string{r.Host, r.PathPrefix}
-		if first, twice := prefixes[prefix]; twice && r.Host != "" {
-			c.add(at+".path_prefix", fmt.Sprintf("routes[%d] has the same host and prefix", first), "give each route a prefix of its own")
-		}
-		prefixes[prefix] = i
-		c.route(at, r, apps)
+		c.problems = append(c.problems, rc.problemsOf(i, r)...)
+		rc.add(i, r)
 	}
 }
 
-func (c *checker) route(at string, r Route, apps map[key.App]bool) {
+// routeChecker checks routes one after the other, each against those before it.
+type routeChecker struct {
+	apps map[key.App]bool
+	// names and prefixes hold the indexes of the routes so far.
+	names    map[string]int
+	prefixes map[hostPrefix]int
+}
+
+// hostPrefix is what tells a route from others in lookups.
+type hostPrefix struct{ host, prefix string }
+
+func newRouteChecker(doc *Document) *routeChecker {
+	c := &routeChecker{apps: make(map[key.App]bool), names: make(map[string]int), prefixes: make(map[hostPrefix]int)}
+	for _, a := range doc.Apps {
+		c.apps[a.Name] = true
+	}
+	return c
+}
+
+// add makes a route one of those that later routes are checked against.
+func (c *routeChecker) add(i int, r Route) {
+	c.names[r.Name] = i
+	c.prefixes[hostPrefix{r.Host, r.PathPrefix}] = i
+}
+
+// problemsOf returns the problems of the document's route i.
+func (c *routeChecker) problemsOf(i int, r Route) Problems {
+	at := fmt.Sprintf("routes[%d]", i)
+	var p checker
+	if first, twice := c.names[r.Name]; twice && r.Name != "" {
+		p.add(at+".name", fmt.Sprintf("routes[%d] has the same name", first), "give each route a name of its own")
+	}
+	if first, twice := c.prefixes[hostPrefix{r.Host, r.PathPrefix}]; twice && r.Host != "" {
+		p.add(at+".path_prefix", fmt.Sprintf("routes[%d] has the same host and prefix", first), "give each route a prefix of its own")
+	}
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		c.add(at+".path_prefix", "it does not begin and end with a slash", `write a prefix such as "/book/"`)
+		p.add(at+".path_prefix", "it does not begin and end with a slash", `write a prefix such as "/book/"`)
 	}
-	c.duration(at+".timeout", r.Timeout, MinDeadline, MaxDeadline)
+	p.duration(at+".timeout", r.Timeout, MinDeadline, MaxDeadline)
 	if len(r.Split) == 0 {
-		c.add(at+".split", "it lists no app", "list an app with its weight")
+		p.add(at+".split", "it lists no app", "list an app with its weight")
 	}
 	for j, s := range r.Split {
 		if s.Weight < 1 {
-			c.add(fmt.Sprintf("%s.split[%d].weight", at, j), "it is below 1", "write a weight of 1 or more")
+			p.add(fmt.Sprintf("%s.split[%d].weight", at, j), "it is below 1", "write a weight of 1 or more")
 		}
-		if !apps[s.App] {
-			c.add(fmt.Sprintf("%s.split[%d].app", at, j), "no app has this name", "name one of the apps")
+		if !c.apps[s.App] {
+			p.add(fmt.Sprintf("%s.split[%d].app", at, j), "no app has this name", "name one of the apps")
 		}
 	}
+	return p.problems
 }
--- a/document/stored.go
+++ b/document/stored.go
@@ -46,6 +46,9 @@
 	// an earlier version, so a takeover waits for this deadline, not for the
 	// newest one.
 	LongestDeadlines map[key.App]Duration `json:"longest,omitempty"`
+	// Incomplete reports that routes of the operator's version are left out of
+	// Content, because they can't be used.
+	Incomplete bool `json:"incomplete,omitempty"`
 	// Trial is the evidence that the content was in force in the trial
 	// environment; nil in the trial environment itself.
 	Trial *Evidence `json:"trial,omitempty"`
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -154,9 +154,9 @@
 }
 
 // hasNewest reports whether d is the newest version of the document that this
-// daemon knows of.
+// daemon knows of, with all routes of that version.
 func (f *fleet) hasNewest(d *documentInForce) bool {
-	return f.refusedVersion.Load() <= d.stored.Version
+	return f.refusedVersion.Load() <= d.stored.Version && !d.stored.Incomplete
 }
 
 func (f *fleet) app(name key.App) (document.App, bool) {
--- a/internal/daemon/refused_document_test.go
+++ b/internal/daemon/refused_document_test.go
@@ -39,6 +39,10 @@
 	adoptContent(t, d, 3, good)
 	_, err = d.Resolve("new.example", "/a/")
 	must.Eq(t, result.UnknownRoute, objectstore.CodeOf(err))
+
+	d.fleet.document.Load().stored.Incomplete = true
+	_, err = d.Resolve("new.example", "/a/")
+	must.Eq(t, result.NotConfigured, objectstore.CodeOf(err))
 }
 
 func TestVersionThatArrivesAgainIsNotDecodedAgain(t *testing.T) {
