Look routes up by the parts of the path instead of comparing them all

Cause: a lookup compared the path with each route of the host name, longest prefix first.

Change: prefixes begin and end with a slash, so the table has them by prefix and tries the parts of the path that end with one, the longest first.

Evidence: TestLookupFindsWhatComparingWithEveryRouteFinds compares with a naive lookup over random tables.

--- a/routes/routes.go
+++ b/routes/routes.go
@@ -8,8 +8,6 @@
 package routes
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -46,12 +44,12 @@
 
 // Table looks up routes. It is safe for concurrent use.
 type Table struct {
-	hosts map[string][]*route
+	// hosts holds the routes by host name and by path prefix.
+	hosts map[string]map[string]*route
 }
 
 // route is a route of the document, prepared for lookup.
 type route struct {
-	prefix       string
 	match        Match
 	shares       []share
 	totalWeight  uint64
@@ -68,14 +66,15 @@
 
 // New returns a Table of the document's routes.
 func New(doc *document.Document) *Table {
-	t := &Table{hosts: make(map[string][]*route)}
+	t := &Table{hosts: make(map[string]map[string]*route)}
 	ranges := priorityRanges(doc)
 	for i := range doc.Routes {
-		r := newRoute(doc, &doc.Routes[i], ranges)
-		t.hosts[doc.Routes[i].Host] = append(t.hosts[doc.Routes[i].Host], r)
-	}
-	for _, list := range t.hosts {
-		slices.SortFunc(list, func(a, b *route) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
+		from := &doc.Routes[i]
+		name := from.Host
+		if t.hosts[name] == nil {
+			t.hosts[name] = make(map[string]*route)
+		}
+		t.hosts[name][from.PathPrefix] = newRoute(doc, from, ranges)
 	}
 	return t
 }
@@ -102,7 +101,6 @@
 
 func newRoute(doc *document.Document, from *document.Route, ranges map[key.App]priorityRange) *route {
 	r := &route{
-		prefix: from.PathPrefix,
 		match: Match{
 			Route:         from.Name,
 			Idempotent:    from.Idempotent,
@@ -138,11 +136,17 @@
 	return a
 }
 
-// Resolve returns the match for a host name and path, and whether there is one.
-// For a split route each call counts as one request.
+// Resolve returns the match for a host name and a path, and whether
+// there is one. For a split route each call counts as one request. Prefixes end
+// with a slash, so that it tries only the parts of the path that do, the longest
+// first.
 func (t *Table) Resolve(hostName, path string) (Match, bool) {
-	for _, r := range t.hosts[hostName] {
-		if strings.HasPrefix(path, r.prefix) {
+	prefixes := t.hosts[hostName]
+	if prefixes == nil {
+		return Match{}, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
 			return r.nextMatch(), true
 		}
 	}
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +74,55 @@
 		}
 	}
 }
+
+// longestPrefix is a naive lookup that compares the path with every route.
+func longestPrefix(doc *document.Document, path string) string {
+	best, name := -1, ""
+	for _, r := range doc.Routes {
+		if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > best {
+			best, name = len(r.PathPrefix), r.Name
+		}
+	}
+	return name
+}
+
+func TestLookupFindsWhatComparingWithEveryRouteFinds(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 0))
+	parts := []string{"a/", "b/", "ab/", "a", "/", ""}
+	randomPath := func() string {
+		path := "/"
+		for range rnd.IntN(5) {
+			path += parts[rnd.IntN(len(parts))]
+		}
+		return path
+	}
+	for range 300 {
+		doc := &document.Document{Apps: []document.App{{Name: "one"}}}
+		known := make(map[string]bool)
+		for i := range 20 {
+			prefix := strings.TrimSuffix(randomPath(), "/") + "/"
+			if known[prefix] || rnd.IntN(3) == 0 {
+				continue
+			}
+			known[prefix] = true
+			doc.Routes = append(doc.Routes, document.Route{Name: fmt.Sprint(i), Host: "h", PathPrefix: prefix, Split: []document.WeightedApp{{App: "one", Weight: 1}}})
+		}
+		table := routes.New(doc)
+		for range 20 {
+			path := randomPath()
+			m, _ := table.Resolve("h", path)
+			must.Eq(t, longestPrefix(doc, path), m.Route, must.Sprint(path))
+		}
+	}
+}
+
+func BenchmarkLookupAmongManyRoutes(b *testing.B) {
+	doc := &document.Document{Apps: []document.App{{Name: "one"}}}
+	for i := range 4200 {
+		doc.Routes = append(doc.Routes, document.Route{Name: fmt.Sprint(i), Host: "h", PathPrefix: fmt.Sprintf("/a%d/", i), Split: []document.WeightedApp{{App: "one", Weight: 1}}})
+	}
+	table := routes.New(doc)
+	for b.Loop() {
+		table.Resolve("h", "/a4100/x")
+	}
+}
