Match host names of routes in any case

What callers would see: 404 for all requests of a route whose host name the operator wrote with capitals.

Cause: the host name of a request is compared in lower case, as HTTP wants, that of the route as it was written.

Change: the table has the names in lower case. Test: TestHostNamesMatchInAnyCase failed before.

--- a/routes/routes.go
+++ b/routes/routes.go
@@ -44,7 +44,7 @@
 
 // Table looks up routes. It is safe for concurrent use.
 type Table struct {
-	// hosts holds the routes by host name and by path prefix.
+	// hosts holds the routes by host name in lower case and by path prefix.
 	hosts map[string]map[string]*route
 }
 
@@ -70,7 +70,7 @@
 	ranges := priorityRanges(doc)
 	for i := range doc.Routes {
 		from := &doc.Routes[i]
-		name := from.Host
+		name := strings.ToLower(from.Host)
 		if t.hosts[name] == nil {
 			t.hosts[name] = make(map[string]*route)
 		}
@@ -136,7 +136,7 @@
 	return a
 }
 
-// Resolve returns the match for a host name and a path, and whether
+// Resolve returns the match for a host name in lower case and a path, and whether
 // there is one. For a split route each call counts as one request. Prefixes end
 // with a slash, so that it tries only the parts of the path that do, the longest
 // first.
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -75,6 +75,13 @@
 	}
 }
 
+func TestHostNamesMatchInAnyCase(t *testing.T) {
+	doc := sampleDocument()
+	doc.Routes[3].Host = "Other.Example"
+	_, ok := routes.New(doc).Resolve("other.example", "/b/1")
+	must.True(t, ok)
+}
+
 // longestPrefix is a naive lookup that compares the path with every route.
 func longestPrefix(doc *document.Document, path string) string {
 	best, name := -1, ""
