Check ranges of stored documents, and documents that are restored, as before

Cause: since stored documents are read without the schema, ranges that no lookup needs but other parts do (slices, queue bound, shares of links, retry budget) were not checked any more, bytes after the document passed, and rhubarb rollback, which writes a document, no longer ran the schema. Found by the review of the change.

Change: these ranges stand in the checks of documents; bytes after the content are refused; rollback parses the earlier content as apply does.

Test: five cases of TestStoredDocumentThatDaemonsCannotUseIsRefused; the cases failed before.

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -128,8 +128,8 @@
 			if err != nil {
 				return err
 			}
-			doc, err := earlier.Document()
-			if err != nil {
+			doc, problems := document.Parse([]byte(earlier.Content))
+			if err := problems.Err(); err != nil {
 				return err
 			}
 			return t.applyChange(cmd, flags, t.environment, []byte(earlier.Content), doc, earlier.Trial)
--- a/document/check.go
+++ b/document/check.go
@@ -15,6 +15,8 @@
 	// MaxDeadline is the longest maximum deadline. A takeover may have to wait
 	// that long.
 	MaxDeadline = 30 * time.Second
+	// MaxSlices is the largest number of slices of an app.
+	MaxSlices = 1 << 20
 	// MinHotKeyExpiry is the shortest expiry of hot keys. A shorter one would
 	// make keys move back and forth.
 	MinHotKeyExpiry = 10 * time.Second
@@ -97,7 +99,14 @@
 	if l.RequestShare+l.ControlShare > 1 {
 		c.add(at+".request_share", fmt.Sprintf("with control_share %v it exceeds 1", l.ControlShare), "lower one of the shares")
 	}
+	if min(l.RequestShare, l.ControlShare) < 0 {
+		c.add(at+".request_share", "a share is negative", "write shares from 0 to 1")
+	}
+	if l.BitsPerSecond <= 0 {
+		c.add(at+".bits_per_second", "it is not above 0", "write the link's capacity")
+	}
 	if len(l.Between) != 2 {
+		c.add(at+".between", fmt.Sprintf("it names %d regions", len(l.Between)), "name the two regions that it joins")
 		return
 	}
 	for j, r := range l.Between {
@@ -116,6 +125,9 @@
 }
 
 func (c *checker) apps() {
+	if len(c.doc.Apps) == 0 {
+		c.add("apps", "it lists no app", "list the apps")
+	}
 	names := make(map[key.App]int)
 	for i, a := range c.doc.Apps {
 		at := fmt.Sprintf("apps[%d]", i)
@@ -124,6 +136,7 @@
 		}
 		names[a.Name] = i
 		c.partitioning(at, a)
+		c.limits(at, a)
 		c.deadline(at, a.Deadline)
 		c.weights(at, a.Weights)
 		if a.HotKeys != nil {
@@ -153,6 +166,34 @@
 	}
 }
 
+// limits checks the numbers that would make a daemon fail or hold without end if
+// they were out of range.
+func (c *checker) limits(at string, a App) {
+	if a.Slices > MaxSlices {
+		c.add(at+".slices", fmt.Sprintf("it is above %d", MaxSlices), fmt.Sprintf("write %d or less", MaxSlices))
+	}
+	c.notNegative(at+".queue_bound", a.QueueBound)
+	c.notNegative(at+".target_connections", a.TargetConnections)
+	c.notNegative(at+".max_moves_per_round", a.MaxMovesPerRound)
+	if a.RetryBudget < 0 || a.RetryBudget > 1 {
+		c.add(at+".retry_budget", "it is not from 0 to 1", "write a part such as 0.1")
+	}
+	if min(a.Weights.Imbalance, a.Weights.Churn, a.Weights.Unavailable) < 0 {
+		c.add(at+".weights", "a weight is negative", "write weights of 0 or more")
+	}
+	switch a.GrantDelivery {
+	case "", GrantsByCall, GrantsByHeartbeat:
+	default:
+		c.add(at+".grant_delivery", "there is no such delivery", `write "call" or "heartbeat"`)
+	}
+}
+
+func (c *checker) notNegative(at string, n int) {
+	if n < 0 {
+		c.add(at, "it is below 0", "write 0 or more")
+	}
+}
+
 func (c *checker) deadline(at string, d Deadline) {
 	c.duration(at+".deadline.default", d.Default, MinDeadline, MaxDeadline)
 	c.duration(at+".deadline.maximum", d.Maximum, MinDeadline, MaxDeadline)
--- a/document/plan_test.go
+++ b/document/plan_test.go
@@ -143,6 +143,11 @@
 	cases := []struct{ name, content, want string }{
 		{"good", good, ""},
 		{"field of a newer version", strings.Replace(good, `"alarm"`, `"alert":1,"alarm"`, 1), "unknown field"},
+		{"two documents", good + good, "something follows"},
+		{"queue bound", strings.Replace(good, `"queue_bound":`, `"queue_bound":-`, 1), "it is below 0"},
+		{"slices", strings.Replace(good, `"slices":`, `"slices":9999`, 1), "it is above 1048576"},
+		{"link", strings.Replace(good, `"bits_per_second":`, `"bits_per_second":-`, 1), "it is not above 0"},
+		{"retry budget", strings.Replace(good, `"retry_budget":`, `"retry_budget":7`, 1), "it is not from 0 to 1"},
 		{"no app", contentWith(func(r *document.Route) { r.Split = nil }), "it lists no app"},
 		{"unknown app", contentWith(func(r *document.Route) { r.Split[0].App = "other" }), "no app has this name"},
 		{"weight", contentWith(func(r *document.Route) { r.Split[0].Weight = 0 }), "it is below 1"},
--- a/document/stored.go
+++ b/document/stored.go
@@ -136,6 +136,9 @@
 	if err := dec.Decode(doc); err != nil {
 		return nil, &result.Error{Code: result.BadDocument, Field: "content", Detail: "the stored content does not decode", Cause: err}
 	}
+	if dec.More() {
+		return nil, &result.Error{Code: result.BadDocument, Field: "content", Detail: "something follows the document's closing brace"}
+	}
 	if problems := check(doc); len(problems) > 0 {
 		return nil, problems.Err()
 	}
