Give messages between daemons room for the largest document

What callers would see: daemons that can't read the store themselves, cut off or starting while it is down, keep an older version (too_large, bad_frame).

Cause: a message was bounded by 4 MiB, the store's value of 1 MiB with room. The translated document of the tersest configuration has 6,590,304 bytes.

Change: 8 MiB for a message, two of them for what waits on a connection. Test: TestDocumentOfLargestConfigurationFitsIntoMessage failed before (too_large: a message of 6590332 bytes). TestConfigurationThatFillsStoreValueIsNotRefused goes up to 13,100 routes now, which is what fills a value with its rows.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -12,8 +12,8 @@
 )
 
 // maxOutboundBytes bounds the bytes that wait to be written to one connection;
-// above it, sends are refused.
-const maxOutboundBytes = 8 << 20
+// above it, sends are refused. It has room for two of the largest messages.
+const maxOutboundBytes = 2 * wire.MaxPayloadBytes
 
 // Conn is one connection between two daemons.
 type Conn struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,9 +45,10 @@
 // Sizes in bytes.
 const (
 	HeaderBytes = 5
-	// MaxPayloadBytes bounds an encoded message: the store's largest object
-	// plus room for the message that contains it.
-	MaxPayloadBytes = 4 << 20
+	// MaxPayloadBytes bounds an encoded message. It has room for the document of
+	// the largest configuration that the platform's store takes, which grows
+	// from 1 MiB to 6 MiB when it is translated.
+	MaxPayloadBytes = 8 << 20
 	lengthBytes     = 4
 	// maxPooledBytes is the largest capacity of a buffer that returns to the
 	// pool, so that one large message does not pin its memory.
