--- /dev/null
+++ b/internal/daemon/crash_test.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// crashingTarget is a target whose process ends when it begins to run a request
+// with the body "deadly". It answers other requests with their body.
+type crashingTarget struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+	ended    atomic.Bool
+}
+
+func startCrashingTarget(t testing.TB) *crashingTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	c := &crashingTarget{listener: listener}
+	go c.accept()
+	t.Cleanup(c.end)
+	return c
+}
+
+func (c *crashingTarget) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.conns = append(c.conns, conn)
+		c.mu.Unlock()
+		go c.serve(conn)
+	}
+}
+
+func (c *crashingTarget) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		var req fasthttp.Request
+		if req.Read(reader) != nil {
+			return
+		}
+		if string(req.Body()) == "deadly" {
+			c.end()
+			return
+		}
+		var resp fasthttp.Response
+		for _, name := range []string{"Rhubarb-Request-Id", "Rhubarb-Attempt"} {
+			resp.Header.SetBytesV(name, req.Header.Peek(name))
+		}
+		resp.SetBody(req.Body())
+		writer := bufio.NewWriter(conn)
+		if resp.Write(writer) != nil || writer.Flush() != nil {
+			return
+		}
+	}
+}
+
+// end closes the listener and all connections, as the end of a process does.
+func (c *crashingTarget) end() {
+	c.ended.Store(true)
+	_ = c.listener.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// announceInstance makes the target the owner's, as a new instance.
+func (p *routingPair) announceInstance(c *crashingTarget, instance uint64) {
+	p.owner.routing.ring.Push(targetAnnounced{control.Announcement{
+		App: pairApp, Address: c.listener.Addr().String(), Slots: 12, Connections: 130, ChecksGrants: true, State: control.StateWarm, Instance: instance,
+	}})
+}
+
+func TestRequestThatCrashedThreeTargetsIsNotRunAgain(t *testing.T) {
+	p := newRoutingPair(t, event.Info)
+	crashed := 0
+	for instance := range uint64(8) {
+		target := startCrashingTarget(t)
+		p.announceInstance(target, instance+1)
+		must.Eq(t, result.OK, p.call(t, p.entry, "before"+string('a'+rune(instance)), []byte("harmless")).Code)
+		p.call(t, p.entry, "deadly"+string('a'+rune(instance)), []byte("deadly"))
+		if target.ended.Load() {
+			crashed++
+		}
+	}
+	must.LessEq(t, 3, crashed)
+}
