Name the requests that were lost with a target's process

Cause: the logs showed runs that were lost (answer_lost), not that the target's process had ended, nor which content they had: a request that comes again has another id.

Change: package quarantine, pure. Its Detector keeps what the runs at a host's target come to; when nothing listens at the target's address any more, or another instance announces itself, it names the runs that were lost within 500 ms before, without those whose content has been answered lately. The event target_crashed (4020) has their fingerprints (app, key, method, path, body). A run that is lost before its deadline makes the daemon try the address at once.

Test: TestEndOfTargetNamesRequestsLostWithIt, and the package's.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/quarantine"
+	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -101,3 +103,16 @@
 	}
 	must.LessEq(t, 3, crashed)
 }
+
+func TestEndOfTargetNamesRequestsLostWithIt(t *testing.T) {
+	p := newRoutingPair(t, event.Info)
+	target := startCrashingTarget(t)
+	p.announceInstance(target, 1)
+	must.Eq(t, result.OK, p.call(t, p.entry, "a", []byte("harmless")).Code)
+	must.Eq(t, result.AnswerLost, p.call(t, p.entry, "b", []byte("deadly")).Code)
+	p.announceInstance(startCrashingTarget(t), 2)
+	p.owner.routing.sync()
+	p.owner.log.Close()
+	deadly := &request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("deadly")}
+	must.StrContains(t, p.logs[1].String(), "name=target_crashed level=warn app=catalogue instance=1 requests="+quarantine.Of(deadly).String())
+}
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -247,7 +247,7 @@
 	req := s.Request
 	r.logStarted(s)
 	r.metrics.queue.Update(s.Waited.Microseconds())
-	active := &targetRun{number: s.Run, gate: r.gate, slice: req.Slice, key: req.Key, started: now, deadline: s.Deadline}
+	active := &targetRun{number: s.Run, gate: r.gate, instance: r.target.instance, request: req, started: now, deadline: s.Deadline}
 	if req.Slice != request.NoSlice {
 		ticket, verdict := r.holder.Begin(now, key.Slice{App: req.App, ID: req.Slice})
 		if !verdict.Admitted() {
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -22,6 +22,7 @@
 	"github.com/rhubarbring/rhubarbring/loadmeter"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/request"
 )
 
@@ -135,6 +136,9 @@
 	gateActions, gateBatch     gate.Actions
 	metrics                    routingMetrics
 
+	// crashes finds the requests that were lost with the target's process.
+	crashes *quarantine.Detector
+
 	meter           *loadmeter.Meter
 	reportSequence  uint64
 	reportInterval  time.Duration
@@ -178,8 +182,8 @@
 type targetRun struct {
 	number   uint64
 	gate     *gate.Gate
-	slice    key.SliceID
-	key      string
+	instance uint64 // of the target
+	request  *request.Request
 	ticket   handover.Ticket
 	started  mono.Time
 	deadline mono.Time
@@ -194,6 +198,7 @@
 	load          float32 // as reported by the target
 	slots         int
 	gone          bool
+	probing       bool // A probe of its address is under way.
 }
 
 func newRoutingLoop(d *Daemon, cfg request.Config, holderConfig handover.Config, registry metrics.Registry) *routingLoop {
@@ -217,6 +222,7 @@
 		mergedAtMs:     make(map[key.Slice]int64),
 		unconfirmed:    make(map[string][]assignment.Change),
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
+		crashes:        quarantine.NewDetector(),
 		meter:          loadmeter.New(bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -13,6 +13,9 @@
 		app, _ := r.fleet.app(key.App(a.App))
 		a.Connections = max(app.TargetConnections, a.Slots)
 	}
+	if r.target != nil && r.target.instance != a.Instance {
+		r.instanceEnded(now, r.target.instance)
+	}
 	switch {
 	case r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address:
 		r.newGate(now, a)
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -151,9 +151,10 @@
 	g, run := w.run.gate, w.run.number
 	took := now.Sub(w.run.started)
 	r.metrics.service.Update(took.Microseconds())
-	if w.run.slice != request.NoSlice {
-		r.meter.AddRun(w.run.slice, w.run.key, took)
+	if req := w.run.request; req.Slice != request.NoSlice {
+		r.meter.AddRun(req.Slice, req.Key, took)
 	}
+	r.observeRun(now, w.run, w.reply)
 	switch w.reply.Verdict {
 	case targetclient.Answered:
 		g.TargetAnswered(now, run, gate.TargetAnswer{Status: w.reply.Status, ContentType: w.reply.Type, Header: w.reply.Header, Body: w.reply.Body}, &r.gateActions)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -23,6 +23,7 @@
 func (*blockedTarget) Address() string                           { return "held" }
 func (*blockedTarget) Do(targetclient.Call) targetclient.Reply   { return targetclient.Reply{} }
 func (*blockedTarget) Cancel(string, uint64, time.Duration) bool { return false }
+func (*blockedTarget) IsListening() bool                         { return true }
 func (*blockedTarget) Close()                                    {}
 func (*blockedTarget) Announced()                                {}
 
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -17,6 +17,9 @@
 	// Cancel asks the target to stop a run, and waits for up to the given time.
 	// It returns true only if the run did not and will not take effect.
 	Cancel(id string, run uint64, wait time.Duration) bool
+	// IsListening reports whether a process listens at the target's address. It
+	// is false only if the host refuses connections there.
+	IsListening() bool
 	// Close releases connections kept open for reuse.
 	Close()
 }
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -87,6 +88,9 @@
 	Body    []byte
 	// Header is as in request.Answer.
 	Header []byte
+	// ConnRefused is set with NotSent if the host refused the connection: no
+	// process listens at the target's address.
+	ConnRefused bool
 }
 
 // Client sends requests to one target. It is safe for concurrent use.
@@ -135,6 +139,17 @@
 	c.controlClient.CloseIdleConnections()
 }
 
+// IsListening reports whether the target accepts a connection. A connection
+// that is neither accepted nor refused counts as accepted.
+func (c *Client) IsListening() bool {
+	conn, err := fasthttp.DialTimeout(c.address, dialTimeout)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Do sends one run and waits for its answer, for call.Timeout at most.
 func (c *Client) Do(call Call) Reply {
 	req := fasthttp.AcquireRequest()
@@ -209,7 +224,7 @@
 		errors.Is(err, fasthttp.ErrDialTimeout) ||
 		errors.Is(err, fasthttp.ErrNoFreeConns)
 	if neverSent {
-		return Reply{Verdict: NotSent, Reason: err.Error()}
+		return Reply{Verdict: NotSent, Reason: err.Error(), ConnRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return Reply{Verdict: AnswerTooLarge, Reason: err.Error()}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,281 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+)
+
+func get(path string) *request.Request {
+	return &request.Request{App: "catalogue", Key: "7", Method: "GET", Path: path}
+}
+
+func TestFingerprintDependsOnContentOnly(t *testing.T) {
+	first := get("/a")
+	again := get("/a")
+	again.ID, again.Attempt, again.Header = "other", 4, []byte("X-Caller-Service: pay\r\n")
+	must.Eq(t, Of(first), Of(again))
+	for _, other := range []*request.Request{
+		get("/b"),
+		{App: "pay", Key: "7", Method: "GET", Path: "/a"},
+		{App: "catalogue", Key: "8", Method: "GET", Path: "/a"},
+		{App: "catalogue", Key: "7", Method: "PUT", Path: "/a"},
+		{App: "catalogue", Key: "7", Method: "GET", Path: "/a", Body: []byte("x")},
+		{App: "catalogue", Key: "7G", Method: "ET", Path: "/a"},
+	} {
+		must.NotEq(t, Of(first), Of(other))
+	}
+	text, err := Of(first).MarshalText()
+	must.NoError(t, err)
+	var back Fingerprint
+	must.NoError(t, back.UnmarshalText(text))
+	must.Eq(t, Of(first), back)
+	must.Error(t, back.UnmarshalText([]byte("abc")))
+}
+
+func TestLostAnswerWithoutEndOfInstanceIsNoCrash(t *testing.T) {
+	d := NewDetector()
+	now := mono.Time(time.Hour)
+	d.RunLost(now, 1, Of(get("/a")))
+	_, crashed := d.InstanceEnded(now.Add(lossRetention+time.Second), 1)
+	must.False(t, crashed)
+	_, crashed = d.InstanceEnded(now, 2)
+	must.False(t, crashed)
+}
+
+func TestCrashNamesOnlyRunsLostWithTheProcess(t *testing.T) {
+	d := NewDetector()
+	now := mono.Time(time.Hour)
+	d.RunAnswered(Of(get("/good")))
+	d.RunLost(now, 1, Of(get("/earlier")))
+	now = now.Add(2 * crashSpan)
+	for _, path := range []string{"/deadly", "/good", "/deadly", "/beside"} {
+		d.RunLost(now, 1, Of(get(path)))
+	}
+	crash, crashed := d.InstanceEnded(now.Add(time.Millisecond), 1)
+	must.True(t, crashed)
+	must.Eq(t, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/beside"))}}, crash)
+	_, again := d.InstanceEnded(now.Add(time.Second), 1)
+	must.False(t, again)
+}
+
+func TestDetectorForgetsOldestAnswers(t *testing.T) {
+	d := NewDetector()
+	for i := range maxCompleted + 10 {
+		d.RunAnswered(Of(get(strconv.Itoa(i))))
+	}
+	must.MapLen(t, maxCompleted, d.completed)
+	must.False(t, d.completed[Of(get("9"))])
+	must.True(t, d.completed[Of(get("10"))])
+}
+
+func TestLedgerCountsEachInstanceOnce(t *testing.T) {
+	l := NewLedger()
+	now := mono.Time(time.Hour)
+	both := []Fingerprint{Of(get("/deadly")), Of(get("/beside"))}
+	for range 5 {
+		must.SliceEmpty(t, l.Record(now, Crash{Instance: 1, Requests: both}))
+	}
+	must.SliceEmpty(t, l.Record(now, Crash{Instance: 2, Requests: both}), must.Sprint("either may be the cause"))
+	must.Len(t, 2, l.Record(now, Crash{Instance: 3, Requests: both}))
+}
+
+func TestOnlyRequestOfTwoCrashesIsHeld(t *testing.T) {
+	l := NewLedger()
+	now := mono.Time(time.Hour)
+	l.Record(now, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/a"))}})
+	must.Eq(t, []Fingerprint{Of(get("/deadly"))}, l.Record(now, Crash{Instance: 2, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/b"))}}))
+	left, held := l.Check(now.Add(time.Minute), get("/deadly"))
+	must.True(t, held)
+	must.Eq(t, firstQuarantine-time.Minute, left)
+	for _, path := range []string{"/a", "/b", "/c"} {
+		_, held = l.Check(now, get(path))
+		must.False(t, held)
+	}
+	must.Eq(t, 1, l.Held(now))
+}
+
+func TestQuarantineEndsAndNextOneIsLonger(t *testing.T) {
+	l := NewLedger()
+	now := mono.Time(time.Hour)
+	deadly := []Fingerprint{Of(get("/deadly"))}
+	l.Record(now, Crash{Instance: 1, Requests: deadly})
+	l.Record(now, Crash{Instance: 2, Requests: deadly})
+	now = now.Add(firstQuarantine)
+	_, held := l.Check(now, get("/deadly"))
+	must.False(t, held)
+	l.Record(now, Crash{Instance: 3, Requests: deadly})
+	left, held := l.Check(now, get("/deadly"))
+	must.True(t, held)
+	must.Eq(t, 2*firstQuarantine, left)
+}
+
+func TestSuspicionEndsAndLedgerIsBounded(t *testing.T) {
+	l := NewLedger()
+	now := mono.Time(time.Hour)
+	l.Record(now, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/a"))}})
+	now = now.Add(suspicionTime + time.Second)
+	must.SliceEmpty(t, l.Record(now, Crash{Instance: 2, Requests: []Fingerprint{Of(get("/a"))}}))
+	for i := range uint64(maxSuspects + 50) {
+		l.Record(now, Crash{Instance: 10 + i, Requests: []Fingerprint{Of(get(strconv.Itoa(int(i))))}})
+	}
+	must.LessEq(t, maxSuspects+1, len(l.suspects))
+}
+
+func TestReportKeepsTheNewestCrashes(t *testing.T) {
+	var r Report
+	for i := range uint64(maxReported + 4) {
+		r.Add(Crash{Instance: i, Requests: []Fingerprint{Of(get("/a"))}})
+	}
+	raw, err := r.Encode()
+	must.NoError(t, err)
+	back, err := DecodeReport(raw)
+	must.NoError(t, err)
+	must.Eq(t, r, back)
+	must.Len(t, maxReported, back.Crashes)
+	must.Eq(t, 4, back.Crashes[0].Instance)
+	_, err = DecodeReport([]byte(`{"crashes":[{"requests":["zz"]}]}`))
+	must.Error(t, err)
+}
+
+// policy decides from the crashes so far which requests are held; the Ledger and
+// naive ones are compared.
+type policy interface {
+	Record(now mono.Time, c Crash) []Fingerprint
+	Check(now mono.Time, r *request.Request) (time.Duration, bool)
+}
+
+// firstCrashPolicy holds every request of a single crash.
+type firstCrashPolicy struct{ *Ledger }
+
+func (p firstCrashPolicy) Record(now mono.Time, c Crash) []Fingerprint {
+	for _, f := range c.Requests {
+		p.suspects[f] = &suspect{heldUntil: now.Add(firstQuarantine)}
+	}
+	return c.Requests
+}
+
+// neverPolicy holds nothing.
+type neverPolicy struct{ *Ledger }
+
+func (p neverPolicy) Record(mono.Time, Crash) []Fingerprint { return nil }
+
+// crashPlay is the outcome of playCrashes.
+type crashPlay struct {
+	crashes      int // targets that a deadly request ended
+	afterThird   int // those of them that it ended at a later step than the third
+	wronglyHeld  int // harmless requests that were refused
+	harmlessLost int // runs of harmless requests that were lost with a target
+}
+
+// playCrashes plays one day of a service: 5 targets of 6 slots, harmless requests
+// some of which are about a few popular things, and a deadly request that comes
+// three times a second at any target. A lost request is repeated once. A target
+// is back 3 s after its end.
+func playCrashes(p policy, seed uint64) crashPlay {
+	const targets, slots, steps, step, down = 5, 6, 400, 50 * time.Millisecond, 3 * time.Second
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	detectors := make([]*Detector, targets)
+	for i := range detectors {
+		detectors[i] = NewDetector()
+	}
+	upAt := make([]mono.Time, targets)
+	instances := make([]uint64, targets)
+	var repeats []*request.Request
+	var play crashPlay
+	now := mono.Time(time.Hour)
+	for n := range steps {
+		now = now.Add(step)
+		thirdIsKnown := play.crashes >= certainCrashes
+		running := make([][]*request.Request, targets)
+		add := func(r *request.Request, deadly bool) {
+			at := rnd.IntN(targets)
+			if now < upAt[at] || len(running[at]) >= slots {
+				return
+			}
+			if _, held := p.Check(now, r); held {
+				if !deadly {
+					play.wronglyHeld++
+				}
+				return
+			}
+			running[at] = append(running[at], r)
+		}
+		for _, r := range repeats {
+			add(r, r.Path == "/deadly")
+		}
+		repeats = nil
+		for i := range 12 {
+			path := "/once/" + strconv.Itoa(n*100+i)
+			if rnd.IntN(3) == 0 {
+				path = "/popular/" + strconv.Itoa(rnd.IntN(4))
+			}
+			add(get(path), false)
+		}
+		if rnd.IntN(7) == 0 {
+			add(get("/deadly"), true)
+		}
+		for at, runs := range running {
+			crashes := false
+			for _, r := range runs {
+				crashes = crashes || r.Path == "/deadly"
+			}
+			instance := uint64(at)<<32 | instances[at] + 1
+			for _, r := range runs {
+				if !crashes {
+					detectors[at].RunAnswered(Of(r))
+					continue
+				}
+				detectors[at].RunLost(now, instance, Of(r))
+				if r.Path != "/deadly" {
+					play.harmlessLost++
+				}
+				repeats = append(repeats, r)
+			}
+			if !crashes {
+				continue
+			}
+			play.crashes++
+			if thirdIsKnown {
+				play.afterThird++
+			}
+			instances[at]++
+			upAt[at] = now.Add(down)
+			if crash, ok := detectors[at].InstanceEnded(now, instance); ok {
+				p.Record(now, crash)
+			}
+		}
+	}
+	return play
+}
+
+// The load: a request that ends each target that runs it, beside harmless ones.
+// It ends none once it has ended three, and harmless requests are not refused for
+// it but for one in ten plays.
+func TestDeadlyRequestIsHeldAndHarmlessOnesAreNot(t *testing.T) {
+	const seeds = 200
+	var held, never, first crashPlay
+	sum := func(total *crashPlay, p crashPlay) {
+		total.crashes += p.crashes
+		total.afterThird += p.afterThird
+		total.wronglyHeld += p.wronglyHeld
+		total.harmlessLost += p.harmlessLost
+	}
+	for seed := range uint64(seeds) {
+		p := playCrashes(NewLedger(), seed)
+		must.Zero(t, p.afterThird, must.Sprintf("seed %d", seed))
+		sum(&held, p)
+		sum(&never, playCrashes(neverPolicy{NewLedger()}, seed))
+		sum(&first, playCrashes(firstCrashPolicy{NewLedger()}, seed))
+	}
+	t.Logf("ledger %+v, no quarantine %+v, quarantine after one crash %+v", held, never, first)
+	must.Less(t, seeds/10, held.wronglyHeld)
+	must.Less(t, never.harmlessLost/3, held.harmlessLost)
+	must.Greater(t, held.wronglyHeld, first.wronglyHeld)
+}
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,41 @@
+package quarantine
+
+import (
+	"encoding/json"
+
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// ObjectKind is the kind of the store's objects that hold Reports, each named by
+// the host whose daemon writes it.
+const ObjectKind = "crash-report"
+
+// maxReported bounds the crashes of a Report.
+const maxReported = 16
+
+// Report holds the last crashes of the targets of one host, the newest last.
+type Report struct {
+	Crashes []Crash `json:"crashes"`
+}
+
+// Add appends a crash, and drops the oldest one if there are too many.
+func (r *Report) Add(c Crash) {
+	r.Crashes = append(r.Crashes, c)
+	if excess := len(r.Crashes) - maxReported; excess > 0 {
+		r.Crashes = r.Crashes[excess:]
+	}
+}
+
+// Encode returns the report as it is stored.
+func (r *Report) Encode() ([]byte, error) {
+	return json.Marshal(r)
+}
+
+// DecodeReport decodes a stored report.
+func DecodeReport(raw []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Report{}, &result.Error{Code: result.BadFrame, Field: ObjectKind, Detail: "the report does not decode", Cause: err}
+	}
+	return r, nil
+}
