Let daemons with four and with five kinds exchange the kinds they share

Cause: a digest whose length differs from the own number of kinds was dropped. While a fleet is upgraded to a build that appends a kind, daemons of the two builds would exchange nothing.

Change: a digest of another length, but not an empty one, is accepted and the kinds that both have are compared. The number of kinds that a neighbor reported is kept; it is sent that many revisions, and no objects or requests of kinds that it lacks. The wire formats and the golden file are unchanged. exchange.go says what holds.

An old parent drops the five revisions that it is sent until it happens to begin an exchange itself.

--- a/spread/adopt.go
+++ b/spread/adopt.go
@@ -110,7 +110,8 @@
 }
 
 // mayFinishJoin reports whether this daemon knows all that the store, or its
-// caught-up neighbors, know. It is false while any such neighbor is ahead.
+// caught-up neighbors, know. It is false while any such neighbor is ahead in a
+// kind that both have.
 func (c *Core) mayFinishJoin(now mono.Time) bool {
 	if c.caughtUpWithStore() || c.disabled.join && c.states[0].revision > 0 {
 		return true
--- a/spread/core.go
+++ b/spread/core.go
@@ -13,8 +13,9 @@
 	// Self and Zone identify this daemon and its availability zone.
 	Self host.Session
 	Zone host.Zone
-	// Kinds lists the replicated kinds. It must be the same, in the same
-	// order, on every daemon, because messages name a kind by its position.
+	// Kinds lists the replicated kinds. It must be in the same order on every
+	// daemon, because messages name a kind by its position. A newer build may
+	// append kinds.
 	// The first is the document's: the relay puts its objects in force only
 	// once another daemon holds them too, or after maxStagingTime.
 	Kinds []Kind
@@ -118,7 +119,10 @@
 // neighbor is a daemon that this one has heard from: what it reported last,
 // when it last announced itself as relay (relaySeen), and for each kind the
 // revision up to which it knows (revisions) or was sent (sentTo) every change.
+// It reported the first kinds of the list only, and its revision of the others
+// is 0; kinds is 0 before its first Digest.
 type neighbor struct {
+	kinds     int
 	heard     mono.Time
 	child     bool
 	caughtUp  bool
@@ -130,6 +134,11 @@
 	inForce   uint64
 }
 
+// has reports whether the neighbor reported a revision of a kind.
+func (n *neighbor) has(i int) bool {
+	return i < n.kinds
+}
+
 // disabledChecks turns off checks, so that tests can show that faults follow
 // without them.
 type disabledChecks struct {
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -7,6 +7,22 @@
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
+// While a fleet is upgraded to a build that appends kinds, daemons of both builds
+// exchange the kinds that they share. Builds before the fifth kind drop a Digest
+// that does not have exactly their number of revisions.
+//
+// The kinds that all builds have reach every daemon. But a newer daemon sends an
+// old one that it has not heard from a Digest that the old one drops. Below such a
+// parent it depends on the exchanges that random daemons of the zone begin, until
+// the parent begins one, and a change may take longer than in a fleet of one build.
+//
+// Of an appended kind, this holds: in a zone whose relay has the kind, its objects reach
+// every daemon that has it, but a daemon below a parent that lacks the kind gets
+// them only by exchanges with random daemons of the zone, without a bound on the
+// time. In a zone whose relay lacks the kind, nothing is promised until the relay
+// is upgraded. A daemon may catch up from neighbors that lack the kind, without
+// its objects; it then takes versions of them as they come.
+
 // askTimeout is the time after which an unanswered ChangesRequest may be repeated.
 const askTimeout = 2 * time.Second
 
@@ -42,11 +58,13 @@
 // handleDigest records what a daemon reports and compares revisions with it. It
 // sets sentTo to the reported revisions, so that pushes that were lost are sent
 // again. It answers with a Digest if asked to, but not to a caught-up daemon that
-// it has sent changes.
+// that it has sent changes.
+// A Digest of another build has fewer or more kinds; an empty one is dropped.
 func (c *Core) handleDigest(now mono.Time, from host.Session, n *neighbor, m *Digest) {
-	if len(m.Revisions) != len(c.states) {
+	if len(m.Revisions) == 0 {
 		return
 	}
+	n.kinds = len(m.Revisions)
 	copy(n.revisions, m.Revisions)
 	copy(n.sentTo, m.Revisions)
 	n.child = m.Child
@@ -67,13 +85,13 @@
 }
 
 // compare sends changes to a daemon that is behind, and asks one that is ahead
-// for its changes. It reports whether it sent changes.
+// for its changes, of the kinds that both have. It reports whether it sent changes.
 func (c *Core) compare(now mono.Time, with host.Session, n *neighbor) bool {
 	if c.disabled.compare {
 		return false
 	}
 	served := false
-	for i, s := range c.states {
+	for i, s := range c.states[:min(n.kinds, len(c.states))] {
 		served = c.serve(with, n, i) || served
 		if n.revisions[i] > s.knownTo() {
 			c.requestChanges(now, with, i)
@@ -202,7 +220,7 @@
 	for _, to := range c.neighborsByRank() {
 		n := c.neighbors[to]
 		after := n.sentTo[i]
-		if !n.child || !c.heardRecently(now, n) || after >= s.revision {
+		if !n.child || !n.has(i) || !c.heardRecently(now, n) || after >= s.revision {
 			continue
 		}
 		items, upTo := s.changesSince(after, c.cfg.PushBytes, false)
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -48,8 +48,11 @@
 type node struct {
 	session host.Session
 	zone    host.Zone
-	core    *Core
-	alive   bool
+	kinds   []Kind
+	// old makes the node drop digests of another length, as builds before the fifth kind do.
+	old   bool
+	core  *Core
+	alive bool
 	// cutUntil is the time at which the isolation of the host ends.
 	cutUntil   mono.Time
 	caughtUpAt mono.Time
@@ -81,6 +84,12 @@
 }
 
 func newFleet(seed uint64, zones, perZone int) *fleet {
+	return newFleetOf(seed, zones, perZone, func(*node, int, int) {})
+}
+
+// newFleetOf returns a fleet whose nodes are set up by prepare, given their zone
+// and rank, before they start.
+func newFleetOf(seed uint64, zones, perZone int, prepare func(n *node, zone, rank int)) *fleet {
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 7)), sentBy: make(map[host.ID]int)}
 	f.store = &fakeStore{fleet: f, objects: make(map[Key]Object)}
 	for z := range zones {
@@ -88,8 +97,10 @@
 			n := &node{
 				session: host.Session{Host: host.ID(fmt.Sprintf("h%02d-%03d", z, i))},
 				zone:    host.Zone(fmt.Sprintf("z%02d", z)),
+				kinds:   []Kind{docs, sessions},
 				highest: make(map[Key]uint64),
 			}
+			prepare(n, z, i)
 			f.nodes = append(f.nodes, n)
 		}
 	}
@@ -123,7 +134,7 @@
 	n.calls = make(map[Kind]int)
 	cfg := DefaultConfig()
 	cfg.Self, cfg.Zone, cfg.Seed = n.session, n.zone, f.rand.Uint64()
-	cfg.Kinds = []Kind{docs, sessions}
+	cfg.Kinds = n.kinds
 	n.core = New(cfg, f.now)
 	if f.onStart != nil {
 		f.onStart(n.core)
@@ -233,11 +244,20 @@
 	}
 	f.schedule(delay, func() {
 		if to.alive && !f.isIsolated(to) && to.session == a.To {
-			f.step(to, Received{n.session, a.Message})
+			f.step(to, Received{n.session, to.accepted(a.Message)})
 		}
 	})
 }
 
+// accepted returns a message as the node's build takes it: an empty Digest, which
+// only shows that its sender is alive, for one that an old build drops.
+func (n *node) accepted(m Message) Message {
+	if d, ok := m.(*Digest); ok && n.old && len(d.Revisions) != len(n.kinds) {
+		return &Digest{}
+	}
+	return m
+}
+
 func (f *fleet) find(s host.Session) *node {
 	zone, err1 := strconv.Atoi(string(s.Host[1:3]))
 	i, err2 := strconv.Atoi(string(s.Host[4:]))
--- a/spread/heartbeat.go
+++ b/spread/heartbeat.go
@@ -83,11 +83,12 @@
 	c.sendDigest(now, among[c.rand.IntN(len(among))], true)
 }
 
-// sendDigest sends the revisions up to which this daemon knows each kind.
+// sendDigest sends the revisions up to which this daemon knows each kind that the
+// receiver has. A daemon not heard from yet is sent all.
 func (c *Core) sendDigest(now mono.Time, to host.Session, answer bool) {
 	view := c.View(now)
 	c.send(to, &Digest{
-		Revisions:  c.revisions(),
+		Revisions:  c.revisions()[:c.kindsOf(to)],
 		CaughtUp:   c.caughtUp,
 		Child:      to == c.tree.parent(),
 		WantAnswer: answer,
@@ -98,6 +99,16 @@
 	})
 }
 
+// kindsOf returns how many of this daemon's kinds another one has: all if it has
+// not reported yet.
+func (c *Core) kindsOf(s host.Session) int {
+	n := c.neighbors[s]
+	if n == nil || n.kinds == 0 {
+		return len(c.states)
+	}
+	return min(n.kinds, len(c.states))
+}
+
 func (c *Core) revisions() []uint64 {
 	revisions := make([]uint64, len(c.states))
 	for i, s := range c.states {
--- a/spread/message.go
+++ b/spread/message.go
@@ -50,7 +50,8 @@
 type Digest struct {
 	_ struct{} `cbor:",toarray"`
 	// Revisions holds for each kind, in the order of Config.Kinds, the
-	// revision up to which the sender knows every change.
+	// revision up to which the sender knows every change. Kinds that the
+	// receiver is known to lack are left out.
 	Revisions []uint64
 	// CaughtUp reports that the sender has caught up since it started.
 	CaughtUp bool
--- a/spread/written.go
+++ b/spread/written.go
@@ -50,13 +50,13 @@
 
 // sendWritten sends the newest version of an object to some daemons, as a
 // difference from the version before it if there is one, to each once and not to
-// the one that it came from.
+// the one that it came from, nor to those that lack the kind.
 func (c *Core) sendWritten(i int, name string, to []host.Session, from host.Session) {
 	e := c.states[i].objects[name]
 	m := &Objects{Kind: uint8(i), Items: []Object{e.objectSince(e.object.Version-1, false)}}
 	sent := map[host.Session]bool{from: true}
 	for _, s := range to {
-		if !sent[s] {
+		if !sent[s] && i < c.kindsOf(s) {
 			sent[s] = true
 			c.send(s, m)
 		}
