--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -58,7 +58,7 @@
 // handleDigest records what a daemon reports and compares revisions with it. It
 // sets sentTo to the reported revisions, so that pushes that were lost are sent
 // again. It answers with a Digest if asked to, but not to a caught-up daemon that
-// that it has sent changes.
+// it has sent changes.
 // A Digest of another build has fewer or more kinds; an empty one is dropped.
 func (c *Core) handleDigest(now mono.Time, from host.Session, n *neighbor, m *Digest) {
 	if len(m.Revisions) == 0 {
