Keep requests that end their targets from being run again, on all hosts

Cause: nothing remembered what was running when a target ended. An attempt is known by its id, and the request came under another one each time; a gate that knew would have lost the slice to another host by then.

Ruled out: that the takeover is at fault. It moves the key, as it must; holding the key back would have refused its other requests as well.

Change: crashes of all hosts are counted by the content of the requests that were lost with them. The daemon beside the target publishes each crash as an object of its host in the store (crash-report, a fifth kind that spreads like packs do); every daemon counts it, and a content that was lost with three instances, or with two if nothing else explains the second, is answered quarantined (215, 503, a true "not run") with the time that is left: 10 minutes, twice as long after each further crash. It is refused where it arrives, before a retry, at the gate and in its queue. A repeat by id still gets an answer that is kept.

A request can only end the targets to which it was sent by then.

Remains: while the store takes no writes only the daemon beside the target knows; reports of hosts that are gone stay in the store.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -29,6 +29,10 @@
 	if needsDedup(r) && !g.disabled.dedup && g.handleRepeat(now, nowMs, w, r, adm, out) {
 		return
 	}
+	if left, held := g.quarantined(now, r); held {
+		g.refuseRequest(now, w, r, result.Quarantined, adm, left, out)
+		return
+	}
 	if code, retryAfter := g.checkCapacity(now, r); code != result.OK {
 		g.refuseRequest(now, w, r, code, adm, retryAfter, out)
 		return
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -60,6 +60,8 @@
 	App key.App
 	// Ownership describes what this daemon owns.
 	Ownership OwnershipChecker
+	// Quarantine names the requests that are not to be run; nil if there are none.
+	Quarantine request.Quarantine
 	// Dedup bounds the records of request ids that deduplicate repeats.
 	Dedup dedup.Config
 	// MaxQueued bounds the number of queued requests of each class.
--- a/gate/run.go
+++ b/gate/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -332,10 +333,15 @@
 
 // refuseJob refuses a queued job, which did not run and never will.
 func (g *Gate) refuseJob(now mono.Time, j *job, code result.Code, adm Admission, out *Actions) {
+	g.refuseJobFor(now, j, code, adm, g.retryAfter(code), out)
+}
+
+// refuseJobFor is refuseJob with the time after which the caller may come back.
+func (g *Gate) refuseJobFor(now mono.Time, j *job, code result.Code, adm Admission, retryAfter time.Duration, out *Actions) {
 	g.counters.Refused++
 	a := g.newAnswer(j, code)
 	a.Epoch = adm.Newest
 	a.OwnerEpoch = adm.Epoch
-	a.RetryAfter = g.retryAfter(code)
+	a.RetryAfter = retryAfter
 	g.step(now, j, eventRefuse, a, out)
 }
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -6,12 +6,16 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
+	"github.com/rhubarbring/rhubarbring/internal/objectstore"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -116,3 +120,71 @@
 	deadly := &request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("deadly")}
 	must.StrContains(t, p.logs[1].String(), "name=target_crashed level=warn app=catalogue instance=1 requests="+quarantine.Of(deadly).String())
 }
+
+func TestCrashesAtOtherHostsPutRequestIntoQuarantine(t *testing.T) {
+	p := newRoutingPair(t, event.Info)
+	target := startCrashingTarget(t)
+	p.announceInstance(target, 1)
+	deadly := quarantine.Of(&request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("deadly")})
+	for instance := range uint64(3) {
+		report := quarantine.Report{Crashes: []quarantine.Crash{{Instance: 100 + instance, Requests: []quarantine.Fingerprint{deadly}}}}
+		p.entry.routing.ring.Push(crashReportObserved{host: "third", report: report, version: instance + 1})
+	}
+	a := p.call(t, p.entry, "b", []byte("deadly"))
+	must.Eq(t, result.Quarantined, a.Code)
+	must.Between(t, time.Minute, a.RetryAfter, time.Hour)
+	must.Eq(t, result.OK, p.call(t, p.entry, "a", []byte("harmless")).Code)
+	must.False(t, target.ended.Load())
+}
+
+func TestCrashReportIsWrittenAgainUntilStoreTakesIt(t *testing.T) {
+	d := newRoutingPair(t, event.Info).owner
+	run := func(f func(r *routingLoop)) {
+		_, err := queryRouting(d, func(r *routingLoop, _ mono.Time) bool { f(r); return true })
+		must.NoError(t, err)
+	}
+	next := func() storeCall {
+		select {
+		case call := <-d.store.ring.Items():
+			return call
+		default:
+			return storeCall{}
+		}
+	}
+	crash := quarantine.Crash{Instance: 1, Requests: []quarantine.Fingerprint{{1}}}
+	run(func(r *routingLoop) {
+		r.crashReport.add(bootclock.Now(), crash)
+		r.writeCrashReport()
+		r.writeCrashReport()
+	})
+	first := next()
+	must.Eq(t, opPut, first.op)
+	must.Eq(t, 0, first.ifVersion)
+	must.Eq(t, "", next().kind, must.Sprint("one write at a time"))
+
+	first.done(storeAnswer{code: result.StoreConflict})
+	d.routing.sync()
+	read := next()
+	must.Eq(t, opGet, read.op)
+	read.done(storeAnswer{object: objectstore.Object{Version: 41}})
+	d.routing.sync()
+	run(func(r *routingLoop) { r.writeCrashReport() })
+	second := next()
+	must.Eq(t, 41, second.ifVersion)
+	second.done(storeAnswer{code: result.StoreDoubt})
+	d.routing.sync()
+	run(func(r *routingLoop) { r.writeCrashReport() })
+	must.Eq(t, 41, next().ifVersion)
+}
+
+func TestCrashesOfLongAgoLeaveTheReport(t *testing.T) {
+	now := bootclock.Now()
+	var c crashReport
+	c.add(now, quarantine.Crash{Instance: 1})
+	c.changed = false
+	c.expire(now.Add(reportRetention))
+	must.False(t, c.changed)
+	c.expire(now.Add(reportRetention + time.Second))
+	must.True(t, c.changed)
+	must.SliceEmpty(t, c.report.Crashes)
+}
--- a/internal/daemon/routing_crash.go
+++ b/internal/daemon/routing_crash.go
@@ -58,6 +58,22 @@
 		return
 	}
 	r.log.Event(event.TargetCrashed, "app", string(r.target.app), "instance", instance, "requests", joinFingerprints(crash.Requests))
+	r.recordCrash(now, crash)
+	r.crashReport.add(now, crash)
+	r.writeCrashReport()
+}
+
+// recordCrash counts a crash of this host's target or of another one. Requests
+// that are in quarantine from now on are refused where they wait.
+func (r *routingLoop) recordCrash(now mono.Time, c quarantine.Crash) {
+	held := r.quarantine.Record(now, c)
+	if len(held) == 0 {
+		return
+	}
+	r.log.Event(event.RequestsHeld, "requests", joinFingerprints(held), "instance", c.Instance)
+	for _, g := range r.gates() {
+		g.QuarantineChanged(now, &r.gateActions)
+	}
 }
 
 func joinFingerprints(list []quarantine.Fingerprint) string {
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -136,8 +136,11 @@
 	gateActions, gateBatch     gate.Actions
 	metrics                    routingMetrics
 
-	// crashes finds the requests that were lost with the target's process.
-	crashes *quarantine.Detector
+	// crashes finds the requests that were lost with the target's process, and
+	// quarantine counts those of all daemons. crashReport publishes this host's.
+	crashes     *quarantine.Detector
+	quarantine  *quarantine.Ledger
+	crashReport crashReport
 
 	meter           *loadmeter.Meter
 	reportSequence  uint64
@@ -223,6 +226,7 @@
 		unconfirmed:    make(map[string][]assignment.Change),
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
 		crashes:        quarantine.NewDetector(),
+		quarantine:     quarantine.NewLedger(),
 		meter:          loadmeter.New(bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
@@ -236,6 +240,7 @@
 	balancerConfig.Seed = cfg.Seed
 	r.balancer = balance.New(balancerConfig, bootclock.Now())
 	cfg.Chooser = r.balancer
+	cfg.Quarantine = r.quarantine
 	r.router = request.NewRouter(cfg)
 	r.metrics = newRoutingMetrics(registry)
 	return r
@@ -333,6 +338,8 @@
 	}
 	r.nextExpiry = now.Add(expiryInterval)
 	r.updateGauges(now)
+	r.crashReport.expire(now)
+	r.writeCrashReport()
 	if r.hostLink != nil {
 		r.hostLink.Expire(now)
 	}
--- a/internal/daemon/routing_metrics.go
+++ b/internal/daemon/routing_metrics.go
@@ -29,6 +29,7 @@
 	document    metrics.Gauge
 	busy        metrics.Gauge
 	queued      metrics.Gauge
+	quarantined metrics.Gauge
 }
 
 // latencySampleSize is the number of samples that a histogram keeps.
@@ -50,6 +51,7 @@
 		document:    metrics.GetOrRegisterGauge("document.version", registry),
 		busy:        metrics.GetOrRegisterGauge("target.busy", registry),
 		queued:      metrics.GetOrRegisterGauge("target.queued", registry),
+		quarantined: metrics.GetOrRegisterGauge("requests.quarantined", registry),
 	}
 	_ = registry.Register("routing.service_us", s.service) // Fails only if the name is in use.
 	_ = registry.Register("routing.queue_us", s.queue)
@@ -87,6 +89,7 @@
 	if d := r.fleet.document.Load(); d != nil {
 		s.document.Update(int64(d.stored.Version))
 	}
+	s.quarantined.Update(int64(r.quarantine.Held(now)))
 	if r.granter != nil {
 		s.grantUnits.Update(int64(r.granter.Units()))
 	}
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -48,6 +48,7 @@
 	cfg.Self = r.self
 	cfg.App = key.App(a.App)
 	cfg.Ownership = r
+	cfg.Quarantine = r.quarantine
 	if app, ok := r.fleet.app(cfg.App); ok {
 		cfg.MaxQueued = app.QueueBound
 	}
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/spread"
 )
@@ -31,6 +32,8 @@
 		err = s.adoptPack(a.Object, a.Written)
 	case placement.LeaderKind:
 		err = s.adoptLeader(a)
+	case quarantine.ObjectKind:
+		err = s.adoptCrashReport(a.Object)
 	}
 	if err != nil {
 		s.d.log.Event(event.BadObject, "object", string(a.Key.Kind)+"/"+a.Key.Name, "cause", err.Error())
@@ -106,6 +109,18 @@
 	return nil
 }
 
+func (s *spreadLoop) adoptCrashReport(o spread.Object) error {
+	if o.Deleted {
+		return nil
+	}
+	report, err := quarantine.DecodeReport(o.Value)
+	if err != nil {
+		return err
+	}
+	s.d.routing.ring.PushWait(crashReportObserved{host: o.Name, report: report, version: o.Version}, s.stop)
+	return nil
+}
+
 // distribute passes the objects that a step adopted to the loops that depend on
 // them.
 func (s *spreadLoop) distribute(now mono.Time) {
--- a/internal/daemon/spread_loop.go
+++ b/internal/daemon/spread_loop.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/spread"
 )
@@ -27,9 +28,9 @@
 	listPage       = 200
 )
 
-// spreadKinds are the kinds of objects that daemons exchange. They are the same
-// on all daemons.
-var spreadKinds = []spread.Kind{document.Kind, session.ObjectKind, assignment.Kind, placement.LeaderKind}
+// spreadKinds are the kinds of objects that daemons exchange, in an order that all
+// builds share: a new kind is appended.
+var spreadKinds = []spread.Kind{document.Kind, session.ObjectKind, assignment.Kind, placement.LeaderKind, quarantine.ObjectKind}
 
 // spreadLoop receives documents, sessions, assignments and the leader from the
 // store if this daemon is its zone's relay, and otherwise from its peers, and
--- a/request/config.go
+++ b/request/config.go
@@ -59,6 +59,8 @@
 	Self host.Session
 	// Map gives the owners of slices.
 	Map OwnerMap
+	// Quarantine names the requests that are not to be run; nil if there are none.
+	Quarantine Quarantine
 	// Chooser chooses the gates of requests that have no slice.
 	Chooser Chooser
 	// Retry limits the retries and sets the delays before them.
@@ -96,6 +98,13 @@
 	Seed uint64
 }
 
+// Quarantine knows requests that are not to be run, because targets that ran
+// requests of their content ended.
+type Quarantine interface {
+	// Check reports whether a request is in quarantine, and for how much longer.
+	Check(now mono.Time, r *Request) (left time.Duration, held bool)
+}
+
 // Counters are the router's event counts. They never decrease.
 type Counters struct {
 	Submitted uint64
--- a/request/transitions.go
+++ b/request/transitions.go
@@ -99,6 +99,11 @@
 		r.refuse(now, c, cmp.Or(c.lastCode, result.Draining), out)
 		return
 	}
+	if left, held := r.quarantined(now, c.req); held {
+		c.lastAfter = left
+		r.refuse(now, c, result.Quarantined, out)
+		return
+	}
 	if c.req.Slice == NoSlice {
 		r.routeToAnyGate(now, c, out)
 		return
@@ -111,6 +116,15 @@
 	r.sendToGate(now, c, to, epoch, out)
 }
 
+// quarantined reports whether a request is in quarantine, and for how much longer.
+// A repeat that must not run twice goes to its gate, which may have its answer.
+func (r *Router) quarantined(now mono.Time, req *Request) (time.Duration, bool) {
+	if r.cfg.Quarantine == nil || !req.Idempotent && req.Repeat != RepeatFirst {
+		return 0, false
+	}
+	return r.cfg.Quarantine.Check(now, req)
+}
+
 // nextOwner returns the newest known owner of the request's slice and its
 // epoch, or the zero Session if no owner is known other than the one that has
 // just refused the request.
