--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -174,85 +175,116 @@
 	harmlessLost int // runs of harmless requests that were lost with a target
 }
 
-// playCrashes plays one day of a service: 5 targets of 6 slots, harmless requests
-// some of which are about a few popular things, and a deadly request that comes
-// three times a second at any target. A lost request is repeated once. A target
-// is back 3 s after its end.
-func playCrashes(p policy, seed uint64) crashPlay {
-	const targets, slots, steps, step, down = 5, 6, 400, 50 * time.Millisecond, 3 * time.Second
-	rnd := rand.New(rand.NewPCG(seed, 0))
-	detectors := make([]*Detector, targets)
-	for i := range detectors {
-		detectors[i] = NewDetector()
+// crashFleet is a service of 5 targets of 6 slots. A target is back 3 s after its
+// end, and a request that was lost is repeated once.
+type crashFleet struct {
+	rnd       *rand.Rand
+	policy    policy
+	now       mono.Time
+	targets   []crashTarget
+	repeats   []*request.Request
+	requestID int
+	play      crashPlay
+}
+
+// crashTarget is one target and what it runs in the present step.
+type crashTarget struct {
+	detector *Detector
+	instance uint64
+	upAt     mono.Time
+	running  []*request.Request
+}
+
+const (
+	crashSteps    = 400
+	crashStep     = 50 * time.Millisecond
+	crashDowntime = 3 * time.Second
+	crashSlots    = 6
+	deadlyPath    = "/deadly"
+)
+
+func newCrashFleet(p policy, seed uint64) *crashFleet {
+	f := &crashFleet{rnd: rand.New(rand.NewPCG(seed, 0)), policy: p, now: mono.Time(time.Hour), targets: make([]crashTarget, 5)}
+	for i := range f.targets {
+		f.targets[i] = crashTarget{detector: NewDetector(), instance: uint64(i)<<32 + 1}
 	}
-	upAt := make([]mono.Time, targets)
-	instances := make([]uint64, targets)
-	var repeats []*request.Request
-	var play crashPlay
-	now := mono.Time(time.Hour)
-	for n := range steps {
-		now = now.Add(step)
-		thirdIsKnown := play.crashes >= certainCrashes
-		running := make([][]*request.Request, targets)
-		add := func(r *request.Request, deadly bool) {
-			at := rnd.IntN(targets)
-			if now < upAt[at] || len(running[at]) >= slots {
-				return
-			}
-			if _, held := p.Check(now, r); held {
-				if !deadly {
-					play.wronglyHeld++
-				}
-				return
-			}
-			running[at] = append(running[at], r)
-		}
-		for _, r := range repeats {
-			add(r, r.Path == "/deadly")
+	return f
+}
+
+// playCrashes plays one day: 240 harmless requests a second, a third of them for
+// a few popular things, and a deadly one three times a second at any target.
+func playCrashes(p policy, seed uint64) crashPlay {
+	f := newCrashFleet(p, seed)
+	for range crashSteps {
+		f.now = f.now.Add(crashStep)
+		f.arrivals()
+		thirdIsKnown := f.play.crashes >= certainCrashes
+		for i := range f.targets {
+			f.run(&f.targets[i], thirdIsKnown)
 		}
-		repeats = nil
-		for i := range 12 {
-			path := "/once/" + strconv.Itoa(n*100+i)
-			if rnd.IntN(3) == 0 {
-				path = "/popular/" + strconv.Itoa(rnd.IntN(4))
-			}
-			add(get(path), false)
+	}
+	return f.play
+}
+
+// arrivals starts the requests of a step.
+func (f *crashFleet) arrivals() {
+	repeats := f.repeats
+	f.repeats = nil
+	for _, r := range repeats {
+		f.start(r)
+	}
+	for range 12 {
+		f.requestID++
+		path := "/once/" + strconv.Itoa(f.requestID)
+		if f.rnd.IntN(3) == 0 {
+			path = "/popular/" + strconv.Itoa(f.rnd.IntN(4))
 		}
-		if rnd.IntN(7) == 0 {
-			add(get("/deadly"), true)
+		f.start(get(path))
+	}
+	if f.rnd.IntN(7) == 0 {
+		f.start(get(deadlyPath))
+	}
+}
+
+// start starts a request at any target that has room, unless it is held.
+func (f *crashFleet) start(r *request.Request) {
+	t := &f.targets[f.rnd.IntN(len(f.targets))]
+	if f.now < t.upAt || len(t.running) >= crashSlots {
+		return
+	}
+	if _, held := f.policy.Check(f.now, r); !held {
+		t.running = append(t.running, r)
+	} else if r.Path != deadlyPath {
+		f.play.wronglyHeld++
+	}
+}
+
+// run ends the runs of a target: they are answered, or lost if one is deadly.
+func (f *crashFleet) run(t *crashTarget, thirdIsKnown bool) {
+	runs := t.running
+	t.running = nil
+	if !slices.ContainsFunc(runs, func(r *request.Request) bool { return r.Path == deadlyPath }) {
+		for _, r := range runs {
+			t.detector.RunAnswered(Of(r))
 		}
-		for at, runs := range running {
-			crashes := false
-			for _, r := range runs {
-				crashes = crashes || r.Path == "/deadly"
-			}
-			instance := uint64(at)<<32 | instances[at] + 1
-			for _, r := range runs {
-				if !crashes {
-					detectors[at].RunAnswered(Of(r))
-					continue
-				}
-				detectors[at].RunLost(now, instance, Of(r))
-				if r.Path != "/deadly" {
-					play.harmlessLost++
-				}
-				repeats = append(repeats, r)
-			}
-			if !crashes {
-				continue
-			}
-			play.crashes++
-			if thirdIsKnown {
-				play.afterThird++
-			}
-			instances[at]++
-			upAt[at] = now.Add(down)
-			if crash, ok := detectors[at].InstanceEnded(now, instance); ok {
-				p.Record(now, crash)
-			}
+		return
+	}
+	for _, r := range runs {
+		t.detector.RunLost(f.now, t.instance, Of(r))
+		if r.Path != deadlyPath {
+			f.play.harmlessLost++
 		}
 	}
-	return play
+	f.repeats = append(f.repeats, runs...)
+	f.play.crashes++
+	if thirdIsKnown {
+		f.play.afterThird++
+	}
+	if crash, ok := t.detector.InstanceEnded(f.now, t.instance); ok {
+		f.policy.Record(f.now, crash)
+	}
+	t.instance++
+	t.upAt = f.now.Add(crashDowntime)
 }
 
 // The load: a request that ends each target that runs it, beside harmless ones.
--- a/spread/mixed_test.go
+++ b/spread/mixed_test.go
@@ -104,8 +104,8 @@
 	})
 }
 
-func newKindsCore(incarnation uint64, kinds []Kind) *Core {
-	cfg := newTestConfig(incarnation)
+func newKindsCore(kinds []Kind) *Core {
+	cfg := newTestConfig(1)
 	cfg.Kinds = kinds
 	return New(cfg, 0)
 }
@@ -122,7 +122,7 @@
 }
 
 func TestKindIsNotSentToNeighborThatLacksIt(t *testing.T) {
-	c, old := newKindsCore(1, fiveKinds), host.Session{Host: "old", Incarnation: 1}
+	c, old := newKindsCore(fiveKinds), host.Session{Host: "old", Incarnation: 1}
 	c.Step(0, Members{[]Member{{c.cfg.Self, ""}, {old, ""}}})
 	c.states[4].put(Object{Name: "o", Version: 7})
 	c.states[4].markWatched(7)
@@ -140,7 +140,7 @@
 }
 
 func TestDigestWithMoreKindsIsNotDropped(t *testing.T) {
-	c, newer := newKindsCore(1, fourKinds), host.Session{Host: "newer", Incarnation: 1}
+	c, newer := newKindsCore(fourKinds), host.Session{Host: "newer", Incarnation: 1}
 	revisions := []uint64{0, 0, 0, 3, 9}
 	messages := sent(c.Step(0, Received{newer, &Digest{Revisions: revisions, CaughtUp: true, WantAnswer: true}}))
 	must.Len(t, 2, messages)
@@ -149,14 +149,14 @@
 }
 
 func TestEmptyDigestIsNotTakenAsReport(t *testing.T) {
-	c, other := newKindsCore(1, fiveKinds), host.Session{Host: "other", Incarnation: 1}
+	c, other := newKindsCore(fiveKinds), host.Session{Host: "other", Incarnation: 1}
 	must.SliceEmpty(t, sent(c.Step(0, Received{other, &Digest{CaughtUp: true, WantAnswer: true}})))
 	must.False(t, c.neighbors[other].caughtUp)
 	must.Len(t, 5, c.revisions()[:c.kindsOf(other)])
 }
 
 func TestJoinDoesNotWaitForKindThatNeighborsLack(t *testing.T) {
-	c := newKindsCore(1, fiveKinds)
+	c := newKindsCore(fiveKinds)
 	c.states[4].revision = 1
 	for i := range uint64(3) {
 		other := host.Session{Host: "old", Incarnation: i + 1}
