--- a/cmd/rhubarb/alarms.go
+++ b/cmd/rhubarb/alarms.go
@@ -45,10 +45,7 @@
 		Short: "Acknowledge an alarm, so that it is no longer listed as open",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := t.requireWho(); err != nil {
-				return err
-			}
-			o, err := t.newEnvironmentClient()
+			o, err := t.newChangeClient()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/main.go
+++ b/cmd/rhubarb/main.go
@@ -96,6 +96,15 @@
 	return t.newClient()
 }
 
+// newChangeClient returns a client for commands that change something and need
+// --who, --store and --environment.
+func (t *tool) newChangeClient() (*operator.Client, error) {
+	if err := t.requireWho(); err != nil {
+		return nil, err
+	}
+	return t.newEnvironmentClient()
+}
+
 // requireEnvironment returns an error if --environment is missing.
 func (t *tool) requireEnvironment() error {
 	if t.environment == "" {
--- a/cmd/rhubarb/outcomes.go
+++ b/cmd/rhubarb/outcomes.go
@@ -116,10 +116,7 @@
 		Short: "Record what was found out about an outcome at risk",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := t.requireWho(); err != nil {
-				return err
-			}
-			o, err := t.newEnvironmentClient()
+			o, err := t.newChangeClient()
 			if err != nil {
 				return err
 			}
--- a/cmd/rhubarb/sessions.go
+++ b/cmd/rhubarb/sessions.go
@@ -133,10 +133,7 @@
 			if why == "" {
 				return settingsError("--why", "a declaration needs a reason", "add --why with how you know that the host is gone")
 			}
-			if err := t.requireWho(); err != nil {
-				return err
-			}
-			o, err := t.newEnvironmentClient()
+			o, err := t.newChangeClient()
 			if err != nil {
 				return err
 			}
