Complete apply, promote and rollback in one place

What stood twice: the three commands each declared and added the flags of a change, took one argument and ended in applyChange, to which they passed the same four values one by one.

Change: changeCommand does this for all three. Each command only gives a function that prepares its change, a struct with the environment, the bytes, the document and the evidence.

Tests: TestDocumentIsPromotedAndRolledBack, TestApplyReportsConflictsAndResolvesLostAnswers and TestEveryCommandHasHelp.

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -48,9 +48,32 @@
 	AfterMs int64 `json:"after_ms"`
 }
 
-func (t *tool) applyCommand() *cobra.Command {
+// change is a document to be put in force in an environment.
+type change struct {
+	environment string
+	raw         []byte
+	doc         *document.Document
+	evidence    *document.Evidence // Of the trial; nil if there was none.
+}
+
+// changeCommand completes a command that changes a document. prepare returns
+// the change that the command's only argument asks for.
+func (t *tool) changeCommand(cmd *cobra.Command, prepare func(arg string) (change, error)) *cobra.Command {
 	var flags changeFlags
-	cmd := &cobra.Command{
+	flags.add(cmd)
+	cmd.Args = cobra.ExactArgs(1)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		c, err := prepare(args[0])
+		if err != nil {
+			return err
+		}
+		return t.applyChange(cmd, flags, c)
+	}
+	return cmd
+}
+
+func (t *tool) applyCommand() *cobra.Command {
+	return t.changeCommand(&cobra.Command{
 		Use:   "apply FILE",
 		Short: "Put a document in force in the trial that it names",
 		Long: `apply puts a document in force in the trial environment that it names, and
@@ -60,83 +83,82 @@
 shown. If the store's answer is lost and the outcome can't be determined, it
 reports unknown and gives the flags with which the same change is run again
 until the outcome is known.`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, doc, err := readDocument(args[0])
-			if err != nil {
-				return err
-			}
-			return t.applyChange(cmd, flags, doc.Trial, raw, doc, nil)
-		},
+	}, prepareApply)
+}
+
+// prepareApply returns the change that puts a file's document in force in its
+// trial.
+func prepareApply(file string) (change, error) {
+	raw, doc, err := readDocument(file)
+	if err != nil {
+		return change{}, err
 	}
-	flags.add(cmd)
-	return cmd
+	return change{environment: doc.Trial, raw: raw, doc: doc}, nil
 }
 
 func (t *tool) promoteCommand() *cobra.Command {
-	var flags changeFlags
-	cmd := &cobra.Command{
+	return t.changeCommand(&cobra.Command{
 		Use:   "promote FILE",
 		Short: "Put a document that was tried in force in its own environment",
 		Long: `promote puts the same bytes in force that the trial has in force. It is
 refused if the trial holds other bytes, or if a live daemon of the trial
 doesn't have them in force or doesn't answer.`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, doc, err := readDocument(args[0])
-			if err != nil {
-				return err
-			}
-			o, err := t.newClient()
-			if err != nil {
-				return err
-			}
-			trial, err := o.TrialState(doc.Trial)
-			if err != nil {
-				return err
-			}
-			evidence, err := document.Promote(document.HashOf(raw), doc, trial)
-			if err != nil {
-				return err
-			}
-			return t.applyChange(cmd, flags, doc.Environment, raw, doc, evidence)
-		},
+	}, t.preparePromotion)
+}
+
+// preparePromotion returns the change that puts a file's document in force in
+// its own environment. It fails if the trial does not have it in force.
+func (t *tool) preparePromotion(file string) (change, error) {
+	raw, doc, err := readDocument(file)
+	if err != nil {
+		return change{}, err
 	}
-	flags.add(cmd)
-	return cmd
+	o, err := t.newClient()
+	if err != nil {
+		return change{}, err
+	}
+	trial, err := o.TrialState(doc.Trial)
+	if err != nil {
+		return change{}, err
+	}
+	evidence, err := document.Promote(document.HashOf(raw), doc, trial)
+	if err != nil {
+		return change{}, err
+	}
+	return change{environment: doc.Environment, raw: raw, doc: doc, evidence: evidence}, nil
 }
 
 func (t *tool) rollbackCommand() *cobra.Command {
-	var flags changeFlags
-	cmd := &cobra.Command{
+	return t.changeCommand(&cobra.Command{
 		Use:   "rollback VERSION",
 		Short: "Put an earlier version's content in force again, as a new version",
 		Long: `rollback takes the content of an earlier version of the environment from its
 history and puts it in force as a new version. It needs no new trial: the
 content was in force here before.`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			version, err := strconv.ParseUint(args[0], 10, 64)
-			if err != nil {
-				return settingsError("VERSION", "\""+args[0]+"\" is no version", "choose one from rhubarb history")
-			}
-			o, err := t.newEnvironmentClient()
-			if err != nil {
-				return err
-			}
-			earlier, err := findVersion(o, t.environment, version)
-			if err != nil {
-				return err
-			}
-			doc, problems := document.Parse([]byte(earlier.Content))
-			if err := problems.Err(); err != nil {
-				return err
-			}
-			return t.applyChange(cmd, flags, t.environment, []byte(earlier.Content), doc, earlier.Trial)
-		},
+	}, t.prepareRollback)
+}
+
+// prepareRollback returns the change that puts an earlier version's content in
+// force again. The argument is the number of the version.
+func (t *tool) prepareRollback(arg string) (change, error) {
+	version, err := strconv.ParseUint(arg, 10, 64)
+	if err != nil {
+		return change{}, settingsError("VERSION", "\""+arg+"\" is no version", "choose one from rhubarb history")
 	}
-	flags.add(cmd)
-	return cmd
+	o, err := t.newEnvironmentClient()
+	if err != nil {
+		return change{}, err
+	}
+	earlier, err := findVersion(o, t.environment, version)
+	if err != nil {
+		return change{}, err
+	}
+	raw := []byte(earlier.Content)
+	doc, problems := document.Parse(raw)
+	if err := problems.Err(); err != nil {
+		return change{}, err
+	}
+	return change{environment: t.environment, raw: raw, doc: doc, evidence: earlier.Trial}, nil
 }
 
 func findVersion(o *operator.Client, environment string, version uint64) (*document.Stored, error) {
@@ -153,7 +175,7 @@
 }
 
 // applyChange plans a change, makes it and waits until it is in force.
-func (t *tool) applyChange(cmd *cobra.Command, flags changeFlags, environment string, raw []byte, doc *document.Document, evidence *document.Evidence) error {
+func (t *tool) applyChange(cmd *cobra.Command, flags changeFlags, c change) error {
 	if err := t.requireWho(); err != nil {
 		return err
 	}
@@ -164,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	plan, version, err := makePlan(o, environment, raw, doc)
+	plan, version, err := makePlan(o, c.environment, c.raw, c.doc)
 	if err != nil {
 		return err
 	}
@@ -172,8 +194,8 @@
 		return err
 	}
 	started := time.Now()
-	done := changeReport{Environment: environment, Plan: plan}
-	done.UpdateResult = o.Update(flags.config(t.who, environment, raw, doc, version, evidence))
+	done := changeReport{Environment: c.environment, Plan: plan}
+	done.UpdateResult = o.Update(flags.config(t.who, c, version))
 	if done.Err() == nil && done.Verdict != document.Replaced {
 		t.awaitInForce(o, flags.wait, started, &done)
 	}
@@ -186,7 +208,7 @@
 	return done.lagError(flags.wait)
 }
 
-func (f changeFlags) config(who, environment string, raw []byte, doc *document.Document, version uint64, evidence *document.Evidence) document.UpdateConfig {
+func (f changeFlags) config(who string, c change, version uint64) document.UpdateConfig {
 	if f.base >= 0 {
 		version = uint64(f.base)
 	}
@@ -195,8 +217,8 @@
 		token = rand.Text()
 	}
 	return document.UpdateConfig{
-		Environment: environment, Content: raw, Deadlines: doc.MaxDeadlines(), Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
-		Trial: evidence, Base: &version, MaxFailures: maxStoreFailures, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff,
+		Environment: c.environment, Content: c.raw, Deadlines: c.doc.MaxDeadlines(), Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
+		Trial: c.evidence, Base: &version, MaxFailures: maxStoreFailures, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff,
 	}
 }
 
