Read a document for the store in one place

What stood twice: plan and promote each read and checked a file and then made a client of the store; rollback parsed and checked a stored version as readDocument does a file.

Change: readDocumentForStore serves plan and promote, parseSource files and stored versions. A document and its bytes, which always went together, are one struct, source.

Tests: TestDocumentIsPromotedAndRolledBack (plan, apply, promote, rollback), TestApplyReportsConflictsAndResolvesLostAnswers.

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -51,8 +51,7 @@
 // change is a document to be put in force in an environment.
 type change struct {
 	environment string
-	raw         []byte
-	doc         *document.Document
+	source      source
 	evidence    *document.Evidence // Of the trial; nil if there was none.
 }
 
@@ -89,11 +88,11 @@
 // prepareApply returns the change that puts a file's document in force in its
 // trial.
 func prepareApply(file string) (change, error) {
-	raw, doc, err := readDocument(file)
+	s, err := readDocument(file)
 	if err != nil {
 		return change{}, err
 	}
-	return change{environment: doc.Trial, raw: raw, doc: doc}, nil
+	return change{environment: s.doc.Trial, source: s}, nil
 }
 
 func (t *tool) promoteCommand() *cobra.Command {
@@ -109,23 +108,19 @@
 // preparePromotion returns the change that puts a file's document in force in
 // its own environment. It fails if the trial does not have it in force.
 func (t *tool) preparePromotion(file string) (change, error) {
-	raw, doc, err := readDocument(file)
+	s, o, err := t.readDocumentForStore(file)
 	if err != nil {
 		return change{}, err
 	}
-	o, err := t.newClient()
+	trial, err := o.TrialState(s.doc.Trial)
 	if err != nil {
 		return change{}, err
 	}
-	trial, err := o.TrialState(doc.Trial)
+	evidence, err := document.Promote(document.HashOf(s.raw), s.doc, trial)
 	if err != nil {
 		return change{}, err
 	}
-	evidence, err := document.Promote(document.HashOf(raw), doc, trial)
-	if err != nil {
-		return change{}, err
-	}
-	return change{environment: doc.Environment, raw: raw, doc: doc, evidence: evidence}, nil
+	return change{environment: s.doc.Environment, source: s, evidence: evidence}, nil
 }
 
 func (t *tool) rollbackCommand() *cobra.Command {
@@ -153,12 +148,11 @@
 	if err != nil {
 		return change{}, err
 	}
-	raw := []byte(earlier.Content)
-	doc, problems := document.Parse(raw)
-	if err := problems.Err(); err != nil {
+	s, err := parseSource([]byte(earlier.Content))
+	if err != nil {
 		return change{}, err
 	}
-	return change{environment: t.environment, raw: raw, doc: doc, evidence: earlier.Trial}, nil
+	return change{environment: t.environment, source: s, evidence: earlier.Trial}, nil
 }
 
 func findVersion(o *operator.Client, environment string, version uint64) (*document.Stored, error) {
@@ -186,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	plan, version, err := makePlan(o, c.environment, c.raw, c.doc)
+	plan, version, err := makePlan(o, c.environment, c.source)
 	if err != nil {
 		return err
 	}
@@ -217,7 +211,7 @@
 		token = rand.Text()
 	}
 	return document.UpdateConfig{
-		Environment: c.environment, Content: c.raw, Deadlines: c.doc.MaxDeadlines(), Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
+		Environment: c.environment, Content: c.source.raw, Deadlines: c.source.doc.MaxDeadlines(), Token: token, Who: who, When: time.Now().UTC().Truncate(time.Second),
 		Trial: c.evidence, Base: &version, MaxFailures: maxStoreFailures, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff,
 	}
 }
--- a/cmd/rhubarb/document.go
+++ b/cmd/rhubarb/document.go
@@ -12,14 +12,36 @@
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
+// source is a document with the bytes that it was parsed from.
+type source struct {
+	raw []byte
+	doc *document.Document
+}
+
+// parseSource parses and checks a document. The error holds all its problems.
+func parseSource(raw []byte) (source, error) {
+	doc, problems := document.Parse(raw)
+	return source{raw: raw, doc: doc}, problems.Err()
+}
+
 // readDocument reads and checks a file. The error holds all its problems.
-func readDocument(file string) ([]byte, *document.Document, error) {
+func readDocument(file string) (source, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return nil, nil, &result.Error{Code: result.BadSettings, Field: "FILE", Cause: err, Remedy: "name a readable file"}
+		return source{}, &result.Error{Code: result.BadSettings, Field: "FILE", Cause: err, Remedy: "name a readable file"}
 	}
-	doc, problems := document.Parse(raw)
-	return raw, doc, problems.Err()
+	return parseSource(raw)
+}
+
+// readDocumentForStore reads and checks a file for commands that compare it
+// with what the store holds. It also returns a client of the store.
+func (t *tool) readDocumentForStore(file string) (source, *operator.Client, error) {
+	s, err := readDocument(file)
+	if err != nil {
+		return source{}, nil, err
+	}
+	o, err := t.newClient()
+	return s, o, err
 }
 
 type validation struct {
@@ -59,19 +81,15 @@
 environment that --environment names, and with the fleet that runs there.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, doc, err := readDocument(args[0])
-			if err != nil {
-				return err
-			}
-			o, err := t.newClient()
+			s, o, err := t.readDocumentForStore(args[0])
 			if err != nil {
 				return err
 			}
 			environment := t.environment
 			if environment == "" {
-				environment = doc.Trial
+				environment = s.doc.Trial
 			}
-			plan, _, err := makePlan(o, environment, raw, doc)
+			plan, _, err := makePlan(o, environment, s)
 			if err != nil {
 				return err
 			}
@@ -85,7 +103,8 @@
 
 // makePlan compares a document with the one in force in an environment. It also
 // returns the version in force, 0 if there is none.
-func makePlan(o *operator.Client, environment string, raw []byte, doc *document.Document) (document.Plan, uint64, error) {
+func makePlan(o *operator.Client, environment string, s source) (document.Plan, uint64, error) {
+	doc := s.doc
 	if !doc.AllowedIn(environment) {
 		return document.Plan{}, 0, &result.Error{Code: result.BadDocument, Field: "environment, trial", Detail: "the document names " + doc.Environment + " and " + doc.Trial + ", not " + environment, Remedy: "name one of them, or write a document for " + environment}
 	}
@@ -108,7 +127,7 @@
 		return document.Plan{}, 0, err
 	}
 	plan := document.NewPlan(old, doc, operator.Fleet(hosts))
-	plan.Environment, plan.From, plan.To = environment, from, document.HashOf(raw)
+	plan.Environment, plan.From, plan.To = environment, from, document.HashOf(s.raw)
 	return plan, version, nil
 }
 
