Read the versions of an environment's document in one place

What stood twice: history, document status and rollback each made a client for the environment and read all versions with it.

Change: readVersions does both; findVersion only searches.

Tests: TestDocumentIsPromotedAndRolledBack (history, rollback, a version that doesn't exist), TestApplyReportsConflictsAndResolvesLostAnswers (document status).

--- a/cmd/rhubarb/change.go
+++ b/cmd/rhubarb/change.go
@@ -140,11 +140,11 @@
 	if err != nil {
 		return change{}, settingsError("VERSION", "\""+arg+"\" is no version", "choose one from rhubarb history")
 	}
-	o, err := t.newEnvironmentClient()
+	_, versions, err := t.readVersions()
 	if err != nil {
 		return change{}, err
 	}
-	earlier, err := findVersion(o, t.environment, version)
+	earlier, err := findVersion(versions, t.environment, version)
 	if err != nil {
 		return change{}, err
 	}
@@ -155,11 +155,8 @@
 	return change{environment: t.environment, source: s, evidence: earlier.Trial}, nil
 }
 
-func findVersion(o *operator.Client, environment string, version uint64) (*document.Stored, error) {
-	versions, err := allVersions(o, environment)
-	if err != nil {
-		return nil, err
-	}
+// findVersion returns the given version out of those of an environment.
+func findVersion(versions []document.Stored, environment string, version uint64) (*document.Stored, error) {
 	for _, v := range versions {
 		if v.Version == version {
 			return &v, nil
--- a/cmd/rhubarb/document.go
+++ b/cmd/rhubarb/document.go
@@ -137,11 +137,7 @@
 		Short: "List the versions of an environment's document, newest first",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			o, err := t.newEnvironmentClient()
-			if err != nil {
-				return err
-			}
-			versions, err := allVersions(o, t.environment)
+			_, versions, err := t.readVersions()
 			if err != nil {
 				return err
 			}
@@ -150,6 +146,17 @@
 	}
 }
 
+// readVersions returns the versions of the document of the environment that
+// --environment names, newest first, and the client that read them.
+func (t *tool) readVersions() (*operator.Client, []document.Stored, error) {
+	o, err := t.newEnvironmentClient()
+	if err != nil {
+		return nil, nil, err
+	}
+	versions, err := allVersions(o, t.environment)
+	return o, versions, err
+}
+
 // allVersions returns the document in force and those it replaced, newest
 // first.
 func allVersions(o *operator.Client, environment string) ([]document.Stored, error) {
--- a/cmd/rhubarb/document_status.go
+++ b/cmd/rhubarb/document_status.go
@@ -26,11 +26,7 @@
 --token it also says what became of the change of that token.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			o, err := t.newEnvironmentClient()
-			if err != nil {
-				return err
-			}
-			versions, err := allVersions(o, t.environment)
+			o, versions, err := t.readVersions()
 			if err != nil {
 				return err
 			}
