Tell callers when to come back where the document is not there yet

What callers saw: 503 without Retry-After from a daemon that has no document, or not the newest one, and so repeated at once.

Cause: requests refused before the router got a Retry-After only if its queue was full.

Change: every refusal for a reason that passes with time (not_configured, ring_full) names 500 ms. Those at fault with the request itself have none. Test: TestRefusalForLackOfDocumentSaysWhenToComeBack failed before (none).

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -136,7 +136,9 @@
 	c.mu.Unlock()
 	if x.refusal == nil && !c.server.router.Submit(x.submission) {
 		x.refusal = &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}
-		x.retryAfter = overloadRetryAfter
+	}
+	if x.refusal != nil && x.refusal.Code >= result.NoOwner {
+		x.retryAfter = refusalRetryAfter
 	}
 	return true
 }
--- a/internal/entry/conn_test.go
+++ b/internal/entry/conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
 )
 
 // manualRouter accepts each request and leaves it to the test to answer.
@@ -115,6 +116,29 @@
 	must.NoError(t, conn.Close())
 }
 
+// unconfiguredRouter has no document yet.
+type unconfiguredRouter struct{ overloadedRouter }
+
+func (unconfiguredRouter) AppLimits(string) (Limits, error) {
+	return Limits{}, &result.Error{Code: result.NotConfigured}
+}
+
+func TestRefusalForLackOfDocumentSaysWhenToComeBack(t *testing.T) {
+	s := New(unconfiguredRouter{}, NewAPI(1))
+	must.NoError(t, s.Start("127.0.0.1:0"))
+	t.Cleanup(func() { s.Stop(10 * time.Second) })
+	for path, want := range map[string]string{"/app/pay/": "500", "/nothing/": ""} {
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		must.NoError(t, err)
+		_, err = conn.Write([]byte("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+		must.NoError(t, err)
+		var resp fasthttp.Response
+		must.NoError(t, resp.Read(bufio.NewReader(conn)))
+		must.Eq(t, want, string(resp.Header.Peek("Rhubarb-Retry-After")))
+		must.NoError(t, conn.Close())
+	}
+}
+
 // While the server drains, it answers the requests that it has read, and closes
 // the connection with the last answer only.
 func TestDrainClosesConnectionAfterLastAnswer(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,9 +28,10 @@
 	// lateRequestGrace is how long after the listener is closed requests on
 	// connections that were just opened are still accepted.
 	lateRequestGrace = 300 * time.Millisecond
-	// overloadRetryAfter is the retry delay sent to a caller whose request was
-	// refused because the router's queue was full.
-	overloadRetryAfter = 500 * time.Millisecond
+	// refusalRetryAfter is the retry delay sent to a caller whose request was
+	// refused before the router for a reason that passes with time: its queue was
+	// full, or the daemon has not the document that the request needs.
+	refusalRetryAfter = 500 * time.Millisecond
 )
 
 // Protocol parses callers' requests and writes the responses to them. Its
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -47,7 +47,7 @@
 	if err == nil {
 		must.False(t, overloadedRouter{}.Submit(sub))
 		err = &result.Error{Code: result.RingFull}
-		retryAfter = overloadRetryAfter
+		retryAfter = refusalRetryAfter
 	}
 	api.WriteRefusal(&resp, sub.Request, err, retryAfter)
 	return &resp
