--- a/internal/daemon/crash_report.go
+++ b/internal/daemon/crash_report.go
@@ -88,12 +88,13 @@
 	if !c.changed || c.writing {
 		return
 	}
+	c.changed = false
 	raw, err := c.report.Encode()
 	if err != nil {
+		r.log.Event(event.BadObject, "object", quarantine.ObjectKind+"/"+string(r.self.Host), "cause", err.Error())
 		return
 	}
 	c.writing = true
-	c.changed = false
 	r.store.enqueue(storeCall{
 		op: opPut, kind: quarantine.ObjectKind, name: string(r.self.Host), ifVersion: c.version, value: raw,
 		done: func(a storeAnswer) { r.ring.PushWait(crashReportWritten{answer: a}, r.stop) },
