Take the load reporter out of the routing loop

The routing loop was entry, gate and reporter in one struct, and what decides when a load report is sent could be tested only with a whole loop. With the call that sends reports dropped, the tests of internal/daemon and internal/faulttest passed.

The type loadReporter has the meter, the times of the next reports, the count of refusals and the callback, with the methods that used them. It gets the app, load, slots and hot keys of the target as a struct, and the number of sessions, but not the loop. The loop keeps one field. Behaviour is unchanged; the app's hot keys and the number of sessions are now looked up with each tick, not only when they are needed.

Tests: routing_report_test.go drives the reporter without a loop (regular interval, content of a report, full queue, refusals, hot keys, limit by the number of daemons), and three tests check what the loop passes to it. No existing test is changed. That tick calls reportLoad is still not tested in this package: a tick needs a transport between daemons.

--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -163,7 +163,7 @@
 		}
 		before := len(r.gateActions.Answers)
 		r.gate.RequestReceived(now, wallMs(), from, req, &r.gateActions)
-		r.meterRefusal(req, r.gateActions.Answers[before:])
+		r.reporter.meterRefusal(req, r.gateActions.Answers[before:])
 		return
 	}
 	a := &request.Answer{ID: req.ID, Attempt: req.Attempt, Seq: req.Seq, Code: result.NotOwner, Owner: string(r.self.Host)}
@@ -181,26 +181,6 @@
 	return r.hostLink.Reserve(now, from, req.Seq, req.Route, r.gate.ServiceTime(req.Route))
 }
 
-// meterRefusal adds load to the slice of a request that was refused because the
-// target's queue was full, so that the slice can move to another daemon although
-// none of its requests run. Callers repeat refused requests, so each refusal
-// counts only as refusedRunShare of a run.
-func (r *routingLoop) meterRefusal(req *request.Request, answers []gate.Answer) {
-	if req.Slice == request.NoSlice {
-		return
-	}
-	for _, a := range answers {
-		if a.Answer.Code == result.QueueFull && a.Answer.ID == req.ID {
-			r.refusedFull++
-			r.meter.AddRejected(req.Slice, req.Key, time.Duration(refusedRunShare*float64(a.Answer.ServiceTime)))
-		}
-	}
-}
-
-// refusedRunShare is the fraction of a mean run that a refused request adds to
-// the load of its slice.
-const refusedRunShare = 0.5
-
 func (r *routingLoop) executeGate(now mono.Time, out *gate.Actions) {
 	for i := range out.Starts {
 		r.startRun(now, &out.Starts[i])
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,9 +18,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/peer"
 	"github.com/rhubarbring/rhubarbring/internal/ring"
 	"github.com/rhubarbring/rhubarbring/key"
-	"github.com/rhubarbring/rhubarbring/loadmeter"
 	"github.com/rhubarbring/rhubarbring/mono"
-	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/request"
 )
@@ -48,22 +45,6 @@
 	// kept. It is longer than any deadline plus lateAnswerWait.
 	sentRetention  = 90 * time.Second
 	expiryInterval = time.Second
-	// defaultReportInterval is the time between two load reports unless the
-	// settings name another. Each report names the reportedHotKeys hottest
-	// keys.
-	defaultReportInterval = 5 * time.Second
-	// reportsPerSecond bounds the reports that all daemons together send to the
-	// leader. At 130 bytes each they amount to some 5 KB per second.
-	reportsPerSecond = 40
-	// hotKeyCheckInterval is the time between two checks for a key that is too
-	// hot to wait for the next report.
-	hotKeyCheckInterval = 15 * time.Second
-	reportedHotKeys     = 8
-	// fullReportInterval is the minimum time between two load reports of a
-	// daemon whose target's queue is full, and fullReportRefusals the number of
-	// requests refused for that reason since the last report that triggers one.
-	fullReportInterval = 300 * time.Millisecond
-	fullReportRefusals = 5
 )
 
 // routingTask is a unit of work for the routing loop.
@@ -105,8 +86,6 @@
 	retiredGates []*gate.Gate
 	// onReleased is called for each release; it goes to the placement leader.
 	onReleased func(handover.Release)
-	// onLoadReport is called with each load report, for the placement leader.
-	onLoadReport func(placement.LoadReport)
 	// onTargetGone is called when the target has stopped announcing itself.
 	onTargetGone func()
 	// onRisk is called for each outcome at risk, and onSettled when a later
@@ -142,14 +121,10 @@
 	quarantine  *quarantine.Ledger
 	crashReport crashReport
 
-	meter           *loadmeter.Meter
-	reportSequence  uint64
-	reportInterval  time.Duration
-	nextReport      mono.Time
-	nextHotKeyCheck mono.Time
-	nextFullReport  mono.Time
-	refusedFull     int // Requests with a slice that were refused because the queue was full, since the last report.
-	nextExpiry      mono.Time
+	// reporter reports the load on the target.
+	reporter *loadReporter
+
+	nextExpiry mono.Time
 	// stopOwned is the number of slices owned when a planned stop began.
 	stopOwned atomic.Int64
 	// allSlicesOwned is set once every slice of the document's apps has an
@@ -215,7 +190,6 @@
 		log:            d.log,
 		leaseEnd:       d.lease.leaseEnd,
 		targets:        d.targets,
-		reportInterval: cmp.Or(d.settings.Placement.LoadReportInterval.Std(), defaultReportInterval),
 		ring:           ring.New[routingTask]("routing", routingRingSize, registry),
 		holder:         handover.New(holderConfig),
 		elapsed:        request.NewElapsedEstimator(),
@@ -228,7 +202,7 @@
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
 		crashes:        quarantine.NewDetector(),
 		quarantine:     quarantine.NewLedger(),
-		meter:          loadmeter.New(bootclock.Now()),
+		reporter:       newLoadReporter(d.self, d.settings.Placement.LoadReportInterval.Std(), bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
 	if mbps := d.settings.HostLinkMbps; mbps > 0 {
@@ -326,7 +300,7 @@
 	r.deliverWaiters(now)
 	r.expireSent(now)
 	r.chargeControlBytes(now)
-	r.report(now)
+	r.reportLoad(now)
 	r.flush(now)
 	r.publishStopState()
 }
@@ -352,6 +326,20 @@
 	}
 }
 
+// reportLoad sends a load report if one is due.
+func (r *routingLoop) reportLoad(now mono.Time) {
+	if r.gate == nil {
+		return
+	}
+	app, _ := r.fleet.app(r.target.app)
+	r.reporter.report(now, reportedTarget{
+		app:     r.target.app,
+		load:    r.target.load,
+		slots:   r.target.slots,
+		hotKeys: app.HotKeys,
+	}, len(r.fleet.sessions.Load().records))
+}
+
 func (r *routingLoop) tickGates(now mono.Time) {
 	r.retiredGates = slices.DeleteFunc(r.retiredGates, (*gate.Gate).Idle)
 	for _, g := range r.retiredGates {
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -151,9 +151,7 @@
 	g, run := w.run.gate, w.run.number
 	took := now.Sub(w.run.started)
 	r.metrics.service.Update(took.Microseconds())
-	if req := w.run.request; req.Slice != request.NoSlice {
-		r.meter.AddRun(req.Slice, req.Key, took)
-	}
+	r.reporter.meterRun(w.run.request, took)
 	r.observeRun(now, w.run, w.reply)
 	switch w.reply.Verdict {
 	case targetclient.Answered:
