--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -384,3 +384,13 @@
 	must.Less(t, never.harmlessLost/3, held.harmlessLost)
 	must.Greater(t, held.wronglyHeld, first.wronglyHeld)
 }
+
+func BenchmarkCheckWithSuspects(b *testing.B) {
+	l := NewLedger()
+	l.Record(mono.Time(time.Hour), Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly"))}})
+	r := get("/harmless")
+	r.Body = make([]byte, 1024)
+	for b.Loop() {
+		l.Check(mono.Time(time.Hour), r)
+	}
+}
