--- a/gate/quarantine_test.go
+++ b/gate/quarantine_test.go
@@ -27,18 +27,18 @@
 	held := pathQuarantine{}
 	f.gate.cfg.Quarantine = held
 	f.arrive(startTime, request.Normal, path("/harmless"))
-	f.arrive(startTime, request.Normal, path("/deadly"))
+	f.arrive(startTime, request.Normal, path("/poison"))
 	f.arrive(startTime, request.Normal, path("/harmless"))
 	must.SliceEmpty(t, f.out.Answers)
 
-	held["/deadly"] = true
+	held["/poison"] = true
 	f.out.Reset()
 	f.gate.QuarantineChanged(startTime, &f.out)
 	must.Eq(t, result.Quarantined, f.code(t))
 	must.Eq(t, time.Minute, f.out.Answers[0].Answer.RetryAfter)
 	must.Eq(t, 1, f.gate.Load(startTime).Queued)
 
-	f.arrive(startTime, request.Normal, path("/deadly"))
+	f.arrive(startTime, request.Normal, path("/poison"))
 	must.Eq(t, result.Quarantined, f.code(t))
 	must.Eq(t, time.Minute, f.out.Answers[0].Answer.RetryAfter)
 }
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -22,7 +22,7 @@
 )
 
 // crashingTarget is a target whose process ends when it begins to run a request
-// with the body "deadly". It answers other requests with their body.
+// with the body "poison". It answers other requests with their body.
 type crashingTarget struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -59,7 +59,7 @@
 		if req.Read(reader) != nil {
 			return
 		}
-		if string(req.Body()) == "deadly" {
+		if string(req.Body()) == "poison" {
 			c.end()
 			return
 		}
@@ -100,7 +100,7 @@
 		target := startCrashingTarget(t)
 		p.announceInstance(target, instance+1)
 		must.Eq(t, result.OK, p.call(t, p.entry, "before"+string('a'+rune(instance)), []byte("harmless")).Code)
-		p.call(t, p.entry, "deadly"+string('a'+rune(instance)), []byte("deadly"))
+		p.call(t, p.entry, "poison"+string('a'+rune(instance)), []byte("poison"))
 		if target.ended.Load() {
 			crashed++
 		}
@@ -113,24 +113,24 @@
 	target := startCrashingTarget(t)
 	p.announceInstance(target, 1)
 	must.Eq(t, result.OK, p.call(t, p.entry, "a", []byte("harmless")).Code)
-	must.Eq(t, result.AnswerLost, p.call(t, p.entry, "b", []byte("deadly")).Code)
+	must.Eq(t, result.AnswerLost, p.call(t, p.entry, "b", []byte("poison")).Code)
 	p.announceInstance(startCrashingTarget(t), 2)
 	p.owner.routing.sync()
 	p.owner.log.Close()
-	deadly := &request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("deadly")}
-	must.StrContains(t, p.logs[1].String(), "name=target_crashed level=warn app=catalogue instance=1 requests="+quarantine.Of(deadly).String())
+	poison := &request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("poison")}
+	must.StrContains(t, p.logs[1].String(), "name=target_crashed level=warn app=catalogue instance=1 requests="+quarantine.Of(poison).String())
 }
 
 func TestCrashesAtOtherHostsPutRequestIntoQuarantine(t *testing.T) {
 	p := newRoutingPair(t, event.Info)
 	target := startCrashingTarget(t)
 	p.announceInstance(target, 1)
-	deadly := quarantine.Of(&request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("deadly")})
+	poison := quarantine.Of(&request.Request{App: pairApp, Key: "k", Method: "POST", Path: "/items", Body: []byte("poison")})
 	for instance := range uint64(3) {
-		report := quarantine.Report{Crashes: []quarantine.Crash{{Instance: 100 + instance, Requests: []quarantine.Fingerprint{deadly}}}}
+		report := quarantine.Report{Crashes: []quarantine.Crash{{Instance: 100 + instance, Requests: []quarantine.Fingerprint{poison}}}}
 		p.entry.routing.ring.Push(crashReportObserved{host: "third", report: report, version: instance + 1})
 	}
-	a := p.call(t, p.entry, "b", []byte("deadly"))
+	a := p.call(t, p.entry, "b", []byte("poison"))
 	must.Eq(t, result.Quarantined, a.Code)
 	must.Between(t, time.Minute, a.RetryAfter, time.Hour)
 	must.Eq(t, result.OK, p.call(t, p.entry, "a", []byte("harmless")).Code)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -57,12 +57,12 @@
 	d.RunLost(now, 1, Of(get("/answer-lost")))
 	now = now.Add(time.Millisecond)
 	d.InstanceAlive(now, 1)
-	for _, path := range []string{"/deadly", "/beside", "/deadly"} {
+	for _, path := range []string{"/poison", "/beside", "/poison"} {
 		d.RunLost(now, 1, Of(get(path)))
 	}
 	crash, crashed := d.InstanceEnded(now.Add(time.Millisecond), 1)
 	must.True(t, crashed)
-	must.Eq(t, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/beside"))}}, crash)
+	must.Eq(t, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/poison")), Of(get("/beside"))}}, crash)
 	_, again := d.InstanceEnded(now.Add(time.Second), 1)
 	must.False(t, again)
 }
@@ -70,14 +70,14 @@
 func TestRunLostAfterItsInstanceIsKnownToHaveEndedIsInTheCrash(t *testing.T) {
 	d, l := NewDetector(), NewLedger()
 	now := mono.Time(time.Hour)
-	l.Record(now, Crash{Instance: 9, Requests: []Fingerprint{Of(get("/deadly"))}})
+	l.Record(now, Crash{Instance: 9, Requests: []Fingerprint{Of(get("/poison"))}})
 	d.RunLost(now, 1, Of(get("/beside")))
 	crash, _ := d.InstanceEnded(now, 1)
 	must.SliceEmpty(t, l.Record(now, crash))
-	crash, more := d.RunLost(now, 1, Of(get("/deadly")))
+	crash, more := d.RunLost(now, 1, Of(get("/poison")))
 	must.True(t, more)
-	must.Eq(t, []Fingerprint{Of(get("/deadly"))}, l.Record(now, crash))
-	_, more = d.RunLost(now, 1, Of(get("/deadly")))
+	must.Eq(t, []Fingerprint{Of(get("/poison"))}, l.Record(now, crash))
+	_, more = d.RunLost(now, 1, Of(get("/poison")))
 	must.False(t, more)
 }
 
@@ -95,7 +95,7 @@
 func TestAnsweredRequestIsNoSuspect(t *testing.T) {
 	l := NewLedger()
 	now := mono.Time(time.Hour)
-	both := []Fingerprint{Of(get("/deadly")), Of(get("/popular"))}
+	both := []Fingerprint{Of(get("/poison")), Of(get("/popular"))}
 	for instance := range uint64(5) {
 		crash := Crash{Instance: instance, Requests: both}
 		l.Record(now, crash)
@@ -104,17 +104,17 @@
 	}
 	_, held := l.Check(now, get("/popular"))
 	must.False(t, held)
-	_, held = l.Check(now, get("/deadly"))
+	_, held = l.Check(now, get("/poison"))
 	must.True(t, held)
-	l.Answered(get("/deadly"))
-	_, held = l.Check(now, get("/deadly"))
+	l.Answered(get("/poison"))
+	_, held = l.Check(now, get("/poison"))
 	must.True(t, held, must.Sprint("an answer from before the quarantine does not end it"))
 }
 
 func TestLedgerCountsEachInstanceOnce(t *testing.T) {
 	l := NewLedger()
 	now := mono.Time(time.Hour)
-	both := []Fingerprint{Of(get("/deadly")), Of(get("/beside"))}
+	both := []Fingerprint{Of(get("/poison")), Of(get("/beside"))}
 	for range 5 {
 		must.SliceEmpty(t, l.Record(now, Crash{Instance: 1, Requests: both}))
 	}
@@ -127,9 +127,9 @@
 func TestOnlyRequestOfTwoCrashesIsHeld(t *testing.T) {
 	l := NewLedger()
 	now := mono.Time(time.Hour)
-	l.Record(now, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/a"))}})
-	must.Eq(t, []Fingerprint{Of(get("/deadly"))}, l.Record(now, Crash{Instance: 2, Requests: []Fingerprint{Of(get("/deadly")), Of(get("/b"))}}))
-	left, held := l.Check(now.Add(time.Minute), get("/deadly"))
+	l.Record(now, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/poison")), Of(get("/a"))}})
+	must.Eq(t, []Fingerprint{Of(get("/poison"))}, l.Record(now, Crash{Instance: 2, Requests: []Fingerprint{Of(get("/poison")), Of(get("/b"))}}))
+	left, held := l.Check(now.Add(time.Minute), get("/poison"))
 	must.True(t, held)
 	must.Eq(t, firstQuarantine-time.Minute, left)
 	for _, path := range []string{"/a", "/b", "/c"} {
@@ -142,14 +142,14 @@
 func TestQuarantineEndsAndNextOneIsLonger(t *testing.T) {
 	l := NewLedger()
 	now := mono.Time(time.Hour)
-	deadly := []Fingerprint{Of(get("/deadly"))}
-	l.Record(now, Crash{Instance: 1, Requests: deadly})
-	l.Record(now, Crash{Instance: 2, Requests: deadly})
+	poison := []Fingerprint{Of(get("/poison"))}
+	l.Record(now, Crash{Instance: 1, Requests: poison})
+	l.Record(now, Crash{Instance: 2, Requests: poison})
 	now = now.Add(firstQuarantine)
-	_, held := l.Check(now, get("/deadly"))
+	_, held := l.Check(now, get("/poison"))
 	must.False(t, held)
-	l.Record(now, Crash{Instance: 3, Requests: deadly})
-	left, held := l.Check(now, get("/deadly"))
+	l.Record(now, Crash{Instance: 3, Requests: poison})
+	left, held := l.Check(now, get("/poison"))
 	must.True(t, held)
 	must.Eq(t, 2*firstQuarantine, left)
 }
@@ -160,16 +160,16 @@
 	l.Record(now, Crash{Instance: 1, Requests: []Fingerprint{Of(get("/a"))}})
 	now = now.Add(suspicionTime + time.Second)
 	must.SliceEmpty(t, l.Record(now, Crash{Instance: 2, Requests: []Fingerprint{Of(get("/a"))}}))
-	deadly := []Fingerprint{Of(get("/deadly"))}
-	l.Record(now, Crash{Instance: 3, Requests: deadly})
-	l.Record(now, Crash{Instance: 4, Requests: deadly})
+	poison := []Fingerprint{Of(get("/poison"))}
+	l.Record(now, Crash{Instance: 3, Requests: poison})
+	l.Record(now, Crash{Instance: 4, Requests: poison})
 	now = now.Add(time.Second)
 	for i := range uint64(maxSuspects + 50) {
 		l.Record(now, Crash{Instance: 10 + i, Requests: []Fingerprint{Of(get(strconv.Itoa(int(i))))}})
 	}
 	l.Expire(now)
 	must.MapLen(t, maxSuspects, l.suspects)
-	_, held := l.Check(now, get("/deadly"))
+	_, held := l.Check(now, get("/poison"))
 	must.True(t, held)
 	l.Expire(now.Add(2 * maxQuarantine))
 	must.MapEmpty(t, l.suspects)
@@ -224,8 +224,8 @@
 
 // crashPlay is the outcome of playCrashes.
 type crashPlay struct {
-	crashes      int // targets that a deadly request ended
-	sentLate     int // runs of the deadly request that began later than lateAfter after the third crash
+	crashes      int // targets that a poison request ended
+	sentLate     int // runs of the poison request that began later than lateAfter after the third crash
 	wronglyHeld  int // harmless requests that were refused
 	harmlessLost int // runs of harmless requests that were lost with a target
 }
@@ -240,7 +240,7 @@
 	repeats   []*request.Request
 	requestID int
 	thirdAt   mono.Time
-	owner     int // the target to which the deadly request and its neighbors go
+	owner     int // the target to which the poison request and its neighbors go
 	play      crashPlay
 }
 
@@ -261,7 +261,7 @@
 	// third crash.
 	lateAfter   = 3 * time.Second
 	maxSentLate = 3
-	deadlyPath  = "/deadly"
+	poisonPath  = "/poison"
 )
 
 func newCrashFleet(p policy, seed uint64) *crashFleet {
@@ -273,7 +273,7 @@
 }
 
 // playCrashes plays one day: 240 harmless requests a second, a third of them for
-// a few popular things, 20 for a few things of the same slice as the deadly
+// a few popular things, 20 for a few things of the same slice as the poison
 // request, and that one three times a second.
 func playCrashes(p policy, seed uint64) crashPlay {
 	f := newCrashFleet(p, seed)
@@ -307,14 +307,14 @@
 	}
 	f.start(get("/neighbor/" + strconv.Itoa(f.rnd.IntN(3))))
 	if f.rnd.IntN(7) == 0 {
-		f.start(get(deadlyPath))
+		f.start(get(poisonPath))
 	}
 }
 
 // start starts a request at any target that has room, unless it is held.
 func (f *crashFleet) start(r *request.Request) {
 	t := &f.targets[f.rnd.IntN(len(f.targets))]
-	if r.Path == deadlyPath || strings.HasPrefix(r.Path, "/neighbor/") {
+	if r.Path == poisonPath || strings.HasPrefix(r.Path, "/neighbor/") {
 		t = &f.targets[f.owner]
 	}
 	if f.now < t.upAt || len(t.running) >= crashSlots {
@@ -322,16 +322,16 @@
 	}
 	if _, held := f.policy.Check(f.now, r); !held {
 		t.running = append(t.running, r)
-	} else if r.Path != deadlyPath {
+	} else if r.Path != poisonPath {
 		f.play.wronglyHeld++
 	}
 }
 
-// run ends the runs of a target: they are answered, or lost if one is deadly.
+// run ends the runs of a target: they are answered, or lost if one is poison.
 func (f *crashFleet) run(t *crashTarget) {
 	runs := t.running
 	t.running = nil
-	if !slices.ContainsFunc(runs, func(r *request.Request) bool { return r.Path == deadlyPath }) {
+	if !slices.ContainsFunc(runs, func(r *request.Request) bool { return r.Path == poisonPath }) {
 		for _, r := range runs {
 			f.policy.Answered(r)
 		}
@@ -339,7 +339,7 @@
 	}
 	for _, r := range runs {
 		t.detector.RunLost(f.now, t.instance, Of(r))
-		if r.Path != deadlyPath {
+		if r.Path != poisonPath {
 			f.play.harmlessLost++
 		} else if f.thirdAt != 0 && f.now.Sub(f.thirdAt) > lateAfter {
 			f.play.sentLate++
@@ -363,7 +363,7 @@
 // The load: a request that ends each target that runs it, beside harmless ones.
 // It is run as rarely as the users' rule demands, and a hundred harmless requests
 // are saved for each one that is refused.
-func TestDeadlyRequestIsHeldAndHarmlessOnesAreNot(t *testing.T) {
+func TestPoisonRequestIsHeldAndHarmlessOnesAreNot(t *testing.T) {
 	const seeds = 200
 	var held, never, first crashPlay
 	sum := func(total *crashPlay, p crashPlay) {
@@ -387,7 +387,7 @@
 
 func BenchmarkCheckWithSuspects(b *testing.B) {
 	l := NewLedger()
-	l.Record(mono.Time(time.Hour), Crash{Instance: 1, Requests: []Fingerprint{Of(get("/deadly"))}})
+	l.Record(mono.Time(time.Hour), Crash{Instance: 1, Requests: []Fingerprint{Of(get("/poison"))}})
 	r := get("/harmless")
 	r.Body = make([]byte, 1024)
 	for b.Loop() {
