Test that cancelled runs are not blamed and that spread reports count

A run that its caller gave up must not be named as the cause of a crash, and a report that spreads must reach the count of every daemon. A test also named a header of the users' wire outside platform/.

Change: TestRunThatItsCallerGaveUpIsNotRunning, TestCrashReportThatSpreadsIsCounted; the header is a neutral one. No code but tests. Seen to fail: with IsRunning always true, and with the adoption of reports left out. Conclusion: both rules are held now.

--- a/gate/quarantine_test.go
+++ b/gate/quarantine_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -55,3 +56,12 @@
 	})
 	must.Eq(t, result.OK, f.code(t))
 }
+
+func TestRunThatItsCallerGaveUpIsNotRunning(t *testing.T) {
+	f := newWarmFixture(1)
+	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Idempotent = true })
+	must.True(t, f.gate.IsRunning(1))
+	f.gate.CancelReceived(startTime, host.Session{Host: "e", Incarnation: 1}, request.Cancel{ID: "id1", Attempt: 1, Seq: 1}, &f.out)
+	must.False(t, f.gate.IsRunning(1))
+	must.False(t, f.gate.IsRunning(7))
+}
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/spread"
 )
 
 // crashingTarget is a target whose process ends when it begins to run a request
@@ -188,3 +189,18 @@
 	must.True(t, c.changed)
 	must.SliceEmpty(t, c.report.Crashes)
 }
+
+func TestCrashReportThatSpreadsIsCounted(t *testing.T) {
+	d := newRoutingPair(t, event.Info).entry
+	var report quarantine.Report
+	for instance := range uint64(2) {
+		report.Add(quarantine.Crash{Instance: instance, Requests: []quarantine.Fingerprint{{1}}})
+	}
+	raw, err := report.Encode()
+	must.NoError(t, err)
+	must.SliceContains(t, spreadKinds, spread.Kind(quarantine.ObjectKind))
+	d.spread.adopt(spread.Adopt{Key: spread.Key{Kind: quarantine.ObjectKind, Name: "third"}, Object: spread.Object{Name: "third", Version: 7, Value: raw}})
+	held, err := queryRouting(d, func(r *routingLoop, now mono.Time) int { return r.quarantine.Held(now) })
+	must.NoError(t, err)
+	must.Eq(t, 1, held)
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 func TestFingerprintDependsOnContentOnly(t *testing.T) {
 	first := get("/a")
 	again := get("/a")
-	again.ID, again.Attempt, again.Header = "other", 4, []byte("X-Caller-Service: pay\r\n")
+	again.ID, again.Attempt, again.Header = "other", 4, []byte("Trace: 1\r\n")
 	must.Eq(t, Of(first), Of(again))
 	for _, other := range []*request.Request{
 		get("/b"),
