Log what targets say of themselves in their answers

Change: package targetstatus parses the limit and the end ahead, keeps the status of the local target's instance, and merges what other daemons report of it; event target_status. Read from every answer on a connection: successes, errors, refusals, late and foreign ones, answers whose body is lost, and those to grants and releases. Grant and Release of a target return a grant.Reply; the tests check the same as before.

Ruled out: taking any answer without the header as the end of a limit. Status 421 may come from another instance, answers to grants need not name it, and an answer may be older than the one that named it.

No decision uses the status yet.

--- a/event/request.go
+++ b/event/request.go
@@ -12,6 +12,7 @@
 	OutcomeSettled  ID = 4011
 	TargetCrashed   ID = 4020
 	RequestsHeld    ID = 4021
+	TargetStatus    ID = 4022
 )
 
 var requestEvents = []Def{
@@ -24,5 +25,6 @@
 	{RequestRejected, "request_rejected", Info, "id code result cause", "The request was rejected before routing: it is malformed, no route matches, or the daemon has no document or no capacity."},
 	{TargetCrashed, "target_crashed", Warn, "app instance requests", "The process of this host's target ended while it ran requests. The field requests has the fingerprints of their contents. The event comes again if more of them turn out to be lost with it."},
 	{RequestsHeld, "requests_held", Warn, "requests instance", "Requests of these contents are not run any more: they were running when several targets ended, the last one in the field instance. They are answered quarantined."},
+	{TargetStatus, "target_status", Info, "app instance limit leaving", "The target of this host says something else of itself than before: the requests a second that it takes (0 for no limit), and whether it is about to end. It said so in an answer, or another daemon reported it after a restart of this one."},
 	{OutcomeSettled, "outcome_settled", Info, "id app outcome", "An outcome at risk became known."},
 }
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -18,6 +18,7 @@
 
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 // Range is a range of consecutive slices of one app, both ends included.
@@ -182,3 +183,12 @@
 func latest(a, b mono.Time) mono.Time {
 	return max(a, b)
 }
+
+// Reply is a target's reply to a grant or a release.
+type Reply struct {
+	Answer Answer
+	// Token is the token that the target returned with a release; empty if none.
+	Token string
+	// Statement is what the answer says of the target itself.
+	Statement targetstatus.Statement
+}
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/key"
@@ -58,13 +59,14 @@
 	grantAnswered struct {
 		core   *grant.Core
 		grant  grant.Grant
-		answer grant.Answer
+		reply  grant.Reply
+		sentAt mono.Time
 	}
 	releaseAnswered struct {
 		core    *grant.Core
 		release grant.Release
-		token   string
-		answer  grant.Answer
+		reply   grant.Reply
+		sentAt  mono.Time
 	}
 	tokenReceived struct{ token handover.ReleaseToken }
 )
@@ -79,6 +81,7 @@
 	}
 	r.target.client = r.targets(a)
 	r.target.instance = a.Instance
+	r.beginStatus(now)
 	r.log.Event(event.TargetLife, "app", a.App, "address", a.Address, "target", a.InstanceName, "instance", a.Instance)
 	r.grantState = grantState{}
 	granter, ok := r.target.client.(GrantHolder)
@@ -198,12 +201,13 @@
 }
 
 func (r *routingLoop) callGrant(core *grant.Core, granter GrantHolder, g grant.Grant) {
-	r.ring.PushWait(grantAnswered{core: core, grant: g, answer: granter.Grant(g)}, r.stop)
+	sentAt := bootclock.Now()
+	r.ring.PushWait(grantAnswered{core: core, grant: g, reply: granter.Grant(g), sentAt: sentAt}, r.stop)
 }
 
 func (r *routingLoop) callRelease(core *grant.Core, granter GrantHolder, release grant.Release) {
-	token, answer := granter.Release(release)
-	r.ring.PushWait(releaseAnswered{core: core, release: release, token: token, answer: answer}, r.stop)
+	sentAt := bootclock.Now()
+	r.ring.PushWait(releaseAnswered{core: core, release: release, reply: granter.Release(release), sentAt: sentAt}, r.stop)
 }
 
 func (w grantAnswered) handle(r *routingLoop, now mono.Time) {
@@ -211,13 +215,14 @@
 	if w.core != r.callGrants {
 		return
 	}
+	r.heardTarget(now, w.sentAt, r.target.instance, w.reply.Statement)
 	id := event.GrantAnswered
-	if w.answer == grant.Accepted && g.Renewal {
+	if w.reply.Answer == grant.Accepted && g.Renewal {
 		id = event.GrantRenewed
 	}
 	r.log.Event(id, "app", string(g.Range.App), "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
-		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.answer.String())
-	r.callGrants.GrantAnswered(now, g.Unit, w.answer, &r.grantActions)
+		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.reply.Answer.String())
+	r.callGrants.GrantAnswered(now, g.Unit, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
 }
 
@@ -225,10 +230,11 @@
 	if w.core != r.callGrants {
 		return
 	}
+	r.heardTarget(now, w.sentAt, r.target.instance, w.reply.Statement)
 	rel := w.release
 	r.log.Event(event.ReleaseAnswered, "app", string(rel.Range.App), "first", uint32(rel.Range.First), "last", uint32(rel.Range.Last),
-		"epoch", rel.Epoch, "answer", w.answer.String())
-	r.callGrants.ReleaseAnswered(now, rel, w.token, w.answer, &r.grantActions)
+		"epoch", rel.Epoch, "answer", w.reply.Answer.String())
+	r.callGrants.ReleaseAnswered(now, rel, w.reply.Token, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
 }
 
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 const (
@@ -121,6 +122,9 @@
 	quarantine  *quarantine.Ledger
 	crashReport crashReport
 
+	// targetStatus is what the target says of itself.
+	targetStatus targetstatus.Local
+
 	// reporter reports the load on the target.
 	reporter *loadReporter
 
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -153,6 +153,7 @@
 	r.metrics.service.Update(took.Microseconds())
 	r.reporter.meterRun(w.run.request, took)
 	r.observeRun(now, w.run, w.reply)
+	r.heardTarget(now, w.run.started, w.run.instance, w.reply.Statement)
 	switch w.reply.Verdict {
 	case targetclient.Answered:
 		g.TargetAnswered(now, run, gate.TargetAnswer{Status: w.reply.Status, ContentType: w.reply.Type, Header: w.reply.Header, Body: w.reply.Body}, &r.gateActions)
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -31,8 +31,8 @@
 	// Announced reports that the instance has announced itself again. It does
 	// not block.
 	Announced()
-	Grant(g grant.Grant) grant.Answer
-	Release(r grant.Release) (token string, answer grant.Answer)
+	Grant(g grant.Grant) grant.Reply
+	Release(r grant.Release) grant.Reply
 }
 
 // TargetFactory returns the Target for a target that has announced itself.
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 const (
@@ -30,6 +31,8 @@
 	// daemons that carries the body.
 	maxAnswerBytes = 3 << 20
 	refusedHeader  = "Rhubarb-Refused"
+	limitHeader    = "Rhubarb-Rate-Limit"
+	leavingHeader  = "Rhubarb-Leaving"
 )
 
 // Grant is the grant of a slice under which a request is sent.
@@ -91,6 +94,8 @@
 	// ConnRefused is set with NotSent if the host refused the connection: no
 	// process listens at the target's address.
 	ConnRefused bool
+	// Statement is what the answer says of the target itself, whatever the verdict.
+	Statement targetstatus.Statement
 }
 
 // Client sends requests to one target. It is safe for concurrent use.
@@ -160,20 +165,40 @@
 	if err := c.requestClient.DoTimeout(req, resp, call.Timeout); err != nil {
 		return failureReply(err)
 	}
+	said := statementOf(&resp.Header)
 	if !matchesCall(resp, call) {
-		return Reply{Verdict: LostAfterSend, Reason: "the answer is to another request"}
+		return Reply{Verdict: LostAfterSend, Reason: "the answer is to another request", Statement: said}
 	}
+	said.Conclusive = true
 	if reason := resp.Header.Peek(refusedHeader); len(reason) > 0 {
-		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode()}
+		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode(), Statement: said}
 	}
 	return Reply{
-		Verdict: Answered,
-		Status:  resp.StatusCode(),
-		Type:    string(resp.Header.ContentType()),
-		Body:    append([]byte(nil), resp.Body()...),
+		Verdict:   Answered,
+		Status:    resp.StatusCode(),
+		Type:      string(resp.Header.ContentType()),
+		Body:      append([]byte(nil), resp.Body()...),
+		Statement: said,
 	}
 }
 
+// statementOf returns what a target says of itself in the header of an answer.
+func statementOf(h *fasthttp.ResponseHeader) targetstatus.Statement {
+	s := targetstatus.Statement{Leaving: targetstatus.SaysLeaving(stringsOf(h.PeekAll(leavingHeader)))}
+	if limits := stringsOf(h.PeekAll(limitHeader)); len(limits) > 0 {
+		s.LimitNamed, s.Limit = true, targetstatus.ParseLimit(limits)
+	}
+	return s
+}
+
+func stringsOf(values [][]byte) []string {
+	out := make([]string, len(values))
+	for i, v := range values {
+		out[i] = string(v)
+	}
+	return out
+}
+
 // matchesCall reports whether a response has the request id and the run number
 // of the call.
 func matchesCall(resp *fasthttp.Response, call Call) bool {
