Announce the target again in the test of a blocked log reader

Cause: the test sends 3,000 requests and allows 15 s for them, but its target announces itself once and counts as gone after 3 s. On a slow machine the requests take 4 s, and the last ones are refused with target_unavailable. Ruled out: the log; all refusals came after the third second. Change: the target announces itself every 100 requests, as a real one does each second. All bounds and checks stay.

--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -48,8 +48,12 @@
 	const requests = 3000 // More lines than the ring and the buffer hold.
 	_, neverRead := io.Pipe()
 	p := (&routingPair{logWriter: neverRead}).start(t, event.Info)
+	target := startEchoTarget(t)
 	began := time.Now()
 	for i := range requests {
+		if i%100 == 0 {
+			p.announceTarget(target) // On a slow machine the requests take longer than a target may be silent.
+		}
 		must.Eq(t, result.OK, p.call(t, p.entry, fmt.Sprint("order-", i), nil).Code)
 	}
 	took := time.Since(began)
