--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -27,14 +27,14 @@
 func (*blockedTarget) Close()                                    {}
 func (*blockedTarget) Announced()                                {}
 
-func (h *blockedTarget) Grant(grant.Grant) grant.Answer {
+func (h *blockedTarget) Grant(grant.Grant) grant.Reply {
 	h.granted <- true
-	return grant.Accepted
+	return grant.Reply{Answer: grant.Accepted}
 }
 
-func (h *blockedTarget) Release(grant.Release) (string, grant.Answer) {
+func (h *blockedTarget) Release(grant.Release) grant.Reply {
 	h.releaseAsked <- true
-	return "token", <-h.releaseAnswer
+	return grant.Reply{Token: "token", Answer: <-h.releaseAnswer}
 }
 
 // beginStop returns a daemon that has begun a planned stop while its target
