Keep to the rate limit that a target names

What callers saw: little; their target, in need, got all requests although it had asked for fewer.

Class: what a peer says of its own capacity goes unheard.

Change: the gate beside the target, through which all its requests go, spaces starts with a token bucket at the named rate, so that callers of all hosts, repeats and takeovers count together. Expected waits know the bucket: what can't be served in time is refused at once, with the time from which it can be, urgent requests last. A gate with a limit states as many slots as the limit keeps busy, so that the balancer prefers free gates. NextTick no longer asks for a tick at a pause that is over.

Ruled out: sharing the limit among the entries. One gate reaches a target, and a share of a rate of 1 is less than a request.

After: test passes; the naive gate beside it exceeds each limit.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -181,6 +181,7 @@
 	table        *statechart.Table
 	dedup        *dedup.Memory
 	target       target
+	rate         rateLimit // of the target
 	urgent       queue
 	normal       queue
 	urgentStreak int // urgent jobs chosen since the last normal one while one was queued
@@ -303,15 +304,15 @@
 	g.startQueued(now, out)
 }
 
-// NextTick returns the earliest time at which Tick has a timer or a start to
-// handle, and false if there is none.
-func (g *Gate) NextTick() (mono.Time, bool) {
+// NextTick returns the earliest time, as of now, at which Tick has a timer or a
+// start to handle, and false if there is none.
+func (g *Gate) NextTick(now mono.Time) (mono.Time, bool) {
 	at, ok := g.timers.NextAt()
 	if g.urgent.len()+g.normal.len() == 0 {
 		return at, ok
 	}
-	for _, t := range []mono.Time{g.target.pausedUntil, g.drainEnd()} {
-		if t > 0 && (!ok || t < at) {
+	for _, t := range []mono.Time{g.target.pausedUntil, g.drainEnd(), g.rate.nextAt(now)} {
+		if t.After(now) && (!ok || t < at) {
 			at, ok = t, true
 		}
 	}
--- a/gate/outcome.go
+++ b/gate/outcome.go
@@ -45,9 +45,10 @@
 
 // addLoad adds the target's load to an answer.
 func (g *Gate) addLoad(now mono.Time, a *request.Answer) {
-	a.Slots = uint16(g.usableSlots(now))
-	a.Jobs = uint16(min(g.busySlots+g.urgent.len()+g.normal.len(), math.MaxUint16))
-	a.ServiceTime = g.serviceTime.mean()
+	load := g.statedLoad(now)
+	a.Slots = uint16(load.slots)
+	a.Jobs = uint16(min(load.jobs, math.MaxUint16))
+	a.ServiceTime = load.serviceTime
 }
 
 // recordOutcome records a job's outcome in the memory of ids. An id is
--- a/gate/target.go
+++ b/gate/target.go
@@ -53,6 +53,7 @@
 	draining       bool          // the target or the daemon drains
 	drainStarted   mono.Time
 	daemonDraining bool // the daemon drains
+	leaving        bool // this instance said that it is about to end
 }
 
 // TargetAnnounced handles an announcement of the target.
@@ -60,9 +61,12 @@
 	t := &g.target
 	if !t.present {
 		t.announcedSince = now
+		t.leaving = t.leaving && a.Instance != 0 // Without a number, it is taken for another instance.
 	}
 	if t.Instance != a.Instance {
 		t.announcedSince = now
+		t.leaving = false
+		g.rate.set(now, 0)
 		g.endRunsOfOldInstance(now, out)
 	}
 	t.present = true
@@ -70,7 +74,7 @@
 	if len(g.connInUse) < a.Connections {
 		g.connInUse = append(g.connInUse, make([]bool, a.Connections-len(g.connInUse))...)
 	}
-	g.setDraining(now, a.State == Draining || t.daemonDraining)
+	g.setDraining(now, a.State == Draining || t.daemonDraining || t.leaving)
 	g.startQueued(now, out)
 }
 
@@ -102,6 +106,14 @@
 	g.refuseIfDrained(now, out)
 }
 
+// TargetLeaving starts the drain of a target whose instance is about to end. What
+// the instance announces later does not end it.
+func (g *Gate) TargetLeaving(now mono.Time, out *Actions) {
+	g.target.leaving = true
+	g.setDraining(now, true)
+	g.refuseIfDrained(now, out)
+}
+
 // Idle reports whether no request is queued or running, so that a drain is
 // complete.
 func (g *Gate) Idle() bool {
@@ -207,18 +219,18 @@
 }
 
 // expectedWait returns how long a new request of a class with the given soft
-// deadline would wait for a slot.
+// deadline would wait for a slot and for the target's rate limit.
 func (g *Gate) expectedWait(now mono.Time, class request.Class, softDeadline mono.Time) time.Duration {
 	slots := g.usableSlots(now)
 	if slots == 0 {
 		return 0
 	}
-	pause := max(g.target.pausedUntil.Sub(now), 0)
-	ahead := g.queuedAhead(class, softDeadline) + g.busySlots - slots
-	if ahead < 0 {
-		return pause
+	queued := g.queuedAhead(class, softDeadline)
+	slotWait := max(g.target.pausedUntil.Sub(now), 0)
+	if ahead := queued + g.busySlots - slots; ahead >= 0 {
+		slotWait += time.Duration(ahead+1) * g.serviceTime.mean() / time.Duration(slots)
 	}
-	return pause + time.Duration(ahead+1)*g.serviceTime.mean()/time.Duration(slots)
+	return max(slotWait, g.rate.wait(now, queued+1))
 }
 
 // queuedAhead returns the number of queued requests that are started before a
@@ -252,6 +264,12 @@
 	e.add(took)
 }
 
+// MeanServiceTime returns the mean service time of all requests; 0 before the first
+// answer.
+func (g *Gate) MeanServiceTime() time.Duration {
+	return g.serviceTime.mean()
+}
+
 // ServiceTime returns the mean service time of a route, 0 if it is not known.
 func (g *Gate) ServiceTime(route string) time.Duration {
 	return g.serviceTimeOf(route).mean()
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -163,7 +163,7 @@
 		}
 		before := len(r.gateActions.Answers)
 		r.gate.RequestReceived(now, wallMs(), from, req, &r.gateActions)
-		r.reporter.meterRefusal(req, r.gateActions.Answers[before:])
+		r.reporter.meterRefusal(req, r.gateActions.Answers[before:], r.gate.MeanServiceTime())
 		return
 	}
 	a := &request.Answer{ID: req.ID, Attempt: req.Attempt, Seq: req.Seq, Code: result.NotOwner, Owner: string(r.self.Host)}
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -81,7 +81,7 @@
 	}
 	r.target.client = r.targets(a)
 	r.target.instance = a.Instance
-	r.beginStatus(now)
+	r.targetStatus.Begin(a.Instance)
 	r.log.Event(event.TargetLife, "app", a.App, "address", a.Address, "target", a.InstanceName, "instance", a.Instance)
 	r.grantState = grantState{}
 	granter, ok := r.target.client.(GrantHolder)
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -263,7 +263,7 @@
 		next = min(next, at)
 	}
 	if r.gate != nil {
-		if at, ok := r.gate.NextTick(); ok {
+		if at, ok := r.gate.NextTick(bootclock.Now()); ok {
 			next = min(next, at)
 		}
 	}
--- a/internal/daemon/routing_report.go
+++ b/internal/daemon/routing_report.go
@@ -84,14 +84,14 @@
 // target's queue was full, so that the slice can move to another daemon although
 // none of its requests run. Callers repeat refused requests, so each refusal
 // counts only as refusedRunShare of a run.
-func (l *loadReporter) meterRefusal(req *request.Request, answers []gate.Answer) {
+func (l *loadReporter) meterRefusal(req *request.Request, answers []gate.Answer, meanRun time.Duration) {
 	if req.Slice == request.NoSlice {
 		return
 	}
 	for _, a := range answers {
 		if a.Answer.Code == result.QueueFull && a.Answer.ID == req.ID {
 			l.refusedFull++
-			l.meter.AddRejected(req.Slice, req.Key, time.Duration(refusedRunShare*float64(a.Answer.ServiceTime)))
+			l.meter.AddRejected(req.Slice, req.Key, time.Duration(refusedRunShare*float64(meanRun)))
 		}
 	}
 }
--- a/internal/daemon/routing_report_test.go
+++ b/internal/daemon/routing_report_test.go
@@ -52,7 +52,7 @@
 // queue was full. A run takes 200 ms in the mean.
 func (h *reportingHost) refuse(n int) {
 	for range n {
-		h.meterRefusal(&request.Request{ID: "a", Slice: 1, Key: "k"}, refusal("a", result.QueueFull))
+		h.meterRefusal(&request.Request{ID: "a", Slice: 1, Key: "k"}, refusal("a", result.QueueFull), 200*time.Millisecond)
 	}
 }
 
@@ -148,9 +148,9 @@
 func TestOtherRefusalsAreNotMetered(t *testing.T) {
 	h := newReportingHost(5*time.Second, 1)
 	for range fullReportRefusals {
-		h.meterRefusal(&request.Request{ID: "a", Slice: 1}, refusal("a", result.NotOwner))
-		h.meterRefusal(&request.Request{ID: "a", Slice: 1}, refusal("b", result.QueueFull))
-		h.meterRefusal(&request.Request{ID: "a", Slice: request.NoSlice}, refusal("a", result.QueueFull))
+		h.meterRefusal(&request.Request{ID: "a", Slice: 1}, refusal("a", result.NotOwner), 200*time.Millisecond)
+		h.meterRefusal(&request.Request{ID: "a", Slice: 1}, refusal("b", result.QueueFull), 200*time.Millisecond)
+		h.meterRefusal(&request.Request{ID: "a", Slice: request.NoSlice}, refusal("a", result.QueueFull), 200*time.Millisecond)
 	}
 	h.requireReportAfter(t, 5*time.Second)
 	must.SliceEmpty(t, h.reports[0].Slices)
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -6,11 +6,6 @@
 	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
-// beginStatus starts with the status of the target's new instance.
-func (r *routingLoop) beginStatus(_ mono.Time) {
-	r.targetStatus.Begin(r.target.instance)
-}
-
 // heardTarget handles what an answer of an instance of the target says of it.
 func (r *routingLoop) heardTarget(now, requestedAt mono.Time, instance uint64, s targetstatus.Statement) {
 	if r.targetStatus.Heard(now, requestedAt, instance, s) {
@@ -19,7 +14,8 @@
 }
 
 // statusChanged applies a changed status of the target.
-func (r *routingLoop) statusChanged(_ mono.Time) {
+func (r *routingLoop) statusChanged(now mono.Time) {
 	s := r.targetStatus.Status()
 	r.log.Event(event.TargetStatus, "app", string(r.target.app), "instance", r.target.instance, "limit", s.RateLimit, "leaving", s.Leaving)
+	r.gate.SetRateLimit(now, s.RateLimit, &r.gateActions)
 }
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -16,6 +16,7 @@
 	if r.target != nil && r.target.instance != a.Instance {
 		r.instanceEnded(now, r.target.instance)
 	}
+	earlier := r.targetStatus.Revision()
 	switch {
 	case r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address:
 		r.newGate(now, a)
@@ -39,6 +40,9 @@
 		StopsAbandonedRuns: a.StopsAbandonedRuns,
 		ReportsCold:        a.ReportsCold,
 	}, &r.gateActions)
+	if r.targetStatus.Revision() != earlier {
+		r.statusChanged(now)
+	}
 }
 
 // newGate replaces the gate when another app or address is announced. The old
