Drain a target from the answer that says it is about to end

Cause: a target that leaves was believed only when it announced that to its daemon, which a cut or a lost announcement delays for seconds, and any later announcement revoked it. Same class as the limit: what the target says in its answers goes unheard.

The instance stays leaving, whatever it announces; the next instance at the address owes nothing.

Ruled out: to mark the target by name in targetinstance, as a deregistration does. A name may come again with the next instance.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,6 +83,9 @@
 	targetTracker targetinstance.Tracker
 	lastAnnounced control.Announcement
 
+	// recordMu orders the changes of the target's part of the session record.
+	recordMu        sync.Mutex
+	leavingInstance uint64 // Of the target, as last said; 0 for none.
 	announcedTarget atomic.Pointer[session.Target]
 	stopping        atomic.Bool
 	sessionOver     atomic.Bool // the session ended without a requested stop
@@ -224,6 +227,7 @@
 	d.routing.reporter.onLoadReport = func(r placement.LoadReport) { d.placement.push(localLoad{r}) }
 	d.risk = newRiskLoop(d, seed, d.registry)
 	d.routing.onTargetGone = d.targetGone
+	d.routing.onTargetLeaving = d.targetLeaving
 	d.routing.onRisk = d.raiseRisk
 	d.routing.onSettled = d.logSettlement
 	d.placement.assignedSessions = d.assignedSessions
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -24,14 +24,37 @@
 	if !d.routing.ring.Push(targetAnnounced{a}) {
 		return "", &result.Error{Code: result.RingFull, Detail: "the daemon is overloaded"}
 	}
+	d.recordTarget(a)
+	return d.self.String(), nil
+}
+
+// recordTarget records an announced target in the session record. An instance that
+// said that it is about to end stays out of it, whatever it announces.
+func (d *Daemon) recordTarget(a control.Announcement) {
+	d.recordMu.Lock()
+	defer d.recordMu.Unlock()
 	t := targetRecord(a)
-	if old := d.announcedTarget.Load(); old == nil || t == nil || *old != *t {
-		d.announcedTarget.Store(t)
-		if old != t {
-			d.lease.pushWait(targetChanged{target: t})
-		}
+	if a.Instance != 0 && a.Instance == d.leavingInstance {
+		t = nil
 	}
-	return d.self.String(), nil
+	old := d.announcedTarget.Load()
+	if old != nil && t != nil && *old == *t {
+		return
+	}
+	d.announcedTarget.Store(t)
+	if old != t {
+		d.lease.pushWait(targetChanged{target: t})
+	}
+}
+
+// targetLeaving removes an instance of the target that is about to end from the
+// session record, so that placement moves its slices to others.
+func (d *Daemon) targetLeaving(instance uint64) {
+	d.recordMu.Lock()
+	defer d.recordMu.Unlock()
+	d.leavingInstance = instance
+	d.announcedTarget.Store(nil)
+	d.lease.pushWait(targetChanged{})
 }
 
 // targetRecord returns the target's part of the session record. It is nil for a
@@ -53,6 +76,8 @@
 // targetGone removes the target from the session record, so that placement
 // moves its slices to others. The next announcement adds it again.
 func (d *Daemon) targetGone() {
+	d.recordMu.Lock()
+	defer d.recordMu.Unlock()
 	d.log.Event(event.TargetGone, "after_ms", targetGoneAfter.Milliseconds())
 	d.announcedTarget.Store(nil)
 	d.lease.pushWait(targetChanged{})
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -89,6 +89,9 @@
 	onReleased func(handover.Release)
 	// onTargetGone is called when the target has stopped announcing itself.
 	onTargetGone func()
+	// onTargetLeaving is called with the target's instance when that is known to be
+	// about to end.
+	onTargetLeaving func(instance uint64)
 	// onRisk is called for each outcome at risk, and onSettled when a later
 	// answer settles one.
 	onRisk    func(request.Risk)
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -18,4 +18,8 @@
 	s := r.targetStatus.Status()
 	r.log.Event(event.TargetStatus, "app", string(r.target.app), "instance", r.target.instance, "limit", s.RateLimit, "leaving", s.Leaving)
 	r.gate.SetRateLimit(now, s.RateLimit, &r.gateActions)
+	if s.Leaving {
+		r.gate.TargetLeaving(now, &r.gateActions)
+		r.onTargetLeaving(r.target.instance)
+	}
 }
