Keep the status of a target across a restart of its daemon

Cause: the daemon beside a target is the only one that hears it, and a restart forgets.

The daemon beside a target sends it before the next answer to each entry daemon that has not been told the present status; an entry daemon sends it to the next session of the host before the first request on that connection. Older builds ignore the kind of message.

Ruled out: a field in requests and answers (the decoder refuses messages with more fields, so that builds side by side would lose them), and the session record (it can't be written while the store is away).

Before: the new test fails without the message: the first request reaches the target. After: it is refused as not run.

--- a/internal/daemon/frame_handler.go
+++ b/internal/daemon/frame_handler.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/takeover"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 // frameHandler decodes the frames of other daemons and passes the messages to
@@ -52,6 +53,8 @@
 		return decodeFrame(payload, func(m placement.LeaderUnwritable) { f.d.placement.push(leaderUnwritableReceived{m}) })
 	case wire.KindReleaseToken:
 		return decodeFrame(payload, func(m handover.ReleaseToken) { f.d.routing.ring.Push(tokenReceived{m}) })
+	case wire.KindTargetStatus:
+		return decodeFrame(payload, func(m targetstatus.Report) { f.d.targetStatusReceived(from, m) })
 	case wire.KindDigest, wire.KindChangesRequest, wire.KindObjects:
 		return f.d.spread.handleFrame(from, kind, payload)
 	default:
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -74,6 +74,7 @@
 		r.sendFailed(now, s, result.PeerUnreachable, "the address of the session is unknown, or this daemon's session is over")
 		return
 	}
+	r.tellGate(s.To, address)
 	conn, err := r.peers.Send(address, frame, peer.Tag(req.Seq))
 	if err != nil {
 		r.sendFailed(now, s, result.PeerUnreachable, err.Error())
@@ -218,6 +219,7 @@
 	if !ok {
 		return
 	}
+	r.tellEntry(a.To, conn)
 	if frame, err := wire.Encode(wire.KindAnswer, a.Answer); err == nil {
 		_ = conn.Send(frame)
 	}
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -125,8 +125,12 @@
 	quarantine  *quarantine.Ledger
 	crashReport crashReport
 
-	// targetStatus is what the target says of itself.
+	// targetStatus is what the target says of itself, and peerTargets what other
+	// daemons report of theirs. statusTold holds the revision of targetStatus that
+	// each session with an open connection was told.
 	targetStatus targetstatus.Local
+	peerTargets  targetstatus.Directory
+	statusTold   map[host.Session]uint64
 
 	// reporter reports the load on the target.
 	reporter *loadReporter
@@ -204,6 +208,7 @@
 		waitingCallers: make(map[request.CallID]waitingCaller),
 		sentRequests:   make(map[uint64]sentRequest),
 		entryConns:     make(map[host.Session]*peer.Conn),
+		statusTold:     make(map[host.Session]uint64),
 		mergedAtMs:     make(map[key.Slice]int64),
 		unconfirmed:    make(map[string][]assignment.Change),
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
@@ -321,6 +326,7 @@
 	r.nextExpiry = now.Add(expiryInterval)
 	r.updateGauges(now)
 	r.quarantine.Expire(now)
+	r.peerTargets.Expire(now)
 	r.crashReport.expire(now)
 	r.writeCrashReport()
 	if r.hostLink != nil {
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -2,10 +2,44 @@
 
 import (
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/peer"
+	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
+// Tasks of the routing loop that concern what targets say of themselves.
+type (
+	// localStatusReported is what another daemon reports of this host's target.
+	localStatusReported struct{ report targetstatus.Report }
+	// peerStatusReported is what the daemon beside a target reports of it.
+	peerStatusReported struct {
+		from   host.Session
+		report targetstatus.Report
+	}
+)
+
+// targetStatusReceived passes a report to the loops that use it. It runs on an
+// event loop of package peer.
+func (d *Daemon) targetStatusReceived(from *peer.Conn, report targetstatus.Report) {
+	if report.Host == d.self.Host {
+		d.routing.ring.Push(localStatusReported{report})
+		return
+	}
+	d.routing.ring.Push(peerStatusReported{from: from.Session(), report: report})
+}
+
+func (w localStatusReported) handle(r *routingLoop, now mono.Time) {
+	if r.targetStatus.Reported(w.report) && r.gate != nil {
+		r.statusChanged(now)
+	}
+}
+
+func (w peerStatusReported) handle(r *routingLoop, now mono.Time) {
+	r.peerTargets.Learn(now, w.from, w.report)
+}
+
 // heardTarget handles what an answer of an instance of the target says of it.
 func (r *routingLoop) heardTarget(now, requestedAt mono.Time, instance uint64, s targetstatus.Statement) {
 	if r.targetStatus.Heard(now, requestedAt, instance, s) {
@@ -23,3 +57,36 @@
 		r.onTargetLeaving(r.target.instance)
 	}
 }
+
+// tellEntry tells an entry daemon the status of the target before it gets the next
+// answer, if it has changed. The entry daemon tells it to the next daemon on this
+// host.
+func (r *routingLoop) tellEntry(to host.Session, conn *peer.Conn) {
+	revision := r.targetStatus.Revision()
+	if r.statusTold[to] == revision {
+		return
+	}
+	frame, err := wire.Encode(wire.KindTargetStatus, r.targetStatus.Report(r.self.Host))
+	if err != nil {
+		return
+	}
+	if conn.Send(frame) == nil {
+		r.statusTold[to] = revision
+	}
+}
+
+// tellGate tells a session what an earlier one of its host reported of the target
+// beside it, on the connection on which the next request follows.
+func (r *routingLoop) tellGate(to host.Session, address string) {
+	report, ok := r.peerTargets.Untold(to)
+	if !ok {
+		return
+	}
+	frame, err := wire.Encode(wire.KindTargetStatus, report)
+	if err != nil {
+		return
+	}
+	if _, err := r.peers.Send(address, frame, 0); err == nil {
+		r.peerTargets.Told(to)
+	}
+}
--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -9,12 +9,14 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/entry"
 	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
 )
 
 // statingTarget is a target whose answers have the given header fields.
@@ -71,6 +73,36 @@
 	must.LessEq(t, 1.5*2*seconds+5, float64(target.requests.Load()))
 }
 
+// restartOwner makes the next daemon of the owner's host, beside the same instance of
+// the target, the owner.
+func (p *routingPair) restartOwner(t *testing.T, address string) {
+	p.owner = p.routingDaemon(t, "second", 1, event.Warn)
+	pack := assignment.NewPack(pairApp, 1, 0)
+	pack.Set(0, assignment.Ownership{Owner: p.owner.self, Epoch: 2})
+	for _, d := range []*Daemon{p.entry, p.owner} {
+		p.loadFleet(t, d)
+		d.routing.ring.Push(packsObserved{packs: []packVersion{{pack: pack, version: 2}}})
+	}
+	p.announceNumbered(t, address, 9)
+}
+
+// The next daemon beside a target knows its limit and that it leaves before it
+// passes on the first request.
+func TestRestartedDaemonKnowsWhatTargetSaid(t *testing.T) {
+	p := newRoutingPair(t, event.Warn)
+	target := &statingTarget{}
+	target.limit.Store("0.5")
+	target.leaving.Store("1")
+	address := startTarget(t, target.handle)
+	p.announceNumbered(t, address, 1)
+	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
+	p.restartOwner(t, address)
+	must.NotNil(t, p.owner.announcedTarget.Load())
+	must.Eq(t, result.DeadlineTooShort, p.callWithin(t, p.entry, 100*time.Millisecond).Code)
+	must.Eq(t, 1, target.requests.Load())
+	must.Nil(t, p.owner.announcedTarget.Load())
+}
+
 func TestLeavingTargetIsDrainedWhateverItAnnounces(t *testing.T) {
 	p := newRoutingPair(t, event.Warn)
 	target := &statingTarget{}
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -124,6 +124,7 @@
 func (w requestNotSent) handle(r *routingLoop, now mono.Time) {
 	s := r.sentRequests[w.seq]
 	delete(r.sentRequests, w.seq)
+	r.peerTargets.Forget(s.to)
 	r.log.Event(event.SendFailed, "id", s.id, "to", s.to.String(), "cause", "no connection could be opened")
 	r.router.SendFailed(now, w.seq, result.PeerUnreachable, &r.routerActions)
 }
@@ -134,10 +135,12 @@
 		r.router.ConnectionLost(now, seq, &r.routerActions)
 	}
 	from := w.conn.Session()
+	r.peerTargets.Forget(from)
 	if r.entryConns[from] != w.conn {
 		return
 	}
 	delete(r.entryConns, from)
+	delete(r.statusTold, from)
 	r.sliceWaiters.DropFrom(from)
 	if r.hostLink != nil {
 		r.hostLink.DropFrom(from)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,6 +40,7 @@
 	KindChangesRequest                   // asks for objects that changed after a revision
 	KindReleaseToken                     // passes a target's release token to the next owner
 	KindLeaderUnwritable                 // tells other daemons that the leader cannot write to the store
+	KindTargetStatus                     // passes on what a target says of itself
 )
 
 // Sizes in bytes.
--- a/targetstatus/local.go
+++ b/targetstatus/local.go
@@ -75,6 +75,9 @@
 // answers count for more; of several reports the lowest limit counts.
 func (l *Local) Reported(r Report) bool {
 	status := r.status()
+	if r.Instance == 0 {
+		return false // Instances without a number can't be told apart.
+	}
 	if r.Instance != l.instance {
 		l.keepReported(r.Instance, status)
 		return false
