Place slices and choose gates by what targets say of themselves

Change: the message target_status also goes to the placement leader, with the mean number of slots that the limit leaves, when it changes and with each load report. A host counts for these slots; a full one brings the next balance round forward. A host whose target leaves hands over its slices whatever its record says, and gets no others, nor does its next session beside the same instance; slices of a superseded session still wait until their grants have expired. Entry daemons choose no gate whose target leaves.

Ruled out: lowering the gate's usable slots instead of a bucket. Slots follow the rate only in the mean; a queue of slow runs would free them too late and short ones exceed the rate.

Before: test without reports: a target that can serve 2 busy slots has more than 6. After: at most 2.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/spread"
 	"github.com/rhubarbring/rhubarbring/targetinstance"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 const (
@@ -228,6 +229,7 @@
 	d.risk = newRiskLoop(d, seed, d.registry)
 	d.routing.onTargetGone = d.targetGone
 	d.routing.onTargetLeaving = d.targetLeaving
+	d.routing.onTargetStatus = func(r targetstatus.Report) { d.placement.push(localTargetStatus{r}) }
 	d.routing.onRisk = d.raiseRisk
 	d.routing.onSettled = d.logSettlement
 	d.placement.assignedSessions = d.assignedSessions
--- a/internal/daemon/gates.go
+++ b/internal/daemon/gates.go
@@ -35,6 +35,9 @@
 		if v.Record.State != session.Live || v.Record.Target == nil {
 			continue
 		}
+		if r.peerTargets.Leaving(id.Host, v.Record.Target.Instance) {
+			continue
+		}
 		app := v.Record.Target.App
 		gates[app] = append(gates[app], balance.GateInfo{Session: id, Place: v.Record.Place})
 	}
--- a/internal/daemon/placement_tasks.go
+++ b/internal/daemon/placement_tasks.go
@@ -7,12 +7,14 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/session"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 // Tasks of the placement loop.
@@ -40,6 +42,13 @@
 	loadReceived    struct{ report placement.LoadReport }
 	localRelease    struct{ release handover.Release }
 	localLoad       struct{ report placement.LoadReport }
+	// targetStatusReported is what the daemon beside a target reports of it, and
+	// localTargetStatus what this daemon has to report to the leader.
+	targetStatusReported struct {
+		from   host.Session
+		report targetstatus.Report
+	}
+	localTargetStatus struct{ report targetstatus.Report }
 )
 
 func (w placementPutDone) handle(p *placementLoop, now mono.Time) {
@@ -166,3 +175,14 @@
 func (w localLoad) handle(p *placementLoop, now mono.Time) {
 	p.sendToLeader(now, wire.KindLoadReport, w.report, placement.LoadReported{Report: w.report})
 }
+
+func (w targetStatusReported) handle(p *placementLoop, now mono.Time) {
+	p.step(now, placement.TargetStatusReported{From: w.from, Report: w.report})
+	if w.report.Leaving {
+		p.scheduleEarlyTick()
+	}
+}
+
+func (w localTargetStatus) handle(p *placementLoop, now mono.Time) {
+	p.sendToLeader(now, wire.KindTargetStatus, w.report, placement.TargetStatusReported{From: p.self, Report: w.report})
+}
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -219,7 +219,7 @@
 	if !ok {
 		return
 	}
-	r.tellEntry(a.To, conn)
+	r.tellEntry(now, a.To, conn)
 	if frame, err := wire.Encode(wire.KindAnswer, a.Answer); err == nil {
 		_ = conn.Send(frame)
 	}
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -92,6 +92,9 @@
 	// onTargetLeaving is called with the target's instance when that is known to be
 	// about to end.
 	onTargetLeaving func(instance uint64)
+	// onTargetStatus is called with the target's status when it has changed, and
+	// with each load report while there is one; it goes to the placement leader.
+	onTargetStatus func(targetstatus.Report)
 	// onRisk is called for each outcome at risk, and onSettled when a later
 	// answer settles one.
 	onRisk    func(request.Risk)
@@ -345,12 +348,15 @@
 		return
 	}
 	app, _ := r.fleet.app(r.target.app)
-	r.reporter.report(now, reportedTarget{
+	reported := r.reporter.report(now, reportedTarget{
 		app:     r.target.app,
 		load:    r.target.load,
 		slots:   r.target.slots,
 		hotKeys: app.HotKeys,
 	}, len(r.fleet.sessions.Load().records))
+	if reported && !r.targetStatus.Status().IsZero() {
+		r.onTargetStatus(r.statusReport(now))
+	}
 }
 
 func (r *routingLoop) tickGates(now mono.Time) {
--- a/internal/daemon/routing_report.go
+++ b/internal/daemon/routing_report.go
@@ -98,13 +98,15 @@
 
 // report sends the load on the target to the placement leader at regular
 // intervals, and earlier if slices may have to move because of a hot key or a
-// full target. The more daemons there are, the longer the intervals may be.
-func (l *loadReporter) report(now mono.Time, t reportedTarget, daemons int) {
+// full target. The more daemons there are, the longer the intervals may be. It
+// returns whether it sent a report.
+func (l *loadReporter) report(now mono.Time, t reportedTarget, daemons int) bool {
 	if !l.isDue(now, t) {
-		return
+		return false
 	}
 	l.scheduleNext(now, daemons)
 	l.onLoadReport(l.takeReport(now, t))
+	return true
 }
 
 // isDue reports whether it is time for a report. A check for a hot key counts as
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -28,6 +28,7 @@
 		return
 	}
 	d.routing.ring.Push(peerStatusReported{from: from.Session(), report: report})
+	d.placement.push(targetStatusReported{from: from.Session(), report: report})
 }
 
 func (w localStatusReported) handle(r *routingLoop, now mono.Time) {
@@ -38,6 +39,9 @@
 
 func (w peerStatusReported) handle(r *routingLoop, now mono.Time) {
 	r.peerTargets.Learn(now, w.from, w.report)
+	if w.report.Leaving {
+		gatesChanged{}.handle(r, now)
+	}
 }
 
 // heardTarget handles what an answer of an instance of the target says of it.
@@ -56,17 +60,27 @@
 		r.gate.TargetLeaving(now, &r.gateActions)
 		r.onTargetLeaving(r.target.instance)
 	}
+	r.onTargetStatus(r.statusReport(now))
+}
+
+// statusReport returns the status of the target as it is reported to other daemons.
+func (r *routingLoop) statusReport(now mono.Time) targetstatus.Report {
+	report := r.targetStatus.Report(r.self.Host)
+	if report.RateLimit > 0 {
+		report.UsableSlots = float32(r.gate.MeanBusySlots(now))
+	}
+	return report
 }
 
 // tellEntry tells an entry daemon the status of the target before it gets the next
 // answer, if it has changed. The entry daemon tells it to the next daemon on this
 // host.
-func (r *routingLoop) tellEntry(to host.Session, conn *peer.Conn) {
+func (r *routingLoop) tellEntry(now mono.Time, to host.Session, conn *peer.Conn) {
 	revision := r.targetStatus.Revision()
 	if r.statusTold[to] == revision {
 		return
 	}
-	frame, err := wire.Encode(wire.KindTargetStatus, r.targetStatus.Report(r.self.Host))
+	frame, err := wire.Encode(wire.KindTargetStatus, r.statusReport(now))
 	if err != nil {
 		return
 	}
--- a/placement/core.go
+++ b/placement/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/charts"
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/statechart"
@@ -22,6 +23,7 @@
 	fleet              fleet
 	apps               []*app // Sorted by name.
 	writesInFlight     int    // Of packs.
+	slotLimits         map[host.Session]slotLimit
 	tokenCount         uint64
 	departuresPrunedAt mono.Time
 	actions            []Action
@@ -45,7 +47,7 @@
 // New returns a Core that follows and has received no events.
 func New(cfg Config) *Core {
 	cfg.setDefaults()
-	return &Core{cfg: cfg, packChart: charts.MustLoad("placement_pack"), leadership: newLeadership(), fleet: newFleet()}
+	return &Core{cfg: cfg, packChart: charts.MustLoad("placement_pack"), leadership: newLeadership(), fleet: newFleet(), slotLimits: make(map[host.Session]slotLimit)}
 }
 
 func (cfg *Config) setDefaults() {
@@ -109,6 +111,8 @@
 		c.leaderUnwritable(ev)
 	case LoadReported:
 		c.loadReported(now, ev.Report)
+	case TargetStatusReported:
+		c.targetStatusReported(now, ev)
 	default:
 		c.writeAnswered(now, ev)
 	}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -76,12 +76,15 @@
 	hosts      map[host.ID]*hostInfo      // The newest session of each host.
 	earlier    map[host.Session]*hostInfo // Earlier sessions of a host that are not recorded as ended.
 	departures map[host.Session]departure
+	// leaving holds the instances of targets that are about to end, and when that
+	// was last reported.
+	leaving    map[uint64]mono.Time
 	listed     bool
 	generation uint64 // Increases with each change that concerns placement.
 }
 
 func newFleet() fleet {
-	return fleet{hosts: make(map[host.ID]*hostInfo), earlier: make(map[host.Session]*hostInfo), departures: make(map[host.Session]departure)}
+	return fleet{hosts: make(map[host.ID]*hostInfo), earlier: make(map[host.Session]*hostInfo), departures: make(map[host.Session]departure), leaving: make(map[uint64]mono.Time)}
 }
 
 // observe records a session record unless the same or a later version is known.
@@ -198,7 +201,7 @@
 		return host.NoSession, true
 	}
 	next := f.hosts[s.Host]
-	if next == nil || next.session == s || next.state != session.Live || next.slots == 0 {
+	if next == nil || next.session == s || next.state != session.Live || next.slots == 0 || f.isLeaving(next) {
 		return host.NoSession, false
 	}
 	if next.app != app || next.instance != d.instance || d.instance == 0 {
@@ -212,7 +215,7 @@
 func (f *fleet) serving(app key.App) []*hostInfo {
 	var out []*hostInfo
 	for _, h := range f.hosts {
-		if h.serves(app) {
+		if f.serves(h, app) {
 			out = append(out, h)
 		}
 	}
@@ -233,15 +236,17 @@
 	return false
 }
 
-func (h *hostInfo) serves(app key.App) bool {
-	return h.state == session.Live && h.app == app && h.slots > 0
+// serves reports whether a session is live and its target serves the app and is not
+// about to end.
+func (f *fleet) serves(h *hostInfo, app key.App) bool {
+	return h.state == session.Live && h.app == app && h.slots > 0 && !f.isLeaving(h)
 }
 
 // eligible reports whether a session is its host's newest, is live and its
 // target serves the app, so that it may own slices of the app.
 func (f *fleet) eligible(s host.Session, app key.App) bool {
 	h := f.hosts[s.Host]
-	return h != nil && h.session == s && h.serves(app)
+	return h != nil && h.session == s && f.serves(h, app)
 }
 
 // departureRetention is how long a departure is kept once the session's own
--- a/placement/host_loads.go
+++ b/placement/host_loads.go
@@ -117,7 +117,7 @@
 		share = 1
 	}
 	h.Warming = share < 1
-	h.Capacity = float64(info.slots) * share * r.app.loads.speedOf(h.Session)
+	h.Capacity = r.core.slotsOf(r.now, info) * share * r.app.loads.speedOf(h.Session)
 	h.Load, h.Slices = 0, 0
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -135,7 +135,7 @@
 		a.loads.updateKey(now, r.From, k, scale, a.params.HotKeys.Share*float64(h.slots))
 	}
 	a.loadsStale = true
-	if total >= fullUtilization*float64(h.slots) && a.hasSpareCapacity() {
+	if total >= fullUtilization*c.slotsOf(now, h) && a.hasSpareCapacity() {
 		a.hastenBalance(now, c.cfg.BalanceInterval)
 	}
 }
