Remember announced and deregistered ends like those that answers name

Cause: a daemon that starts beside a server which has announced that it drains, or deregistered, before that start takes it for ready: late or plain heartbeats say so.

Change: a drain that an instance announces, and its deregistration, set the same status as an answer that says so; it reaches the next daemon and the leader in the same way. Drain is final for an instance that has a number, as a planned end is on the platform.

Ruled out: keeping it in the session record of the daemon that ends, which the next one would have to read before its first request.

Before: the new test fails (the session record has the target). After: it passes.

--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -86,6 +86,20 @@
 	p.announceNumbered(t, address, 9)
 }
 
+func TestRestartedDaemonKnowsOfDeregistration(t *testing.T) {
+	p := newRoutingPair(t, event.Warn)
+	target := &statingTarget{}
+	address := startTarget(t, target.handle)
+	p.announceNumbered(t, address, 1)
+	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
+	must.NoError(t, p.owner.TargetLeaving("i-1"))
+	must.Eq(t, 200, p.call(t, p.entry, "within the grace", nil).Status)
+	p.restartOwner(t, address)
+	must.NotNil(t, p.owner.announcedTarget.Load())
+	p.call(t, p.entry, "second", nil)
+	must.Nil(t, p.owner.announcedTarget.Load())
+}
+
 // The next daemon beside a target knows its limit and that it leaves before it
 // passes on the first request.
 func TestRestartedDaemonKnowsWhatTargetSaid(t *testing.T) {
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -5,6 +5,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
 func (w targetAnnounced) handle(r *routingLoop, now mono.Time) {
@@ -40,6 +41,9 @@
 		StopsAbandonedRuns: a.StopsAbandonedRuns,
 		ReportsCold:        a.ReportsCold,
 	}, &r.gateActions)
+	if a.State == control.StateDraining && a.Instance != 0 {
+		r.targetStatus.Heard(now, now, a.Instance, targetstatus.Statement{Leaving: true})
+	}
 	if r.targetStatus.Revision() != earlier {
 		r.statusChanged(now)
 	}
