--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -261,6 +261,8 @@
 		Busy:      load.Busy,
 		Queued:    load.Queued,
 		ServiceMs: float64(load.MeanServiceTime) / float64(time.Millisecond),
+		RateLimit: r.targetStatus.Status().RateLimit,
+		Leaving:   r.targetStatus.Status().Leaving,
 	}
 }
 
--- a/internal/daemon/routing_metrics.go
+++ b/internal/daemon/routing_metrics.go
@@ -30,6 +30,10 @@
 	busy        metrics.Gauge
 	queued      metrics.Gauge
 	quarantined metrics.Gauge
+	// rateLimit is the requests a second that the target takes, 0 for no limit, and
+	// leaving 1 while it is about to end.
+	rateLimit metrics.GaugeFloat64
+	leaving   metrics.Gauge
 }
 
 // latencySampleSize is the number of samples that a histogram keeps.
@@ -52,6 +56,8 @@
 		busy:        metrics.GetOrRegisterGauge("target.busy", registry),
 		queued:      metrics.GetOrRegisterGauge("target.queued", registry),
 		quarantined: metrics.GetOrRegisterGauge("requests.quarantined", registry),
+		rateLimit:   metrics.GetOrRegisterGaugeFloat64("target.rate_limit", registry),
+		leaving:     metrics.GetOrRegisterGauge("target.leaving", registry),
 	}
 	_ = registry.Register("routing.service_us", s.service) // Fails only if the name is in use.
 	_ = registry.Register("routing.queue_us", s.queue)
@@ -90,6 +96,12 @@
 		s.document.Update(int64(d.stored.Version))
 	}
 	s.quarantined.Update(int64(r.quarantine.Held(now)))
+	said := r.targetStatus.Status()
+	s.rateLimit.Update(said.RateLimit)
+	s.leaving.Update(0)
+	if said.Leaving {
+		s.leaving.Update(1)
+	}
 	if r.granter != nil {
 		s.grantUnits.Update(int64(r.granter.Units()))
 	}
--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -15,8 +15,10 @@
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/entry"
+	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
+	"github.com/rhubarbring/rhubarbring/status"
 )
 
 // statingTarget is a target whose answers have the given header fields.
@@ -117,6 +119,22 @@
 	must.Nil(t, p.owner.announcedTarget.Load())
 }
 
+func TestStatusShowsWhatTargetSays(t *testing.T) {
+	p := newRoutingPair(t, event.Warn)
+	target := &statingTarget{}
+	target.limit.Store("7.5")
+	target.leaving.Store("1")
+	p.announceNumbered(t, startTarget(t, target.handle), 1)
+	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
+	var s status.Daemon
+	_, err := queryRouting(p.owner, func(r *routingLoop, now mono.Time) bool { r.fillStatus(now, &s); r.updateGauges(now); return true })
+	must.NoError(t, err)
+	must.Eq(t, 7.5, s.Target.RateLimit)
+	must.True(t, s.Target.Leaving)
+	must.Eq(t, 7.5, p.owner.routing.metrics.rateLimit.Value())
+	must.Eq(t, 1, p.owner.routing.metrics.leaving.Value())
+}
+
 func TestLeavingTargetIsDrainedWhateverItAnnounces(t *testing.T) {
 	p := newRoutingPair(t, event.Warn)
 	target := &statingTarget{}
--- a/status/status.go
+++ b/status/status.go
@@ -103,6 +103,10 @@
 	Queued int `json:"queued"`
 	// ServiceMs is the mean service time in milliseconds.
 	ServiceMs float64 `json:"service_ms"`
+	// RateLimit is the number of requests a second that the target says it takes,
+	// 0 for no limit, and Leaving reports that it says it is about to end.
+	RateLimit float64 `json:"rate_limit"`
+	Leaving   bool    `json:"leaving"`
 }
 
 // Requests counts requests since the daemon started.
