--- a/internal/faketarget/announce.go
+++ b/internal/faketarget/announce.go
@@ -24,6 +24,7 @@
 	ChecksGrants bool    `json:"checks_grants"`
 	State        State   `json:"state"`
 	Load         float64 `json:"load"`
+	Instance     uint64  `json:"instance,omitempty"`
 }
 
 // Announcement returns the target's current report, with the false state and
@@ -39,6 +40,7 @@
 		ChecksGrants: t.config.ChecksGrants,
 		State:        t.reportedState(),
 		Load:         t.reportedLoad(),
+		Instance:     t.config.Instance,
 	}
 }
 
--- a/internal/faketarget/config.go
+++ b/internal/faketarget/config.go
@@ -16,7 +16,9 @@
 	Connections  int
 	ConnectCost  time.Duration
 	ChecksGrants bool
-	Seed         uint64
+	// Instance is the announced number of this run of the target; 0 announces none.
+	Instance uint64
+	Seed     uint64
 	// Journal receives a line of JSON for each record; if nil, records are kept in
 	// memory only.
 	Journal io.Writer
@@ -43,6 +45,11 @@
 	FalseState string `json:"false_state"`
 	// AnswerBytes is the number of bytes of padding in each answer.
 	AnswerBytes int `json:"answer_bytes"`
+	// RateLimit is the limit, in requests a second, that answers name; 0 for none.
+	RateLimit float64 `json:"rate_limit"`
+	// Leaving makes answers say that the target is about to end. Its announcements
+	// do not say so.
+	Leaving bool `json:"leaving"`
 	// Silent stops the announcements to the daemon.
 	Silent bool `json:"silent"`
 }
--- a/internal/faketarget/server.go
+++ b/internal/faketarget/server.go
@@ -77,6 +77,7 @@
 	ctx.Response.Header.Set("Rhubarb-Request-Id", o.attempt.id)
 	ctx.Response.Header.Set("Rhubarb-Attempt", o.attempt.number)
 	record, refusal, err := t.run(o)
+	t.stateStatus(&ctx.Response.Header)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
@@ -89,6 +90,17 @@
 	writeJSON(ctx, newAnswer(record, t.Behaviour().AnswerBytes))
 }
 
+// stateStatus adds what the target says of itself to an answer.
+func (t *Target) stateStatus(h *fasthttp.ResponseHeader) {
+	b := t.Behaviour()
+	if b.RateLimit > 0 {
+		h.Set("Rhubarb-Rate-Limit", strconv.FormatFloat(b.RateLimit, 'g', -1, 64))
+	}
+	if b.Leaving {
+		h.Set("Rhubarb-Leaving", "1")
+	}
+}
+
 func (t *Target) parseRequest(ctx *fasthttp.RequestCtx) runRequest {
 	header := func(name string) string { return string(ctx.Request.Header.Peek(name)) }
 	number := func(name string) uint64 {
--- a/internal/faulttest/target_test.go
+++ b/internal/faulttest/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,9 @@
 	}
 }
 
+// instances numbers the runs of targets.
+var instances atomic.Uint64
+
 func newTarget(t *testing.T, h *node, i int) *target {
 	x := &target{stop: make(chan struct{}), address: freeAddress(t)}
 	x.Target = faketarget.New(faketarget.Config{
@@ -56,6 +60,7 @@
 		Connections:  connections,
 		ConnectCost:  connectCost,
 		ChecksGrants: checksGrants[h.app],
+		Instance:     instances.Add(1),
 		Seed:         uint64(i + 1),
 		Journal:      &x.journal,
 		Behaviour:    faketarget.Behaviour{MeanServiceMs: meanServiceMs, ColdFactor: 1, FalseLoad: -1},
