Avoid a gate that refused for lack of room for as long as it advised

Cause: an entry daemon hears of a gate's load only with its own answers, a few a second. By then a limited gate has a token again, or had one, so that it looks free; it refuses, and the redirects run out.

Ruled out: a larger budget of redirects, which hides the refusals and costs the callers time; stating the limit's state more often, which takes bytes with each answer.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -22,7 +22,7 @@
 		return host.NoSession, result.TargetUnavailable
 	}
 	near := b.pickInRegion(p, now, tried)
-	if near != nil && b.expectedTime(near, now) <= usableBudget(budget) {
+	if near != nil && !b.isAvoided(near, now) && b.expectedTime(near, now) <= usableBudget(budget) {
 		return near.Session, result.OK
 	}
 	far := b.pickTwo(p.tiers[otherRegion], nil, now, tried)
@@ -32,7 +32,10 @@
 	if far == nil {
 		return near.Session, result.OK
 	}
-	if near != nil && b.expectedTime(far, now) >= b.expectedTime(near, now) {
+	if near != nil && b.isAvoided(far, now) && !b.isAvoided(near, now) {
+		return near.Session, result.OK
+	}
+	if near != nil && b.isAvoided(far, now) == b.isAvoided(near, now) && b.expectedTime(far, now) >= b.expectedTime(near, now) {
 		return near.Session, result.OK
 	}
 	if b.link.Take(now, size+perMessageOverhead, int(p.meanAnswerBytes)) {
@@ -92,6 +95,11 @@
 	return b.preferred(x, b.draw(second, now, tried, x), now)
 }
 
+// isAvoided reports whether a gate is to be avoided.
+func (b *Balancer) isAvoided(g *gateState, now mono.Time) bool {
+	return now.Before(g.avoidUntil)
+}
+
 // draw returns a random gate of the list other than drawn and those in tried; nil
 // if there is none. It returns a gate that is to be avoided only if there is no
 // other.
@@ -106,7 +114,7 @@
 		if g == drawn || slices.Contains(tried, g.Session) {
 			continue
 		}
-		if !now.Before(g.avoidUntil) {
+		if !b.isAvoided(g, now) {
 			return g
 		}
 		if fallback == nil {
@@ -125,7 +133,7 @@
 	if y == nil {
 		return x
 	}
-	xAvoided, yAvoided := now.Before(x.avoidUntil), now.Before(y.avoidUntil)
+	xAvoided, yAvoided := b.isAvoided(x, now), b.isAvoided(y, now)
 	if xAvoided != yAvoided {
 		if xAvoided {
 			return y
--- a/balance/retrying_callers_test.go
+++ b/balance/retrying_callers_test.go
@@ -44,8 +44,9 @@
 	c.s.all = append(c.s.all, record)
 	c.s.retrying = append(c.s.retrying, c)
 	var out request.Actions
-	c.s.router.Submit(c.s.now, r, c.s.now.Add(left), caller, &out)
-	c.s.doRouter(&out)
+	e := c.s.entries[0]
+	e.router.Submit(c.s.now, r, c.s.now.Add(left), caller, &out)
+	c.s.doRouter(e, &out)
 }
 
 func (c *retryingCaller) onAnswer(a *request.Answer) {
@@ -75,7 +76,7 @@
 	cfg.Map = undividedMap{}
 	cfg.Chooser = b
 	cfg.MaxRedirects = 2
-	s.router = request.NewRouter(cfg)
+	s.entries = []*entryDaemon{{self: cfg.Self, router: request.NewRouter(cfg)}}
 	s.onAnswer = func(caller request.CallID, a *request.Answer) { s.retrying[caller-1].onAnswer(a) }
 	end := s.now.Add(simDuration)
 	var all []*retryingCaller
--- a/balance/sim_test.go
+++ b/balance/sim_test.go
@@ -16,7 +16,7 @@
 	"github.com/rhubarbring/rhubarbring/timer"
 )
 
-// The simulator runs one entry daemon, gates and targets in virtual time, with
+// The simulator runs entry daemons, mostly one, gates and targets in virtual time, with
 // Poisson arrivals and exponentially distributed service times.
 
 const (
@@ -48,11 +48,17 @@
 	running   map[uint64]bool
 }
 
+// entryDaemon is a simulated entry daemon.
+type entryDaemon struct {
+	self   host.Session
+	router *request.Router
+}
+
 type sim struct {
 	now     mono.Time
 	rnd     *rand.Rand
 	events  timer.Queue[func()]
-	router  *request.Router
+	entries []*entryDaemon // Calls are spread over them in turn.
 	servers []*server
 	calls   map[request.CallID]*call
 	all     []*call
@@ -62,6 +68,8 @@
 	onAnswer     func(request.CallID, *request.Answer)
 	retrying     []*retryingCaller
 	onLoadReport func(host.Session, float64)
+	// latencyTarget is that of the requests; 0 for none.
+	latencyTarget time.Duration
 }
 
 // undividedMap is the map of an app whose requests any gate may run.
@@ -93,16 +101,20 @@
 	return s
 }
 
+// useChooser adds an entry daemon that chooses gates with c.
 func (s *sim) useChooser(c request.Chooser) {
 	cfg := request.DefaultConfig()
-	cfg.Self = host.Session{Host: "entry", Incarnation: 1}
+	cfg.Self = host.Session{Host: host.ID(fmt.Sprint("entry", len(s.entries))), Incarnation: 1}
 	cfg.Map = undividedMap{}
 	cfg.Chooser = c
-	s.router = request.NewRouter(cfg)
+	s.entries = append(s.entries, &entryDaemon{self: cfg.Self, router: request.NewRouter(cfg)})
 }
 
 func (s *sim) useBalancer() *balance.Balancer {
-	cfg := balance.DefaultConfig()
+	return s.useBalancerWith(balance.DefaultConfig())
+}
+
+func (s *sim) useBalancerWith(cfg balance.Config) *balance.Balancer {
 	cfg.Place = simPlace
 	b := balance.New(cfg, s.now)
 	b.SetGates(simApp, s.gates())
@@ -132,7 +144,7 @@
 			return
 		}
 		c := &call{at: s.now, urgent: s.rnd.Float64() < urgentPart}
-		r := &request.Request{ID: "x", App: simApp, Idempotent: true, Repeat: request.RepeatFirst}
+		r := &request.Request{ID: "x", App: simApp, Idempotent: true, Repeat: request.RepeatFirst, LatencyTarget: s.latencyTarget}
 		c.deadline = s.now.Add(normal)
 		if c.urgent {
 			c.deadline = s.now.Add(urgent)
@@ -142,8 +154,9 @@
 		caller := request.CallID(len(s.all))
 		s.calls[caller] = c
 		var out request.Actions
-		s.router.Submit(s.now, r, c.deadline, caller, &out)
-		s.doRouter(&out)
+		e := s.entries[len(s.all)%len(s.entries)]
+		e.router.Submit(s.now, r, c.deadline, caller, &out)
+		s.doRouter(e, &out)
 		s.after(time.Duration(s.rnd.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	next()
@@ -152,9 +165,11 @@
 func (s *sim) run(end mono.Time) {
 	var tick func()
 	tick = func() {
-		var out request.Actions
-		s.router.Tick(s.now, &out)
-		s.doRouter(&out)
+		for _, e := range s.entries {
+			var out request.Actions
+			e.router.Tick(s.now, &out)
+			s.doRouter(e, &out)
+		}
 		for _, v := range s.servers {
 			var out gate.Actions
 			v.gate.Tick(s.now, wallMs, &out)
@@ -176,7 +191,7 @@
 	}
 }
 
-func (s *sim) doRouter(out *request.Actions) {
+func (s *sim) doRouter(e *entryDaemon, out *request.Actions) {
 	for _, r := range out.Replies {
 		c := s.calls[r.Call]
 		delete(s.calls, r.Call)
@@ -191,7 +206,7 @@
 		v := s.server(send.To)
 		s.after(networkDelay, func() {
 			var out gate.Actions
-			v.gate.RequestReceived(s.now, wallMs, host.Session{Host: "entry", Incarnation: 1}, send.Request, &out)
+			v.gate.RequestReceived(s.now, wallMs, e.self, send.Request, &out)
 			s.doGate(v, &out)
 		})
 	}
@@ -199,12 +214,21 @@
 		v := s.server(c.To)
 		s.after(networkDelay, func() {
 			var out gate.Actions
-			v.gate.CancelReceived(s.now, host.Session{Host: "entry", Incarnation: 1}, c.Cancel, &out)
+			v.gate.CancelReceived(s.now, e.self, c.Cancel, &out)
 			s.doGate(v, &out)
 		})
 	}
 }
 
+func (s *sim) entry(self host.Session) *entryDaemon {
+	for _, e := range s.entries {
+		if e.self == self {
+			return e
+		}
+	}
+	return nil
+}
+
 func (s *sim) server(self host.Session) *server {
 	for _, v := range s.servers {
 		if v.self == self {
@@ -240,8 +264,9 @@
 	for _, a := range out.Answers {
 		s.after(networkDelay, func() {
 			var out request.Actions
-			s.router.Answered(s.now, v.self, a.Answer, &out)
-			s.doRouter(&out)
+			e := s.entry(a.To)
+			e.router.Answered(s.now, v.self, a.Answer, &out)
+			s.doRouter(e, &out)
 		})
 	}
 }
