--- a/placement/core.go
+++ b/placement/core.go
@@ -96,6 +96,9 @@
 		c.setApps(ev.Apps)
 	case SessionObserved:
 		c.fleet.observe(now, ev.Record, ev.Version)
+		if ev.Record.State.Final() {
+			delete(c.slotLimits, ev.Record.Session)
+		}
 	case LeaderObserved:
 		c.leaderObserved(now, ev)
 	case ListingComplete:
--- a/placement/target_status_test.go
+++ b/placement/target_status_test.go
@@ -72,6 +72,9 @@
 	f.reportStatus(simHost(1), 0, 0)
 	must.Eq(t, minUsableSlots, f.core.slotsOf(f.now, h))
 	must.Eq(t, 12, f.core.slotsOf(f.now.Add(DefaultMaxReportAge+time.Second), h))
+	f.reportStatus(simHost(1), 3, 0)
+	f.setState(simHost(1), session.Lost)
+	must.MapEmpty(t, f.core.slotLimits)
 }
 
 // A target that is about to end hands over its slices, also if its session record
