--- a/balance/choose.go
+++ b/balance/choose.go
@@ -29,13 +29,7 @@
 	if near == nil && far == nil {
 		return lastTried(p, tried)
 	}
-	if far == nil {
-		return near.Session, result.OK
-	}
-	if near != nil && b.isAvoided(far, now) && !b.isAvoided(near, now) {
-		return near.Session, result.OK
-	}
-	if near != nil && b.isAvoided(far, now) == b.isAvoided(near, now) && b.expectedTime(far, now) >= b.expectedTime(near, now) {
+	if far == nil || near != nil && b.isNearPreferred(near, far, now) {
 		return near.Session, result.OK
 	}
 	if b.link.Take(now, size+perMessageOverhead, int(p.meanAnswerBytes)) {
@@ -47,6 +41,17 @@
 	return host.NoSession, result.LinkShareExhausted
 }
 
+// isNearPreferred reports whether a gate of this daemon's region is chosen before one
+// of another region: the one that is not to be avoided or, if that doesn't
+// distinguish them, the one that is expected to answer earlier.
+func (b *Balancer) isNearPreferred(near, far *gateState, now mono.Time) bool {
+	nearAvoided, farAvoided := b.isAvoided(near, now), b.isAvoided(far, now)
+	if nearAvoided != farAvoided {
+		return farAvoided
+	}
+	return b.expectedTime(far, now) >= b.expectedTime(near, now)
+}
+
 // perMessageOverhead is about what a request or an answer takes on the wire
 // beside its body, in bytes.
 const perMessageOverhead = 200
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -9,19 +9,12 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/doctest"
 )
 
 // The catalogue in docs/LOG-EVENTS.md must match the events of the package.
 func TestCatalogueMatchesEvents(t *testing.T) {
-	raw, err := os.ReadFile("../docs/LOG-EVENTS.md")
-	must.NoError(t, err)
-	var rows []string
-	for line := range strings.Lines(string(raw)) {
-		line = strings.TrimSpace(line)
-		if len(line) > 2 && line[0] == '|' && line[2] >= '0' && line[2] <= '9' {
-			rows = append(rows, line)
-		}
-	}
+	rows := doctest.NumberedRows(t, "../docs/LOG-EVENTS.md")
 	var want []string
 	names := map[string]bool{}
 	for _, d := range event.All() {
--- a/internal/faulttest/target_status_test.go
+++ b/internal/faulttest/target_status_test.go
@@ -69,23 +69,42 @@
 	h.start()
 }
 
+// statusTest is load on a fleet whose third target changes what it says of itself
+// while the daemon beside it is killed and started again.
+type statusTest struct {
+	f  *fleet
+	h  *node
+	tr *traffic
+}
+
+func newStatusTest(t *testing.T, length time.Duration) *statusTest {
+	f := newFleet(t)
+	s := &statusTest{f: f, h: f.hosts[2], tr: f.load(length)}
+	s.tr.waitEnded(300)
+	return s
+}
+
+// changeAndRestart changes the target's behaviour, lets some requests end, and
+// restarts its daemon. It returns when the behaviour changed.
+func (s *statusTest) changeAndRestart(requests int, f func(*faketarget.Behaviour)) mono.Time {
+	at := s.h.target.change(f)
+	s.tr.waitEnded(requests)
+	s.h.restartDaemon()
+	s.tr.waitEnded(600)
+	return at
+}
+
 // A target that names a limit gets no more than that from all hosts together, also
 // when the daemon beside it is killed and started again, and more again after it
 // has stopped naming it.
 func TestRateLimitHoldsThroughRestartOfDaemon(t *testing.T) {
 	const limit = 4
-	f := newFleet(t)
-	h := f.hosts[2]
-	tr := f.load(16 * time.Second)
-	tr.waitEnded(300)
-	named := h.target.change(func(b *faketarget.Behaviour) { b.RateLimit = limit })
-	tr.waitEnded(500)
-	h.restartDaemon()
-	tr.waitEnded(600)
-	ended := h.target.change(func(b *faketarget.Behaviour) { b.RateLimit = 0 })
-	must.NoError(t, <-tr.done)
+	s := newStatusTest(t, 16*time.Second)
+	named := s.changeAndRestart(500, func(b *faketarget.Behaviour) { b.RateLimit = limit })
+	ended := s.h.target.change(func(b *faketarget.Behaviour) { b.RateLimit = 0 })
+	must.NoError(t, <-s.tr.done)
 
-	starts := h.target.runStarts(t)
+	starts := s.h.target.runStarts(t)
 	allowed := allowedFactor*limit*limitWindow.Seconds() + allowedExtra
 	must.Greater(t, limit, float64(countBetween(starts, 0, named))/2, must.Sprint("the load is above the limit"))
 	for _, from := range starts {
@@ -100,18 +119,12 @@
 // grace, although its announcements say that it is ready and its daemon is killed
 // and started again, and other hosts get its slices.
 func TestLeavingTargetGetsNoRequestsThroughRestartOfDaemon(t *testing.T) {
-	f := newFleet(t)
-	h := f.hosts[2]
-	tr := f.load(12 * time.Second)
-	tr.waitEnded(300)
-	said := h.target.change(func(b *faketarget.Behaviour) { b.Leaving = true })
-	tr.waitEnded(150)
-	h.restartDaemon()
-	tr.waitEnded(600)
-	must.NoError(t, <-tr.done)
+	s := newStatusTest(t, 12*time.Second)
+	said := s.changeAndRestart(150, func(b *faketarget.Behaviour) { b.Leaving = true })
+	must.NoError(t, <-s.tr.done)
 	// The first answer that says so may end a while later than the change.
-	must.Zero(t, countBetween(h.target.runStarts(t), said.Add(leavingGrace+callTimeout), forever))
-	f.eventually("its slices have other owners", func() bool {
-		return h.status().Slices.Owned == 0 && f.unownedSlices(f.hosts[0]) == 0
+	must.Zero(t, countBetween(s.h.target.runStarts(t), said.Add(leavingGrace+callTimeout), forever))
+	s.f.eventually("its slices have other owners", func() bool {
+		return s.h.status().Slices.Owned == 0 && s.f.unownedSlices(s.f.hosts[0]) == 0
 	})
 }
--- a/result/result_test.go
+++ b/result/result_test.go
@@ -2,26 +2,17 @@
 
 import (
 	"fmt"
-	"os"
-	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/rhubarbring/rhubarbring/internal/doctest"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
 // The table in docs/RESULT-CODES.md matches the package's codes.
 func TestDocsTableMatchesCodes(t *testing.T) {
-	raw, err := os.ReadFile("../docs/RESULT-CODES.md")
-	must.NoError(t, err)
-	var rows []string
-	for line := range strings.Lines(string(raw)) {
-		line = strings.TrimSpace(line)
-		if len(line) > 2 && line[0] == '|' && line[2] >= '0' && line[2] <= '9' {
-			rows = append(rows, line)
-		}
-	}
+	rows := doctest.NumberedRows(t, "../docs/RESULT-CODES.md")
 	var want []string
 	for _, i := range result.All() {
 		want = append(want, fmt.Sprintf("| %d | %s | %s | %d | %s |", i.Code, i.Name, i.Outcome, i.HTTPStatus, i.Advice))
