--- a/balance/limited_test.go
+++ b/balance/limited_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/rhubarbring/rhubarbring/balance"
 	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -52,3 +55,29 @@
 	t.Logf("refusals of gates for each request: %.4f, and %.4f if gates that refuse are not avoided", after, before)
 	must.Less(t, before/2, after)
 }
+
+// A gate that refused for lack of room comes after all others, also those of another
+// region, for the time that it advised, and is still chosen if it is the only one.
+func TestGateThatRefusedIsChosenLast(t *testing.T) {
+	const advice = 150 * time.Millisecond
+	refuse := func(b *balance.Balancer, g balance.GateInfo, now mono.Time, after time.Duration) {
+		b.Sent(g.Session, now)
+		b.AttemptEnded(g.Session, now, request.AttemptResult{Code: result.QueueFull, RetryAfter: after})
+	}
+	chosen := func(b *balance.Balancer, now mono.Time) host.Session {
+		to, code := choose(b, now)
+		must.Eq(t, result.OK, code)
+		return to
+	}
+	b := twoRegions(wideLink, ownZone, otherZone, otherRegion)
+	for range 20 {
+		refuse(b, ownZone, 1, advice)
+		must.Eq(t, otherZone.Session, chosen(b, 2))
+	}
+	refuse(b, otherZone, 2, time.Minute)
+	must.Eq(t, otherRegion.Session, chosen(b, 3))
+	refuse(b, otherRegion, 3, advice)
+	must.NotEq(t, otherRegion.Session, chosen(b, 4))
+	must.Eq(t, ownZone.Session, chosen(b, mono.Time(1).Add(advice)))
+	must.NotEq(t, otherRegion.Session, chosen(b, mono.Time(3).Add(balance.DefaultConfig().MaxFullTime)))
+}
