Give a leaving target no second grace after a restart of its daemon

Cause: a daemon that is told by others that the target beside it leaves began the grace of the drain anew, so that requests with a slice reached the target for 2 s more, long after it had said so. Found by reading the change; the test before hid it behind a limit.

Change: the grace counts from when the end was first known, and where another daemon knew it before, there is none. Callers wait for the next owner of the slice or are refused as not run.

Before: TestRestartedDaemonGivesLeavingTargetNothing fails, the request reaches the target. After: it passes. The test of the limit keeps its checks; those of the end moved into this one.

--- a/gate/rate_limit_test.go
+++ b/gate/rate_limit_test.go
@@ -121,7 +121,7 @@
 func TestLimitDoesNotOutliveInstance(t *testing.T) {
 	f := newFixture(Announcement{Slots: 4, Connections: 4, State: Warm, Instance: 1}, startTime-mono.Time(time.Minute))
 	f.gate.SetRateLimit(startTime, 1, &f.out)
-	f.gate.TargetLeaving(startTime, &f.out)
+	f.gate.TargetLeaving(startTime, startTime, &f.out)
 	f.gate.TargetAnnounced(startTime, Announcement{Slots: 4, Connections: 4, State: Warm, Instance: 1}, &f.out)
 	must.True(t, f.gate.target.draining)
 	f.gate.TargetAnnounced(startTime, Announcement{Slots: 4, Connections: 4, State: Warm, Instance: 2}, &f.out)
@@ -132,7 +132,7 @@
 
 func TestLeavingTargetGetsNothingAfterGrace(t *testing.T) {
 	f := newFixture(Announcement{Slots: 1, Connections: 4, State: Warm, Instance: 1}, startTime-mono.Time(time.Minute))
-	f.gate.TargetLeaving(startTime, &f.out)
+	f.gate.TargetLeaving(startTime, startTime, &f.out)
 	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Idempotent = true; r.Slice = request.NoSlice })
 	must.Eq(t, result.Draining, f.code(t))
 	f.arrive(startTime+1999*ms, request.Normal, nil)
@@ -142,6 +142,20 @@
 	must.Eq(t, result.Draining, f.code(t))
 }
 
+// If it becomes known that the target has been leaving for long, its grace is over.
+func TestGraceOfLeavingTargetCountsFromFirstStatement(t *testing.T) {
+	f := newFixture(Announcement{Slots: 4, Connections: 4, State: Warm, Instance: 1}, startTime-mono.Time(time.Minute))
+	f.gate.TargetLeaving(startTime, startTime, &f.out)
+	f.arrive(startTime, request.Normal, nil)
+	must.SliceLen(t, 1, f.out.Starts)
+	f.gate.TargetLeaving(startTime+100*ms, startTime-3000*ms, &f.out)
+	f.arrive(startTime+100*ms, request.Normal, nil)
+	must.Eq(t, result.Draining, f.code(t))
+	f.gate.TargetLeaving(startTime+200*ms, startTime+200*ms, &f.out)
+	f.arrive(startTime+200*ms, request.Normal, nil)
+	must.Eq(t, result.Draining, f.code(t))
+}
+
 // What can't be served within the limit is refused at once, with the time from
 // which it can be; an urgent request overtakes normal ones.
 func TestRequestBeyondLimitIsRefusedAtOnce(t *testing.T) {
--- a/gate/target.go
+++ b/gate/target.go
@@ -106,11 +106,14 @@
 	g.refuseIfDrained(now, out)
 }
 
-// TargetLeaving starts the drain of a target whose instance is about to end. What
-// the instance announces later does not end it.
-func (g *Gate) TargetLeaving(now mono.Time, out *Actions) {
-	g.target.leaving = true
-	g.setDraining(now, true)
+// TargetLeaving drains a target whose instance has been known to be about to end
+// since the given time, from which the grace counts. What the instance announces
+// later does not end the drain.
+func (g *Gate) TargetLeaving(now, since mono.Time, out *Actions) {
+	t := &g.target
+	t.leaving = true
+	g.setDraining(since, true)
+	t.drainStarted = min(t.drainStarted, since)
 	g.refuseIfDrained(now, out)
 }
 
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -57,12 +57,21 @@
 	r.log.Event(event.TargetStatus, "app", string(r.target.app), "instance", r.target.instance, "limit", s.RateLimit, "leaving", s.Leaving)
 	r.gate.SetRateLimit(now, s.RateLimit, &r.gateActions)
 	if s.Leaving {
-		r.gate.TargetLeaving(now, &r.gateActions)
+		r.gate.TargetLeaving(now, r.leavingSince(now), &r.gateActions)
 		r.onTargetLeaving(r.target.instance)
 	}
 	r.onTargetStatus(r.statusReport(now))
 }
 
+// leavingSince returns since when the target has been known to be about to end. If
+// another daemon knew it before this one, that is assumed to be long ago.
+func (r *routingLoop) leavingSince(now mono.Time) mono.Time {
+	if r.targetStatus.LeavingReported() {
+		return mono.Never
+	}
+	return now
+}
+
 // statusReport returns the status of the target as it is reported to other daemons.
 func (r *routingLoop) statusReport(now mono.Time) targetstatus.Report {
 	report := r.targetStatus.Report(r.self.Host)
--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -102,21 +102,18 @@
 	must.Nil(t, p.owner.announcedTarget.Load())
 }
 
-// The next daemon beside a target knows its limit and that it leaves before it
-// passes on the first request.
-func TestRestartedDaemonKnowsWhatTargetSaid(t *testing.T) {
+// The next daemon beside a target knows its limit before it passes on the first
+// request.
+func TestRestartedDaemonKnowsLimit(t *testing.T) {
 	p := newRoutingPair(t, event.Warn)
 	target := &statingTarget{}
 	target.limit.Store("0.5")
-	target.leaving.Store("1")
 	address := startTarget(t, target.handle)
 	p.announceNumbered(t, address, 1)
 	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
 	p.restartOwner(t, address)
-	must.NotNil(t, p.owner.announcedTarget.Load())
 	must.Eq(t, result.DeadlineTooShort, p.callWithin(t, p.entry, 100*time.Millisecond).Code)
 	must.Eq(t, 1, target.requests.Load())
-	must.Nil(t, p.owner.announcedTarget.Load())
 }
 
 func TestStatusShowsWhatTargetSays(t *testing.T) {
@@ -135,6 +132,22 @@
 	must.Eq(t, 1, p.owner.routing.metrics.leaving.Value())
 }
 
+// The next daemon beside a leaving target knows that before it passes on the first
+// request, and the grace of the drain does not begin anew.
+func TestRestartedDaemonGivesLeavingTargetNothing(t *testing.T) {
+	p := newRoutingPair(t, event.Warn)
+	target := &statingTarget{}
+	target.leaving.Store("1")
+	address := startTarget(t, target.handle)
+	p.announceNumbered(t, address, 1)
+	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
+	p.restartOwner(t, address)
+	must.NotNil(t, p.owner.announcedTarget.Load())
+	must.Eq(t, result.NoOwner, p.callWithin(t, p.entry, time.Second).Code)
+	must.Eq(t, 1, target.requests.Load())
+	must.Nil(t, p.owner.announcedTarget.Load())
+}
+
 func TestLeavingTargetIsDrainedWhateverItAnnounces(t *testing.T) {
 	p := newRoutingPair(t, event.Warn)
 	target := &statingTarget{}
--- a/targetstatus/local.go
+++ b/targetstatus/local.go
@@ -17,6 +17,9 @@
 	// heard reports that the instance itself has told this daemon whether it has a
 	// limit, so that reports of other daemons no longer count for it.
 	heard bool
+	// leavingReported reports that another daemon knew before that the instance is
+	// about to end.
+	leavingReported bool
 	// limitHeardAt is when the instance last named a limit.
 	limitHeardAt mono.Time
 	// revision counts the changes of the status.
@@ -26,6 +29,12 @@
 	reported map[uint64]Status
 }
 
+// LeavingReported reports whether the current instance is leaving and another daemon
+// knew of it before this one.
+func (l *Local) LeavingReported() bool {
+	return l.leavingReported
+}
+
 // Status returns the status of the current instance.
 func (l *Local) Status() Status {
 	return l.status
@@ -47,7 +56,7 @@
 func (l *Local) Begin(instance uint64) {
 	status := l.reported[instance]
 	l.reported = nil
-	l.instance, l.heard = instance, false
+	l.instance, l.heard, l.leavingReported = instance, false, status.Leaving
 	l.set(status)
 }
 
@@ -71,7 +80,7 @@
 }
 
 // Reported handles what another daemon reports of the target beside this one, and
-// reports whether the status of the current instance changed. The instance's own
+// reports whether that changes what is known of the current instance. The instance's own
 // answers count for more; of several reports the lowest limit counts.
 func (l *Local) Reported(r Report) bool {
 	status := r.status()
@@ -86,7 +95,9 @@
 	if l.heard {
 		next.RateLimit = l.status.RateLimit
 	}
-	return l.set(next)
+	first := next.Leaving && status.Leaving && !l.leavingReported
+	l.leavingReported = l.leavingReported || first
+	return l.set(next) || first
 }
 
 // keepReported keeps the status of an instance that may announce itself soon.
--- a/targetstatus/targetstatus_test.go
+++ b/targetstatus/targetstatus_test.go
@@ -169,6 +169,18 @@
 	}
 }
 
+func TestReportTellsThatOthersKnewOfTheEnd(t *testing.T) {
+	l := newLocal()
+	l.Heard(at(1), at(0), instance, leaving)
+	must.False(t, l.LeavingReported())
+	must.False(t, l.Reported(report(5, false)) && l.LeavingReported())
+	must.True(t, l.Reported(report(0, true)))
+	must.True(t, l.LeavingReported())
+	must.False(t, l.Reported(report(0, true)))
+	l.Begin(instance + 1)
+	must.False(t, l.LeavingReported())
+}
+
 func TestNewInstanceOwesNothingForReportsOfEarlierOne(t *testing.T) {
 	l := &targetstatus.Local{}
 	l.Reported(report(10, true))
