State all slots of a target whose limit is very large

Cause: the slots that a limit keeps busy were converted to an integer before they were bounded; above 9e18 the conversion gives a negative number, and the gate stated one slot. Before: the test with a limit of 1e300 fails (1 slot).

--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -116,7 +116,8 @@
 	if s.slots == 0 || !g.rate.limited() {
 		return s
 	}
-	s.slots = min(max(int(math.Ceil(g.rate.perSecond*s.serviceTime.Seconds())), 1), s.slots)
+	busy := math.Ceil(g.rate.perSecond * s.serviceTime.Seconds())
+	s.slots = int(min(max(busy, 1), float64(s.slots)))
 	perSlot := time.Duration(float64(s.slots) / g.rate.perSecond * float64(time.Second))
 	s.serviceTime = max(s.serviceTime, perSlot)
 	if !g.rate.allows(now) {
--- a/gate/rate_limit_test.go
+++ b/gate/rate_limit_test.go
@@ -192,7 +192,11 @@
 	must.Eq(t, statedLoad{slots: 2, jobs: 2, serviceTime: time.Second * 2 / 9}, f.gate.statedLoad(now))
 	must.Eq(t, statedLoad{slots: 2, jobs: 0, serviceTime: time.Second * 2 / 9}, f.gate.statedLoad(now+500*ms))
 	must.Between(t, 1.79, f.gate.MeanBusySlots(now), 1.81)
-	f.gate.SetRateLimit(now, 1000, &f.out)
-	must.Eq(t, 12, f.gate.statedLoad(now+500*ms).slots)
-	must.Eq(t, 12.0, f.gate.MeanBusySlots(now))
+	for _, large := range []float64{1000, 1e12, 1e300} {
+		f.gate.SetRateLimit(now, large, &f.out)
+		must.Eq(t, 12, f.gate.statedLoad(now+500*ms).slots)
+		must.Eq(t, 12.0, f.gate.MeanBusySlots(now))
+		must.Positive(t, f.gate.rate.wait(now, 1))
+		must.Zero(t, f.gate.rate.wait(now+ms, 1))
+	}
 }
