Revert: avoid a gate that refused for lack of room

Cause: a request that is wanted within 120 ms is refused where one that is wanted within 500 ms may still wait; took the refusal of one as a state of the gate and sent the others away, also to the other region.

Change: the choice of gates is as before.

Conclusion: the redirects that calls spend on limited gates stay open; what helps has to know how soon a request is wanted.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,9 +45,6 @@
 	// AvoidTime is how long a gate is avoided after it was unreachable or
 	// draining, or its target unavailable.
 	AvoidTime time.Duration
-	// MaxFullTime is how long a gate is avoided at most after it refused a request
-	// for lack of capacity. It is avoided for as long as it advised to wait.
-	MaxFullTime time.Duration
 	// Seed seeds the random draws.
 	Seed uint64
 }
@@ -63,7 +60,6 @@
 		DecayTime:      2 * time.Second,
 		RefusalTime:    50 * time.Millisecond,
 		AvoidTime:      500 * time.Millisecond,
-		MaxFullTime:    200 * time.Millisecond,
 	}
 }
 
@@ -239,8 +235,6 @@
 		return
 	case result.Cancelled:
 		return
-	case result.QueueFull:
-		g.avoidUntil = max(g.avoidUntil, now.Add(min(e.RetryAfter, b.cfg.MaxFullTime)))
 	}
 	b.recordTime(g, now, e)
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -22,14 +22,17 @@
 		return host.NoSession, result.TargetUnavailable
 	}
 	near := b.pickInRegion(p, now, tried)
-	if near != nil && !b.isAvoided(near, now) && b.expectedTime(near, now) <= usableBudget(budget) {
+	if near != nil && b.expectedTime(near, now) <= usableBudget(budget) {
 		return near.Session, result.OK
 	}
 	far := b.pickTwo(p.tiers[otherRegion], nil, now, tried)
 	if near == nil && far == nil {
 		return lastTried(p, tried)
 	}
-	if far == nil || near != nil && b.isNearPreferred(near, far, now) {
+	if far == nil {
+		return near.Session, result.OK
+	}
+	if near != nil && b.expectedTime(far, now) >= b.expectedTime(near, now) {
 		return near.Session, result.OK
 	}
 	if b.link.Take(now, size+perMessageOverhead, int(p.meanAnswerBytes)) {
@@ -41,17 +44,6 @@
 	return host.NoSession, result.LinkShareExhausted
 }
 
-// isNearPreferred reports whether a gate of this daemon's region is chosen before one
-// of another region: the one that is not to be avoided or, if that doesn't
-// distinguish them, the one that is expected to answer earlier.
-func (b *Balancer) isNearPreferred(near, far *gateState, now mono.Time) bool {
-	nearAvoided, farAvoided := b.isAvoided(near, now), b.isAvoided(far, now)
-	if nearAvoided != farAvoided {
-		return farAvoided
-	}
-	return b.expectedTime(far, now) >= b.expectedTime(near, now)
-}
-
 // perMessageOverhead is about what a request or an answer takes on the wire
 // beside its body, in bytes.
 const perMessageOverhead = 200
@@ -100,11 +92,6 @@
 	return b.preferred(x, b.draw(second, now, tried, x), now)
 }
 
-// isAvoided reports whether a gate is to be avoided.
-func (b *Balancer) isAvoided(g *gateState, now mono.Time) bool {
-	return now.Before(g.avoidUntil)
-}
-
 // draw returns a random gate of the list other than drawn and those in tried; nil
 // if there is none. It returns a gate that is to be avoided only if there is no
 // other.
@@ -119,7 +106,7 @@
 		if g == drawn || slices.Contains(tried, g.Session) {
 			continue
 		}
-		if !b.isAvoided(g, now) {
+		if !now.Before(g.avoidUntil) {
 			return g
 		}
 		if fallback == nil {
@@ -138,7 +125,7 @@
 	if y == nil {
 		return x
 	}
-	xAvoided, yAvoided := b.isAvoided(x, now), b.isAvoided(y, now)
+	xAvoided, yAvoided := now.Before(x.avoidUntil), now.Before(y.avoidUntil)
 	if xAvoided != yAvoided {
 		if xAvoided {
 			return y
--- a/request/answer.go
+++ b/request/answer.go
@@ -277,7 +277,6 @@
 		Slots:       int(a.Slots),
 		Jobs:        int(a.Jobs),
 		ServiceTime: a.ServiceTime,
-		RetryAfter:  a.RetryAfter,
 	})
 }
 
--- a/request/config.go
+++ b/request/config.go
@@ -51,8 +51,6 @@
 	Slots       int
 	Jobs        int
 	ServiceTime time.Duration
-	// RetryAfter is the advice that came with a refusal; 0 without advice.
-	RetryAfter time.Duration
 }
 
 // Config configures a Router.
