--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -220,7 +220,7 @@
 	if w.reply.Answer == grant.Accepted && g.Renewal {
 		id = event.GrantRenewed
 	}
-	r.log.Event(id, "app", string(g.Range.App), "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
+	r.log.Event(id, "app", string(g.Range.App), "instance", r.target.instance, "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
 		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.reply.Answer.String())
 	r.callGrants.GrantAnswered(now, g.Unit, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
@@ -232,7 +232,7 @@
 	}
 	r.heardTarget(now, w.sentAt, r.target.instance, w.reply.Statement)
 	rel := w.release
-	r.log.Event(event.ReleaseAnswered, "app", string(rel.Range.App), "first", uint32(rel.Range.First), "last", uint32(rel.Range.Last),
+	r.log.Event(event.ReleaseAnswered, "app", string(rel.Range.App), "instance", r.target.instance, "first", uint32(rel.Range.First), "last", uint32(rel.Range.Last),
 		"epoch", rel.Epoch, "answer", w.reply.Answer.String())
 	r.callGrants.ReleaseAnswered(now, rel, w.reply.Token, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
--- a/internal/daemon/routing_heartbeat.go
+++ b/internal/daemon/routing_heartbeat.go
@@ -124,7 +124,7 @@
 	r.executeGrants(now)
 	a := r.heartbeatGrants.Answer(now)
 	time.AfterFunc(grant.AnswerTransit, func() { r.ring.Push(slicesHeld{}) }) // Else the next tick delivers.
-	r.log.Event(event.HeartbeatAnswered, "held", len(report.Held), "freed", len(report.Freed), "rows", len(a.Rows),
+	r.log.Event(event.HeartbeatAnswered, "instance", r.target.instance, "held", len(report.Held), "freed", len(report.Freed), "rows", len(a.Rows),
 		"hold_ms", a.Hold.Milliseconds(), "deferred", a.Deferred)
 	if a.Deferred > 0 {
 		r.log.Event(event.GrantsDeferred, "rows", len(a.Rows), "deferred", a.Deferred)
