--- a/internal/daemon/routing_heartbeat_test.go
+++ b/internal/daemon/routing_heartbeat_test.go
@@ -1,86 +1,20 @@
 package daemon
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
-	"github.com/rhubarbring/rhubarbring/document"
-	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
-	"github.com/rhubarbring/rhubarbring/internal/bootclock"
-	"github.com/rhubarbring/rhubarbring/internal/control"
-	"github.com/rhubarbring/rhubarbring/internal/eventlog"
-	"github.com/rhubarbring/rhubarbring/internal/settings"
-	"github.com/rhubarbring/rhubarbring/key"
-	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
-// heartbeatHost is a routing loop, driven by the test instead of running, whose
-// target gets its slices with heartbeats.
-type heartbeatHost struct {
-	r        *routingLoop
-	now      mono.Time
-	slice    key.Slice
-	version  uint64 // Of the last observed pack.
-	released []handover.Release
-}
-
-func newHeartbeatHost(t *testing.T) *heartbeatHost {
-	s := &settings.Daemon{Host: "h1", Region: "r", Zone: "z", Environment: "trial", StoreAddress: "127.0.0.1:1"}
-	registry := metrics.NewRegistry()
-	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
-	t.Cleanup(log.Close)
-	d := New(s, log, registry, WithTargetFactory(func(control.Announcement) Target { return &blockedTarget{} }))
-	d.createLoops()
-	h := &heartbeatHost{r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}}
-	h.r.onReleased = func(rel handover.Release) { h.released = append(h.released, rel) }
-	d.lease.leaseEndsAt.Store(int64(h.now.Add(time.Minute)))
-	h.r.holder.SetLease(h.now.Add(time.Minute))
-	doc := &document.Document{Apps: []document.App{{Name: "katalog", DividedByKey: true, Slices: 1, QueueBound: 24, GrantDelivery: document.GrantsByHeartbeat}}}
-	d.fleet.adopt(&document.Stored{Version: 1}, doc)
-	targetAnnounced{control.Announcement{App: "katalog", Address: "held", Slots: 12, ChecksGrants: true, State: control.StateWarm, Instance: 1}}.handle(h.r, h.now)
-	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1})
-	return h
-}
-
-// observe delivers an assignment of the slice that the store has confirmed.
-func (h *heartbeatHost) observe(o assignment.Ownership) {
-	pack := assignment.NewPack("katalog", 1, 0)
-	pack.Set(0, o)
-	h.version++
-	for _, change := range h.r.owners.PutPack(pack, h.version) {
-		if h.r.requiresRelease(change) {
-			h.r.beginHandover(h.now, change)
-			continue
-		}
-		h.r.executeHolder(h.now, h.r.holder.ApplyChange(h.now, change))
-	}
-}
-
-// heartbeat delivers a heartbeat of the target some time after the last one.
-func (h *heartbeatHost) heartbeat(after time.Duration, report grant.Report) grant.HeartbeatAnswer {
-	h.now = h.now.Add(after)
-	return h.r.answerHeartbeat(h.now, report)
-}
-
-func (h *heartbeatHost) admits() result.Code {
-	return h.r.Admit("katalog", "", 0, h.now).Code
-}
-
-func (h *heartbeatHost) held() grant.Report {
-	return grant.Report{Held: []grant.HeldRange{{Range: grant.Range{App: "katalog"}, Epoch: 1}}}
-}
-
 // A target that gets its slices with heartbeats is granted them with the next
 // heartbeat, and no call is made to it.
 func TestSliceIsGrantedWithHeartbeat(t *testing.T) {
@@ -142,12 +76,6 @@
 	must.Eq(t, grant.HeartbeatAnswer{}, h.heartbeat(time.Second, grant.Report{}))
 }
 
-func (h *heartbeatHost) deliver(seq uint64) {
-	h.r.deliverToGate(h.now, h.r.self, &request.Request{
-		ID: "a", App: "katalog", Seq: seq, Epoch: 1, Idempotent: true, FreshID: true, Budget: 3 * time.Second,
-	})
-}
-
 // A request for a slice that the target gets with its next heartbeat waits for it
 // and then runs. It is not refused, since every gate would refuse it until then.
 func TestRequestWaitsForHeartbeat(t *testing.T) {
