Let an epoch of a slice belong to one instance of the target

What callers saw: nothing at once.

Cause: an epoch was bound to session and slice, not to the instance that got it. Another instance at the same address was offered every owned slice at the old epoch before these were drained. A slice with a request in flight stayed draining, by the ticket of a run that was lost with the earlier instance, and was granted at that epoch. A draining slice also became owned again at its epoch when its handover was withdrawn, or a refused epoch was offered again.

Ruled out: two sessions; a late grant for the earlier instance.

Change: - chart handover: event "spent", state "renounced": drains, and is not owned again at that epoch whatever a pack says. Holder.TargetReplaced and Renounce replace DrainAll and DrainSlice, which drained only what was owned. - grant.Epochs and grant.Permit: the cores take a slice only with a permit, and there is none for an epoch that another instance was offered. Event epoch_spent would tell of one. - A process that listens at the address of the earlier instance, or an address that refuses connections, proves that its runs have ended: their tickets end, so that the next epoch comes at once and not at the deadlines of the lost runs. - Slices of other apps are not offered to a target. - The same for targets that don't keep grants themselves: they too get slices at a higher epoch after a restart. So the pair of routing loops in the tests has a leader that assigns what is released; before, a new instance went on at the old epoch without one.

--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -16,7 +16,7 @@
 			c := New(DefaultConfig())
 			now := start
 			for i := range units {
-				c.SetOwned(now.Add(-c.cfg.TokenWait), slice(key.SliceID(2*i)), 1)
+				c.SetOwned(now.Add(-c.cfg.TokenWait), permit(slice(key.SliceID(2*i)), 1))
 			}
 			var out Actions
 			grants := 0
--- a/grant/core.go
+++ b/grant/core.go
@@ -66,9 +66,9 @@
 	c.leaseEnd = until
 }
 
-// SetOwned adds a slice that the session owns at an epoch. At epoch 1 it has had no
-// owner before.
-func (c *Core) SetOwned(now mono.Time, s key.Slice, epoch uint64) {
+// SetOwned adds a slice that the session owns. At epoch 1 it has had no owner before.
+func (c *Core) SetOwned(now mono.Time, p Permit) {
+	s, epoch := p.slice, p.epoch
 	if u := c.unitOf(s); u != nil && u.grant.Epoch == epoch {
 		return
 	}
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -32,7 +32,7 @@
 func newGrantedCore(t *testing.T, epoch uint64, first, last key.SliceID) *Core {
 	c := New(DefaultConfig())
 	for id := first; id <= last; id++ {
-		c.SetOwned(start.Add(-c.cfg.TokenWait), slice(id), epoch)
+		c.SetOwned(start.Add(-c.cfg.TokenWait), permit(slice(id), epoch))
 	}
 	out := tick(c, start)
 	must.Len(t, 1, out.Grants)
@@ -46,7 +46,7 @@
 func TestNeighbouringSlicesAreGrantedTogether(t *testing.T) {
 	c := New(DefaultConfig())
 	for _, id := range []key.SliceID{4, 5, 6, 9} {
-		c.SetOwned(start, slice(id), 1)
+		c.SetOwned(start, permit(slice(id), 1))
 	}
 	out := tick(c, start)
 	must.Len(t, 2, out.Grants)
@@ -72,7 +72,7 @@
 // Nothing is granted without a lease, or with one that leaves less than MinHold.
 func TestNothingIsGrantedWithoutLease(t *testing.T) {
 	c := New(DefaultConfig())
-	c.SetOwned(start, slice(0), 1)
+	c.SetOwned(start, permit(slice(0), 1))
 	var out Actions
 	c.Tick(start, &out)
 	c.SetLease(start.Add(c.cfg.MinHold / 2))
@@ -84,8 +84,8 @@
 // is known, or without it after TokenWait.
 func TestGrantWaitsForReleaseToken(t *testing.T) {
 	c := New(DefaultConfig())
-	c.SetOwned(start, slice(0), 2)
-	c.SetOwned(start, slice(1), 2)
+	c.SetOwned(start, permit(slice(0), 2))
+	c.SetOwned(start, permit(slice(1), 2))
 	must.SliceEmpty(t, tick(c, start).Grants)
 	c.SetToken(start, slice(0), 2, "t")
 	out := tick(c, start)
@@ -117,7 +117,7 @@
 // A slice that was never granted is reported as released without a call.
 func TestUngrantedSliceIsReleasedWithoutCall(t *testing.T) {
 	c := New(DefaultConfig())
-	c.SetOwned(start, slice(0), 2)
+	c.SetOwned(start, permit(slice(0), 2))
 	c.RequestRelease(start, slice(0), 2)
 	out := tick(c, start)
 	must.Len(t, 1, out.Released)
@@ -149,14 +149,14 @@
 // repeated at the same epoch.
 func TestRefusedGrantIsNotRetriedAtSameEpoch(t *testing.T) {
 	c := New(DefaultConfig())
-	c.SetOwned(start, slice(0), 1)
-	c.SetOwned(start, slice(1), 1)
+	c.SetOwned(start, permit(slice(0), 1))
+	c.SetOwned(start, permit(slice(1), 1))
 	out := tick(c, start)
 	var answered Actions
 	c.GrantAnswered(start, out.Grants[0].Unit, Refused, &answered)
 	must.Eq(t, []SliceEpoch{{Slice: slice(0), Epoch: 1}, {Slice: slice(1), Epoch: 1}}, answered.Refused)
 	must.SliceEmpty(t, tick(c, start.Add(time.Minute)).Grants)
-	c.SetOwned(start.Add(time.Minute), slice(0), 2)
+	c.SetOwned(start.Add(time.Minute), permit(slice(0), 2))
 	must.Len(t, 1, tick(c, start.Add(2*time.Minute)).Grants)
 }
 
@@ -254,7 +254,7 @@
 		case !owned && !leaving[s] && rng.IntN(3) == 0:
 			epochs[s] += 2
 			released[s] = false
-			c.SetOwned(now, s, epochs[s])
+			c.SetOwned(now, permit(s, epochs[s]))
 		case owned && rng.IntN(12) == 0:
 			leaving[s] = true
 			c.RequestRelease(now, s, epochs[s])
--- a/grant/heartbeat.go
+++ b/grant/heartbeat.go
@@ -112,9 +112,9 @@
 	c.leaseEnd = until
 }
 
-// SetOwned adds a slice that the session owns at an epoch, or owns again after
-// Withhold.
-func (c *HeartbeatCore) SetOwned(_ mono.Time, s key.Slice, epoch uint64) {
+// SetOwned adds a slice that the session owns, or owns again after Withhold.
+func (c *HeartbeatCore) SetOwned(_ mono.Time, p Permit) {
+	s, epoch := p.slice, p.epoch
 	h := c.holdings[s]
 	if h != nil && h.epoch == epoch {
 		h.withheld = h.release != 0
--- a/grant/heartbeat_model_test.go
+++ b/grant/heartbeat_model_test.go
@@ -159,7 +159,7 @@
 	a := &m.slices[id]
 	h := m.hosts[owner]
 	*a = fleetAssignment{owner: owner, next: -1, session: h.session, epoch: a.epoch + 1}
-	h.core.SetOwned(m.now, slice(key.SliceID(id)), a.epoch)
+	h.core.SetOwned(m.now, permit(slice(key.SliceID(id)), a.epoch))
 }
 
 func (m *fleetModel) fail(format string, args ...any) {
@@ -306,7 +306,7 @@
 			h.m.assign(id, h.index)
 			continue
 		}
-		h.core.SetOwned(h.m.now, slice(key.SliceID(id)), a.epoch)
+		h.core.SetOwned(h.m.now, permit(slice(key.SliceID(id)), a.epoch))
 		if a.next >= 0 {
 			h.handOver(slice(key.SliceID(id)))
 		}
--- a/grant/heartbeat_test.go
+++ b/grant/heartbeat_test.go
@@ -54,7 +54,7 @@
 
 func (b *heartbeats) own(epoch uint64, first, last key.SliceID) {
 	for id := first; id <= last; id++ {
-		b.SetOwned(b.now, slice(id), epoch)
+		b.SetOwned(b.now, permit(slice(id), epoch))
 	}
 }
 
@@ -148,7 +148,7 @@
 	b.own(1, 0, 0)
 	b.beat()
 	b.Withhold(slice(0))
-	b.SetOwned(b.now, slice(0), 1)
+	b.SetOwned(b.now, permit(slice(0), 1))
 	b.beat()
 	must.Eq(t, []Row{rowOf(0, 0, 1, "")}, b.last.Rows)
 }
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -15,6 +15,10 @@
 //     higher epoch.
 //   - Only then does the leader write the next owner, at the next epoch.
 //
+// One epoch of a slice belongs to one instance of the target. When another
+// instance replaces it, or the target refuses the epoch, the slice is renounced:
+// it drains, and no pack makes this session serve it again at that epoch.
+//
 // Carving a key out and merging it back moves the key between slices, so the
 // release of a slice also waits for requests of related slices: a new carve-out
 // is not released before the requests that its parent had admitted by then have
--- a/handover/holder.go
+++ b/handover/holder.go
@@ -67,11 +67,11 @@
 	return out
 }
 
-// sorted returns the records in a state, ordered by slice.
-func (h *Holder) sorted(s statechart.State) []*record {
+// sorted returns the records in one of the states, ordered by slice.
+func (h *Holder) sorted(states ...statechart.State) []*record {
 	var out []*record
 	for _, r := range h.records {
-		if r.state == s {
+		if slices.Contains(states, r.state) {
 			out = append(out, r)
 		}
 	}
@@ -121,7 +121,7 @@
 	switch {
 	case h.sessionEnded || r.state == stateNone || r.state == stateReleased:
 		v.Code = result.NotOwner
-	case r.state == stateDraining:
+	case r.drains():
 		v.Code = result.Draining
 	case !now.Before(h.leaseEnd):
 		v.Code = result.LeaseLapsed
@@ -238,12 +238,12 @@
 		h.sendRelease(now, r)
 	}
 	late := now.Sub(r.drainSince) >= h.cfg.DrainReportAfter
-	if r.state == stateDraining && late && !r.overdue {
+	if r.drains() && late && !r.overdue {
 		h.fire(now, r, eventOverdue)
 	}
 }
 
-// releaseIdle releases the draining slices that wait for no request.
+// releaseIdle releases the slices that drain and wait for no request.
 func (h *Holder) releaseIdle(now mono.Time) {
 	for _, r := range h.pending {
 		h.releaseIfIdle(now, r)
@@ -251,7 +251,7 @@
 }
 
 func (h *Holder) releaseIfIdle(now mono.Time, r *record) {
-	if r.state == stateDraining && r.inFlight() == 0 {
+	if r.drains() && r.inFlight() == 0 {
 		h.fire(now, r, eventIdle)
 	}
 }
@@ -276,7 +276,7 @@
 	switch s {
 	case stateOwned:
 		h.counts.Owned += n
-	case stateDraining:
+	case stateDraining, stateRenounced:
 		h.counts.Draining += n
 	case stateReleased:
 		h.counts.Released += n
@@ -285,7 +285,7 @@
 
 // updatePending adds the record to pending or removes it, by its state.
 func (h *Holder) updatePending(r *record) {
-	isPending := r.state == stateDraining || r.state == stateReleased
+	isPending := r.drains() || r.state == stateReleased
 	i := slices.Index(h.pending, r)
 	if isPending && i < 0 {
 		h.pending = append(h.pending, r)
--- a/handover/record.go
+++ b/handover/record.go
@@ -11,14 +11,16 @@
 
 // States, events and actions of the chart "handover".
 const (
-	stateNone     statechart.State = "none"
-	stateOwned    statechart.State = "owned"
-	stateDraining statechart.State = "draining"
-	stateReleased statechart.State = "released"
+	stateNone      statechart.State = "none"
+	stateOwned     statechart.State = "owned"
+	stateDraining  statechart.State = "draining"
+	stateRenounced statechart.State = "renounced"
+	stateReleased  statechart.State = "released"
 
 	eventGranted   statechart.Event = "granted"
 	eventAsked     statechart.Event = "asked"
 	eventWithdrawn statechart.Event = "withdrawn"
+	eventSpent     statechart.Event = "spent"
 	eventIdle      statechart.Event = "idle"
 	eventOverdue   statechart.Event = "overdue"
 	eventMoved     statechart.Event = "moved"
@@ -84,6 +86,11 @@
 	r.older--
 }
 
+// drains reports whether the slice is not served any more, and not released yet.
+func (r *record) drains() bool {
+	return r.state == stateDraining || r.state == stateRenounced
+}
+
 // addCarveOut makes the release of child wait for the requests that r has
 // admitted so far, by starting a new generation of requests.
 func (r *record) addCarveOut(child *record) {
--- a/handover/stop.go
+++ b/handover/stop.go
@@ -1,7 +1,6 @@
 package handover
 
 import (
-	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
@@ -14,29 +13,6 @@
 	}
 }
 
-// DrainAll drains every owned slice, as after the target was lost: a restarted
-// target may be granted them only at a higher epoch. A slice is released once
-// its requests have ended. The leader receives the releases and assigns owners
-// again.
-func (h *Holder) DrainAll(now mono.Time) []Action {
-	h.out = nil
-	for _, r := range h.sorted(stateOwned) {
-		h.fire(now, r, eventAsked)
-	}
-	h.releaseIdle(now)
-	return h.out
-}
-
-// DrainSlice is DrainAll for one slice, if it is owned at the given epoch.
-func (h *Holder) DrainSlice(now mono.Time, s key.Slice, epoch uint64) []Action {
-	h.out = nil
-	if r := h.records[s]; r != nil && r.state == stateOwned && r.epoch == epoch {
-		h.fire(now, r, eventAsked)
-		h.releaseIfIdle(now, r)
-	}
-	return h.out
-}
-
 // drainForStop drains every owned slice, with or without a next owner.
 func (h *Holder) drainForStop(now mono.Time) {
 	h.stopDrained = true
--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
@@ -78,11 +79,10 @@
 	return epochs
 }
 
-// run starts a run of a request for the slice that stays in flight.
-func (h *grantHost) run() handover.Ticket {
-	ticket, verdict := h.r.holder.Begin(h.now, h.slice)
-	must.True(h.t, verdict.Admitted())
-	return ticket
+// run starts a run of a request for the slice whose end is not delivered.
+func (h *grantHost) run() {
+	h.r.startRun(h.now, &gate.Start{Run: 1, Request: &request.Request{App: h.slice.App, Slice: h.slice.ID}, Deadline: h.now.Add(time.Minute)})
+	must.Eq(h.t, 1, len(h.r.heldRuns))
 }
 
 // observe delivers an assignment of the slice that the store has confirmed.
--- a/internal/daemon/pair_test.go
+++ b/internal/daemon/pair_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
@@ -36,12 +38,16 @@
 
 // routingPair runs the routing loops of two daemons that are connected by a
 // peer connection. The second daemon owns the only slice of the app and has a
-// target. The other loops are not running, and the leases never end.
+// target. The other loops are not running, and the leases never end. The pair
+// itself is the leader: it assigns a released slice anew.
 type routingPair struct {
 	entry, owner *Daemon
 	logs         [2]*bytes.Buffer
 	logWriter    io.Writer // Receives the logs if not nil.
 	calls        request.CallID
+	epoch        atomic.Uint64 // Of the slice, as assigned last.
+	// keepsReleases makes the leader leave released slices without an owner.
+	keepsReleases atomic.Bool
 }
 
 func newRoutingPair(t testing.TB, level event.Level) *routingPair {
@@ -51,16 +57,31 @@
 func (p *routingPair) start(t testing.TB, level event.Level) *routingPair {
 	p.entry = p.routingDaemon(t, "first", 0, level)
 	p.owner = p.routingDaemon(t, "second", 1, level)
-	pack := assignment.NewPack(pairApp, 1, 0)
-	pack.Set(0, assignment.Ownership{Owner: p.owner.self, Epoch: 1})
 	for _, d := range []*Daemon{p.entry, p.owner} {
 		p.loadFleet(t, d)
-		d.routing.ring.Push(packsObserved{packs: []packVersion{{pack: pack, version: 1}}})
 	}
+	p.assign()
 	p.announceTarget(startEchoTarget(t))
 	return p
 }
 
+// assign gives the slice to the second daemon at the next epoch.
+func (p *routingPair) assign() {
+	epoch := p.epoch.Add(1)
+	pack := assignment.NewPack(pairApp, 1, 0)
+	pack.Set(0, assignment.Ownership{Owner: p.owner.self, Epoch: epoch})
+	for _, d := range []*Daemon{p.entry, p.owner} {
+		d.routing.ring.Push(packsObserved{packs: []packVersion{{pack: pack, version: epoch}}})
+	}
+}
+
+// reassign is what the leader does with a released slice.
+func (p *routingPair) reassign(r handover.Release) {
+	if !p.keepsReleases.Load() && r.Epoch == p.epoch.Load() {
+		p.assign()
+	}
+}
+
 // barrier is a task that signals that all tasks before it have been handled. It
 // also publishes the state that they changed.
 type barrier chan bool
@@ -100,6 +121,7 @@
 	d := New(&settings.Daemon{Host: name, Region: "pampa-norte", Zone: "pampa-norte-1", Environment: "trial", PeerAddress: address, StoreAddress: "127.0.0.1:1", Seed: 1},
 		eventlog.New(out, level, name, registry), registry)
 	d.createLoops()
+	d.routing.onReleased = p.reassign
 	peers, err := peer.Listen(address, wire.Hello{Session: d.self, Zone: d.settings.Zone, Region: d.settings.Region}, &frameHandler{d: d}, peer.DialTCP, registry)
 	must.NoError(t, err)
 	d.peers, d.routing.peers = peers, peers
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -8,9 +8,7 @@
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
-	"github.com/rhubarbring/rhubarbring/internal/targetclient"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
-	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -225,34 +223,6 @@
 	}
 }
 
-// startRun sends a run to the target on its own goroutine. For a request with a
-// slice it takes a ticket that keeps the slice from being released until the run
-// has ended or, if the connection to the target is lost, until the deadline.
-func (r *routingLoop) startRun(now mono.Time, s *gate.Start) {
-	req := s.Request
-	r.logStarted(s)
-	r.metrics.queue.Update(s.Waited.Microseconds())
-	active := &targetRun{number: s.Run, gate: r.gate, instance: r.target.instance, request: req, started: now, deadline: s.Deadline}
-	if req.Slice != request.NoSlice {
-		ticket, verdict := r.holder.Begin(now, key.Slice{App: req.App, ID: req.Slice})
-		if !verdict.Admitted() {
-			r.gate.TargetRefused(now, s.Run, verdict.Code, &r.gateActions)
-			return
-		}
-		active.ticket = ticket
-	}
-	call := targetclient.Call{
-		RunID:    s.Run,
-		Request:  req,
-		Slice:    key.Slice{App: req.App, ID: req.Slice},
-		Grant:    targetclient.Grant{Owner: s.Owner, Epoch: s.Epoch, Expires: s.Expires},
-		Deadline: s.Deadline,
-		Timeout:  s.Deadline.Sub(now) + lateAnswerWait,
-	}
-	client := r.target.client
-	go func() { r.ring.PushWait(runEnded{run: active, reply: client.Do(call)}, r.stop) }()
-}
-
 func (r *routingLoop) cancelRun(g *gate.Gate, client Target, c gate.CancelRun) {
 	stopped := client.Cancel(c.ID, c.Run, cancelWait)
 	r.ring.PushWait(cancelEnded{gate: g, run: c.Run, stopped: stopped}, r.stop)
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -44,7 +44,7 @@
 // *grant.HeartbeatCore.
 type sliceGranter interface {
 	SetLease(until mono.Time)
-	SetOwned(now mono.Time, s key.Slice, epoch uint64)
+	SetOwned(now mono.Time, p grant.Permit)
 	SetToken(now mono.Time, s key.Slice, epoch uint64, token string)
 	Revoke(s key.Slice)
 	RequestRelease(now mono.Time, s key.Slice, epoch uint64)
@@ -72,37 +72,42 @@
 )
 
 // startTargetInstance starts with a new instance of the target, which holds no
-// slices yet. Slices that an earlier instance held are released, since another
-// instance may get them only at a higher epoch.
-func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement) {
-	earlier := r.granter != nil
-	if r.target.client != nil {
-		r.target.client.Close()
+// slices yet. An earlier instance has ended if the new one has its address. What
+// it held is renounced, since another instance may get it only at a higher epoch.
+func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement, earlier *localTarget) {
+	replaced := earlier != nil
+	earlierInstance, ended := uint64(0), false
+	if replaced {
+		earlierInstance, ended = earlier.instance, earlier.client.Address() == a.Address
+		earlier.client.Close()
+		r.epochs.Replace()
 	}
 	r.target.client = r.targets(a)
 	r.target.instance = a.Instance
 	r.targetStatus.Begin(a.Instance)
 	r.log.Event(event.TargetLife, "app", a.App, "address", a.Address, "target", a.InstanceName, "instance", a.Instance)
 	r.grantState = grantState{}
-	granter, ok := r.target.client.(GrantHolder)
-	if !ok {
-		return
+	if granter, ok := r.target.client.(GrantHolder); ok {
+		r.grantState = grantState{
+			grantHolder:    granter,
+			nextOwners:     make(map[key.Slice]host.Session),
+			releasedEpochs: make(map[key.Slice]uint64),
+		}
 	}
-	r.grantState = grantState{
-		grantHolder:    granter,
-		nextOwners:     make(map[key.Slice]host.Session),
-		releasedEpochs: make(map[key.Slice]uint64),
+	r.startGranting(now, replaced)
+	if replaced {
+		r.executeHolder(now, r.holder.TargetReplaced(now))
 	}
-	r.startGranting(now, earlier)
-	if earlier {
-		r.executeHolder(now, r.holder.DrainAll(now))
+	if ended {
+		r.endTicketsOf(now, earlierInstance)
 	}
+	r.offerOwned(now)
 }
 
-// startGranting starts to grant the owned slices to a target that holds them for
-// a time, in the way that the document in force says. Before there is a document,
-// no slice is owned. A target keeps the way with which it started. An instance
-// that replaced another one holds nothing yet.
+// startGranting starts to grant slices to a target that holds them for a time, in
+// the way that the document in force says. Before there is a document, no slice
+// is owned. A target keeps the way with which it started. An instance that
+// replaced another one holds nothing yet.
 func (r *routingLoop) startGranting(now mono.Time, replaced bool) {
 	if r.grantHolder == nil || r.granter != nil {
 		return
@@ -118,8 +123,12 @@
 		r.callGrants = grant.New(grant.DefaultConfig())
 		r.granter = r.callGrants
 	}
+}
+
+// offerOwned offers the slices that the session owns to the target.
+func (r *routingLoop) offerOwned(now mono.Time) {
 	for _, h := range r.holder.Owned() {
-		r.granter.SetOwned(now, h.Slice, h.Epoch)
+		r.ownSlice(now, h.Slice, h.Epoch)
 	}
 }
 
@@ -140,12 +149,21 @@
 	return r.granter == nil || r.granter.Holds(now, s)
 }
 
-// ownSlice starts granting a slice that the session now owns to the target.
+// ownSlice starts granting a slice that the session now owns to the target, if it
+// serves the slice's app. The holder renounces what the target replaced, so that
+// the permit is only refused if one of the two is wrong.
 func (r *routingLoop) ownSlice(now mono.Time, s key.Slice, epoch uint64) {
-	if r.granter != nil {
-		delete(r.nextOwners, s)
-		r.granter.SetOwned(now, s, epoch)
+	if r.granter == nil || s.App != r.target.app {
+		return
+	}
+	delete(r.nextOwners, s)
+	permit, ok := r.epochs.Permit(s, epoch)
+	if !ok {
+		r.log.Event(event.EpochSpent, "slice", s.String(), "epoch", epoch, "instance", r.target.instance)
+		r.executeHolder(now, r.holder.Renounce(now, s, epoch))
+		return
 	}
+	r.granter.SetOwned(now, permit)
 }
 
 // setNextOwner records which session gets a slice that is draining.
@@ -196,7 +214,7 @@
 	r.finishReleases(out.Released)
 	for _, refused := range out.Refused {
 		r.log.Event(event.GrantRefused, "slice", refused.Slice.String(), "epoch", refused.Epoch)
-		r.executeHolder(now, r.holder.DrainSlice(now, refused.Slice, refused.Epoch))
+		r.executeHolder(now, r.holder.Renounce(now, refused.Slice, refused.Epoch))
 	}
 }
 
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/balance"
 	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
@@ -100,11 +101,14 @@
 	onSettled func(request.Settlement)
 
 	targets TargetFactory
-	// grantState is set for a target that tracks its slices itself.
+	// grantState is set for a target that tracks its slices itself. epochs outlasts
+	// the instances of the target.
 	grantState
+	epochs grant.Epochs
 
 	waitingCallers map[request.CallID]waitingCaller
 	sentRequests   map[uint64]sentRequest
+	heldRuns       heldRuns
 	sessionOver    bool // the daemon's session has ended
 	// entryConns holds the connections of the entry daemons whose requests
 	// arrived here; answers go back on them.
@@ -170,17 +174,6 @@
 	at   mono.Time
 }
 
-// targetRun is a request that is running at the local target.
-type targetRun struct {
-	number   uint64
-	gate     *gate.Gate
-	instance uint64 // of the target
-	request  *request.Request
-	ticket   handover.Ticket
-	started  mono.Time
-	deadline mono.Time
-}
-
 // localTarget is the target on this host as of its last announcement.
 type localTarget struct {
 	app           key.App
@@ -209,6 +202,7 @@
 		owners:         assignment.NewMap(),
 		waitingCallers: make(map[request.CallID]waitingCaller),
 		sentRequests:   make(map[uint64]sentRequest),
+		heldRuns:       make(heldRuns),
 		entryConns:     make(map[host.Session]*peer.Conn),
 		statusTold:     make(map[host.Session]uint64),
 		mergedAtMs:     make(map[key.Slice]int64),
--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -9,7 +9,6 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
-	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
@@ -79,12 +78,10 @@
 // the target, the owner.
 func (p *routingPair) restartOwner(t *testing.T, address string) {
 	p.owner = p.routingDaemon(t, "second", 1, event.Warn)
-	pack := assignment.NewPack(pairApp, 1, 0)
-	pack.Set(0, assignment.Ownership{Owner: p.owner.self, Epoch: 2})
 	for _, d := range []*Daemon{p.entry, p.owner} {
 		p.loadFleet(t, d)
-		d.routing.ring.Push(packsObserved{packs: []packVersion{{pack: pack, version: 2}}})
 	}
+	p.assign()
 	p.announceNumbered(t, address, 9)
 }
 
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -17,13 +17,13 @@
 	if r.target != nil && r.target.instance != a.Instance {
 		r.instanceEnded(now, r.target.instance)
 	}
-	earlier := r.targetStatus.Revision()
+	revision, earlier := r.targetStatus.Revision(), r.target
 	switch {
-	case r.gate == nil || r.target.app != key.App(a.App) || r.target.client.Address() != a.Address:
+	case r.gate == nil || earlier.app != key.App(a.App) || earlier.client.Address() != a.Address:
 		r.newGate(now, a)
-		r.startTargetInstance(now, a)
-	case r.target.instance != a.Instance:
-		r.startTargetInstance(now, a)
+		r.startTargetInstance(now, a, earlier)
+	case earlier.instance != a.Instance:
+		r.startTargetInstance(now, a, earlier)
 	case r.grantHolder != nil:
 		r.grantHolder.Announced()
 	}
@@ -44,7 +44,7 @@
 	if a.State == control.StateDraining && a.Instance != 0 {
 		r.targetStatus.Heard(now, now, a.Instance, targetstatus.Statement{Leaving: true})
 	}
-	if r.targetStatus.Revision() != earlier {
+	if r.targetStatus.Revision() != revision {
 		r.statusChanged(now)
 	}
 }
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -2,13 +2,11 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
-	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/entry"
@@ -48,8 +46,6 @@
 		run   *targetRun
 		reply targetclient.Reply
 	}
-	// ticketEnded ends the ticket of a run whose connection was lost.
-	ticketEnded struct{ ticket handover.Ticket }
 	cancelEnded struct {
 		gate    *gate.Gate
 		run     uint64
@@ -171,18 +167,7 @@
 		r.endAfterDeadline(now, w.run)
 		return
 	}
-	r.executeHolder(now, r.holder.End(now, w.run.ticket))
-}
-
-// endAfterDeadline keeps the slice held until the deadline of a run whose
-// connection was lost, since the target may be working on it until then.
-func (r *routingLoop) endAfterDeadline(now mono.Time, active *targetRun) {
-	left := max(active.deadline.Sub(now), 0)
-	time.AfterFunc(left, func() { r.ring.PushWait(ticketEnded{active.ticket}, r.stop) })
-}
-
-func (w ticketEnded) handle(r *routingLoop, now mono.Time) {
-	r.executeHolder(now, r.holder.End(now, w.ticket))
+	r.endTicket(now, w.run)
 }
 
 func refusalCode(reason string) result.Code {
@@ -260,7 +245,10 @@
 	for _, a := range w.document.Apps {
 		r.owners.SetNumericKeys(a.Name, a.KeyNumbers)
 	}
-	r.startGranting(now, false)
+	if r.granter == nil {
+		r.startGranting(now, false)
+		r.offerOwned(now)
+	}
 }
 
 func (w sessionEnded) handle(r *routingLoop, now mono.Time) {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -46,6 +46,7 @@
 	r.targets = func(control.Announcement) Target { return target }
 	p.announceTarget("held")
 	<-target.granted
+	p.keepsReleases.Store(true)
 	r.ring.Push(stopRequested{})
 	return p, target
 }
