Keep the slices of runs that go on at a target that listens no more

What callers could see: two runs for one key beside each other. A target that is about to end closes its listener first and finishes what it runs. Since a refused connection ended the tickets of all its runs, so that a renounced slice could be released while one of them went on; targets that don't keep grants themselves have no other guard.

Found by reading; not seen in a run.

Change: refused connections end the tickets of the runs whose connection was lost, and no others. Another process that listens at the address still ends all.

The test failed on: one release instead of none.

--- a/internal/daemon/routing_crash.go
+++ b/internal/daemon/routing_crash.go
@@ -22,7 +22,7 @@
 	r.target.probing = false
 	if !w.listening {
 		r.instanceEnded(now, w.instance)
-		r.endTicketsOf(now, w.instance)
+		r.endLostTicketsOf(now, w.instance)
 		return
 	}
 	r.crashes.InstanceAlive(w.at, w.instance)
@@ -41,7 +41,7 @@
 	case targetclient.NotSent:
 		if reply.ConnRefused {
 			r.instanceEnded(now, run.instance)
-			r.endTicketsOf(now, run.instance)
+			r.endLostTicketsOf(now, run.instance)
 		}
 	case targetclient.LostAfterSend:
 		if now.Before(run.deadline) && run.gate.IsRunning(run.number) {
--- a/internal/daemon/routing_runs.go
+++ b/internal/daemon/routing_runs.go
@@ -23,6 +23,7 @@
 	ticket   handover.Ticket
 	started  mono.Time
 	deadline mono.Time
+	lost     bool // Its connection broke before the answer.
 }
 
 // heldRuns holds the runs whose tickets keep their slices from being released.
@@ -68,6 +69,7 @@
 // endAfterDeadline keeps the slice held until the deadline of a run whose
 // connection was lost, since the target may be working on it until then.
 func (r *routingLoop) endAfterDeadline(now mono.Time, run *targetRun) {
+	run.lost = true
 	if _, held := r.heldRuns[run]; !held {
 		return
 	}
@@ -87,9 +89,21 @@
 // endTicketsOf ends the tickets of an instance of the target that has ended: none of
 // its runs goes on.
 func (r *routingLoop) endTicketsOf(now mono.Time, instance uint64) {
+	r.endTickets(now, func(run *targetRun) bool { return run.instance == instance })
+}
+
+// endLostTicketsOf ends the tickets of an instance that listens no more, of which
+// the runs that were lost do not go on. Others may: a process that is about to end
+// closes its listener first.
+func (r *routingLoop) endLostTicketsOf(now mono.Time, instance uint64) {
+	r.endTickets(now, func(run *targetRun) bool { return run.instance == instance && run.lost })
+}
+
+// endTickets ends the tickets of the runs that match.
+func (r *routingLoop) endTickets(now mono.Time, matches func(*targetRun) bool) {
 	runs := slices.SortedFunc(maps.Keys(r.heldRuns), func(a, b *targetRun) int { return cmp.Compare(a.number, b.number) })
 	for _, run := range runs {
-		if run.instance == instance {
+		if matches(run) {
 			r.endTicket(now, run)
 		}
 	}
--- a/internal/daemon/target_replaced_test.go
+++ b/internal/daemon/target_replaced_test.go
@@ -62,3 +62,16 @@
 		must.Eq(t, []grant.Row{{Range: grant.Range{App: "katalog"}, Epoch: 2}}, h.heartbeat(time.Second, grant.Report{}).Rows)
 	}
 }
+
+func TestTargetThatListensNoMoreKeepsSlicesOfItsRuns(t *testing.T) {
+	h := newGrantHost(t, document.GrantsByCall)
+	h.run()
+	h.r.executeHolder(h.now, h.r.holder.Renounce(h.now, h.slice, 1))
+	targetProbed{instance: 1}.handle(h.r, h.now)
+	must.SliceEmpty(t, h.released)
+	for run := range h.r.heldRuns {
+		h.r.endAfterDeadline(h.now, run)
+	}
+	targetProbed{instance: 1}.handle(h.r, h.now)
+	must.SliceLen(t, 1, h.released)
+}
