--- a/internal/daemon/target_replaced_test.go
+++ b/internal/daemon/target_replaced_test.go
@@ -75,3 +75,12 @@
 	targetProbed{instance: 1}.handle(h.r, h.now)
 	must.SliceLen(t, 1, h.released)
 }
+
+func TestReleaseThatEarlierInstanceDidNotAnswerIsMadeAtOnce(t *testing.T) {
+	h := newGrantHost(t, document.GrantsByCall)
+	must.Eq(t, []uint64{1}, h.grantEpochs())
+	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1, Next: host.Session{Host: "h2", Incarnation: 1}})
+	must.SliceEmpty(t, h.released, must.Sprint("the target has not answered"))
+	h.announce(2)
+	must.SliceLen(t, 1, h.released)
+}
