Sort the keys of a map by the standard library

What was hard to read: six functions in alarm, outcome, statechart and document copied the keys of a map into a slice and sorted it, each in its own six lines; grant, internal/judge and internal/fakestore use slices.Sorted(maps.Keys(m)) for the same.

Change: all of them use the standard call. In alarm and outcome, where the functions had no more to say than that, the callers call it directly. alarm/core.go no longer imports sort.

Behaviour: none changed. 31 lines fewer.

Tests: go test ./alarm ./outcome ./statechart ./charts ./document pass.

--- a/alarm/core.go
+++ b/alarm/core.go
@@ -1,7 +1,9 @@
 package alarm
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/rhubarbring/rhubarbring/charts"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -80,12 +82,12 @@
 // oldest first, as shown in the daemon's status.
 func (c *Core) Unacknowledged() []Alarm {
 	var all []Alarm
-	for _, name := range c.incidentNames() {
+	for _, name := range slices.Sorted(maps.Keys(c.incidents)) {
 		if inc := c.incidents[name]; inc.state != statePending {
 			all = append(all, inc.snapshot())
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].RaisedMs < all[j].RaisedMs })
+	slices.SortStableFunc(all, func(a, b Alarm) int { return cmp.Compare(a.RaisedMs, b.RaisedMs) })
 	return all
 }
 
@@ -146,7 +148,7 @@
 
 func (c *Core) tick(now Instant) {
 	c.checkParts(now)
-	for _, name := range c.incidentNames() {
+	for _, name := range slices.Sorted(maps.Keys(c.incidents)) {
 		inc := c.incidents[name]
 		c.checkBounds(now, inc)
 		if !inc.retryAt.After(now.Mono) {
@@ -286,15 +288,6 @@
 	return nil
 }
 
-func (c *Core) incidentNames() []string {
-	names := make([]string, 0, len(c.incidents))
-	for name := range c.incidents {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func (c *Core) emit(a Action) {
 	c.out = append(c.out, a)
 }
--- a/alarm/parts.go
+++ b/alarm/parts.go
@@ -1,6 +1,9 @@
 package alarm
 
-import "sort"
+import (
+	"maps"
+	"slices"
+)
 
 // setParts replaces the parts of the fleet about which information is
 // expected.
@@ -12,7 +15,7 @@
 			c.lastSeen[name] = now.Mono
 		}
 	}
-	for _, name := range c.partNames() {
+	for _, name := range slices.Sorted(maps.Keys(c.lastSeen)) {
 		if !wanted[name] {
 			delete(c.lastSeen, name)
 			c.ended(now, conditionKey{CannotSee, name})
@@ -33,19 +36,10 @@
 // checkParts begins a CannotSee condition for each part about which nothing
 // has been received for Bounds.CannotSee.
 func (c *Core) checkParts(now Instant) {
-	for _, name := range c.partNames() {
+	for _, name := range slices.Sorted(maps.Keys(c.lastSeen)) {
 		since := c.lastSeen[name]
 		if now.Mono.Sub(since) >= c.cfg.Bounds.CannotSee {
 			c.began(now, Condition{Kind: CannotSee, Subject: name, Cause: "no news of " + name}, since)
 		}
 	}
 }
-
-func (c *Core) partNames() []string {
-	names := make([]string, 0, len(c.lastSeen))
-	for name := range c.lastSeen {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/document/reference.go
+++ b/document/reference.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"regexp"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -95,10 +96,5 @@
 }
 
 func sortedNames(fields map[string]*node) []string {
-	names := make([]string, 0, len(fields))
-	for name := range fields {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(fields))
 }
--- a/outcome/copies.go
+++ b/outcome/copies.go
@@ -1,6 +1,9 @@
 package outcome
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/mono"
 )
@@ -35,7 +38,7 @@
 	for _, s := range ev.Living {
 		r.living[s] = true
 	}
-	for _, name := range r.batchNames() {
+	for _, name := range slices.Sorted(maps.Keys(r.batches)) {
 		b := r.batches[name]
 		if r.isOwn(b) {
 			r.checkCopy(now, b)
--- a/outcome/recorder.go
+++ b/outcome/recorder.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/charts"
@@ -88,7 +89,7 @@
 // those inherited from lost daemons, in the order of batch names.
 func (r *Recorder) Unsaved() []Outcome {
 	var all []Outcome
-	for _, name := range r.batchNames() {
+	for _, name := range slices.Sorted(maps.Keys(r.batches)) {
 		if b := r.batches[name]; r.isOwn(b) {
 			all = append(all, b.Outcomes...)
 		}
@@ -154,7 +155,7 @@
 	if r.open != nil && now.Sub(r.open.opened) >= r.cfg.FlushInterval {
 		r.closeBatch(now)
 	}
-	for _, name := range r.batchNames() {
+	for _, name := range slices.Sorted(maps.Keys(r.batches)) {
 		b := r.batches[name]
 		if !r.isOwn(b) {
 			r.askWhetherNeeded(now, b)
@@ -229,15 +230,6 @@
 	delete(r.batches, b.Name)
 }
 
-func (r *Recorder) batchNames() []string {
-	names := make([]string, 0, len(r.batches))
-	for name := range r.batches {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func (r *Recorder) emit(a Action) {
 	r.out = append(r.out, a)
 }
--- a/statechart/statechart.go
+++ b/statechart/statechart.go
@@ -12,7 +12,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -162,21 +163,11 @@
 }
 
 func (c *Chart) stateNames() []State {
-	names := make([]State, 0, len(c.States))
-	for s := range c.States {
-		names = append(names, s)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
+	return slices.Sorted(maps.Keys(c.States))
 }
 
 func (c *Chart) eventNames() []Event {
-	names := make([]Event, 0, len(c.Events))
-	for e := range c.Events {
-		names = append(names, e)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
+	return slices.Sorted(maps.Keys(c.Events))
 }
 
 // Markdown returns the chart as a section of Markdown: a Mermaid diagram, then
