Say once in package gate how queued jobs and runs are found

What was hard to read: three functions walked both queues in nested loops of their own to refuse jobs, six places added the lengths of the two queues, and four handlers of the target's events each looked up the run and counted an unmatched event.

Change: queuedJobs, queuedCount and reportedRun say it once. laterOf, which only called max, is gone.

The three loops list both queues before the first refusal, where they listed the second queue after the refusals of the first. Refusing a job neither starts nor removes another one, so that the lists are the same.

Behaviour: none changed.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -217,7 +217,7 @@
 // run has ended yet. Until one has, no wait can be estimated, and a gate that has
 // just started would queue more than its target serves before their deadlines.
 func (g *Gate) queueFullUntried(now mono.Time) bool {
-	return !g.serviceTime.seen && g.urgent.len()+g.normal.len() >= g.usableSlots(now)
+	return !g.serviceTime.seen && g.queuedCount() >= g.usableSlots(now)
 }
 
 // missesDeadline reports whether a request will likely miss its deadline, given
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -278,7 +278,7 @@
 	return Load{
 		Busy:            g.busySlots,
 		Slots:           g.usableSlots(now),
-		Queued:          g.urgent.len() + g.normal.len(),
+		Queued:          g.queuedCount(),
 		MeanServiceTime: g.serviceTime.mean(),
 		Wait:            g.expectedWait(now, request.Normal, now),
 	}
@@ -308,7 +308,7 @@
 // start to handle, and false if there is none.
 func (g *Gate) NextTick(now mono.Time) (mono.Time, bool) {
 	at, ok := g.timers.NextAt()
-	if g.urgent.len()+g.normal.len() == 0 {
+	if g.queuedCount() == 0 {
 		return at, ok
 	}
 	for _, t := range []mono.Time{g.target.pausedUntil, g.drainEnd(), g.rate.nextAt(now)} {
--- a/gate/job.go
+++ b/gate/job.go
@@ -125,7 +125,7 @@
 // compacts the queue of timers when most are stale.
 func (g *Gate) setTimer(j *job, at mono.Time) {
 	j.timer = g.timers.Add(at, j)
-	if g.timers.Len() > maxStaleTimers+2*(len(g.runs)+g.urgent.len()+g.normal.len()) {
+	if g.timers.Len() > maxStaleTimers+2*(len(g.runs)+g.queuedCount()) {
 		g.timers.Compact(func(e timer.Entry[*job]) bool { return e.Item.timer == e.ID })
 	}
 }
@@ -176,7 +176,7 @@
 func (g *Gate) lingerBriefly(now mono.Time, j *job, out *Actions) {
 	until := now
 	if j.conn != noConnection && !j.req.Idempotent {
-		until = laterOf(now, j.deadline)
+		until = max(now, j.deadline)
 	}
 	if !now.Before(until) {
 		g.endRun(j, out)
@@ -184,10 +184,6 @@
 	g.setTimer(j, until.Add(g.cfg.StoppedLingerTimeout))
 }
 
-func laterOf(a, b mono.Time) mono.Time {
-	return max(a, b)
-}
-
 // endRun reports once that a run no longer holds its slice.
 func (g *Gate) endRun(j *job, out *Actions) {
 	if j.run == 0 || j.ended {
--- a/gate/quarantine.go
+++ b/gate/quarantine.go
@@ -26,11 +26,9 @@
 // QuarantineChanged refuses at once the queued requests that are in quarantine
 // now. The daemon calls it after each request that is put there.
 func (g *Gate) QuarantineChanged(now mono.Time, out *Actions) {
-	for _, q := range [...]*queue{&g.urgent, &g.normal} {
-		for _, j := range q.all() {
-			if left, held := g.quarantined(now, j.req); held {
-				g.refuseJobFor(now, j, result.Quarantined, Admission{}, left, out)
-			}
+	for _, j := range g.queuedJobs() {
+		if left, held := g.quarantined(now, j.req); held {
+			g.refuseJobFor(now, j, result.Quarantined, Admission{}, left, out)
 		}
 	}
 	g.startQueued(now, out)
--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -111,7 +111,7 @@
 // request, and no free slot while the limit allows no start: those who choose among
 // gates need not know of limits.
 func (g *Gate) statedLoad(now mono.Time) statedLoad {
-	queued := g.urgent.len() + g.normal.len()
+	queued := g.queuedCount()
 	s := statedLoad{slots: g.usableSlots(now), jobs: g.busySlots + queued, serviceTime: g.serviceTime.mean()}
 	if s.slots == 0 || !g.rate.limited() {
 		return s
--- a/gate/run.go
+++ b/gate/run.go
@@ -123,13 +123,22 @@
 	Body        []byte
 }
 
+// reportedRun returns the run that an event of the target names. It returns nil
+// and counts the event if there is no such run.
+func (g *Gate) reportedRun(run uint64) *job {
+	j := g.runs[run]
+	if j == nil {
+		g.counters.Unmatched++
+	}
+	return j
+}
+
 // TargetAnswered handles the target's complete answer to a run. If the run's
 // grant is no longer valid, the waiting entry daemons get LeaseLapsedAfter
 // instead.
 func (g *Gate) TargetAnswered(now mono.Time, run uint64, answer TargetAnswer, out *Actions) {
-	j := g.runs[run]
+	j := g.reportedRun(run)
 	if j == nil {
-		g.counters.Unmatched++
 		return
 	}
 	g.recordServiceTime(j.req.Route, now.Sub(j.startedAt))
@@ -172,9 +181,8 @@
 
 // finishNotRun finishes a run that the target did not execute.
 func (g *Gate) finishNotRun(now mono.Time, run uint64, code result.Code, out *Actions) {
-	j := g.runs[run]
+	j := g.reportedRun(run)
 	if j == nil {
-		g.counters.Unmatched++
 		return
 	}
 	a := g.newAnswer(j, code)
@@ -186,9 +194,8 @@
 // TargetTruncated handles an answer of the target that is incomplete or exceeds
 // the size limit. The target executed the run and is done with it.
 func (g *Gate) TargetTruncated(now mono.Time, run uint64, out *Actions) {
-	j := g.runs[run]
+	j := g.reportedRun(run)
 	if j == nil {
-		g.counters.Unmatched++
 		return
 	}
 	g.step(now, j, eventAnswered, g.newAnswer(j, result.AnswerTruncated), out)
@@ -199,9 +206,8 @@
 // sent; code says why no answer comes. The target may still execute the run, so
 // it keeps its slot.
 func (g *Gate) TargetLost(now mono.Time, run uint64, code result.Code, out *Actions) {
-	j := g.runs[run]
+	j := g.reportedRun(run)
 	if j == nil {
-		g.counters.Unmatched++
 		return
 	}
 	g.counters.Lost++
@@ -251,10 +257,21 @@
 	g.startQueued(now, out)
 }
 
+// queuedCount returns the number of queued jobs.
+func (g *Gate) queuedCount() int {
+	return g.urgent.len() + g.normal.len()
+}
+
+// queuedJobs returns the queued jobs in the order of their queues, urgent ones
+// first.
+func (g *Gate) queuedJobs() []*job {
+	return append(g.urgent.all(), g.normal.all()...)
+}
+
 // allJobs returns the queued jobs in the order of their queues, urgent ones
 // first, and then the running ones by run number.
 func (g *Gate) allJobs() []*job {
-	jobs := append(g.urgent.all(), g.normal.all()...)
+	jobs := g.queuedJobs()
 	queued := len(jobs)
 	for _, j := range g.runs {
 		jobs = append(jobs, j)
@@ -266,11 +283,9 @@
 // OwnershipChanged refuses at once the queued requests whose slices this daemon
 // no longer serves, so that they can be sent to the new owner.
 func (g *Gate) OwnershipChanged(now mono.Time, out *Actions) {
-	for _, q := range [...]*queue{&g.urgent, &g.normal} {
-		for _, j := range q.all() {
-			if code, adm := g.checkOwnership(now, j.req); code != result.OK {
-				g.refuseJob(now, j, code, adm, out)
-			}
+	for _, j := range g.queuedJobs() {
+		if code, adm := g.checkOwnership(now, j.req); code != result.OK {
+			g.refuseJob(now, j, code, adm, out)
 		}
 	}
 	g.startQueued(now, out)
--- a/gate/target.go
+++ b/gate/target.go
@@ -120,7 +120,7 @@
 // Idle reports whether no request is queued or running, so that a drain is
 // complete.
 func (g *Gate) Idle() bool {
-	return len(g.runs) == 0 && g.urgent.len()+g.normal.len() == 0
+	return len(g.runs) == 0 && g.queuedCount() == 0
 }
 
 // setDraining records whether the target or the daemon drains, and when that
@@ -158,10 +158,8 @@
 
 // refuseQueued refuses all queued requests.
 func (g *Gate) refuseQueued(now mono.Time, code result.Code, out *Actions) {
-	for _, q := range [...]*queue{&g.urgent, &g.normal} {
-		for _, j := range q.all() {
-			g.refuseJob(now, j, code, Admission{}, out)
-		}
+	for _, j := range g.queuedJobs() {
+		g.refuseJob(now, j, code, Admission{}, out)
 	}
 }
 
