Split the gate's admission and runs by subject

Change: one subject a file. Declarations moved as they were; no line of code differs but the import lists.

- capacity.go: whether the target can serve a request in time
- run.go: start, timers and connections of runs (185 lines)
- queue.go: the queues, and the search for jobs in them

Behaviour: none changed.

Tests: go test ./gate ./cmd/gen-docs pass.

--- /dev/null
+++ b/gate/capacity.go
@@ -0,0 +1,119 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
+	"github.com/rhubarbring/rhubarbring/result"
+)
+
+// checkCapacity returns OK if the target can likely serve the request in time,
+// or the code of the refusal and the retry delay.
+func (g *Gate) checkCapacity(now mono.Time, r *request.Request) (result.Code, time.Duration) {
+	if !g.target.present {
+		return result.TargetUnavailable, g.cfg.RetryAfter
+	}
+	if g.drainGraceOver(now) || g.target.draining && r.Slice == request.NoSlice {
+		return result.Draining, 0
+	}
+	wait := g.correctedWait(r.Route, g.expectedWait(now, r.Class, g.softDeadline(now, r)))
+	if r.Budget <= 0 || g.missesDeadline(r, wait, r.Budget) {
+		return result.DeadlineTooShort, max(wait, g.cfg.RetryAfter)
+	}
+	if excess := g.excessWait(now, r, wait); excess > 0 {
+		return result.QueueFull, g.retryAfterExcess(now, r, excess)
+	}
+	if r.LatencyTarget > 0 && g.queueFullUntried(now) {
+		return result.QueueFull, g.cfg.MinRetryAfter
+	}
+	q := g.queueOf(r.Class)
+	if q.len() >= g.cfg.MaxQueued || q.bodyBytes+len(r.Body) > g.cfg.MaxQueuedBytes {
+		return result.QueueFull, max(wait, g.cfg.RetryAfter)
+	}
+	return result.OK, 0
+}
+
+// queueFullUntried reports whether as many requests wait as there are slots while no
+// run has ended yet. Until one has, no wait can be estimated, and a gate that has
+// just started would queue more than its target serves before their deadlines.
+func (g *Gate) queueFullUntried(now mono.Time) bool {
+	return !g.serviceTime.seen && g.queuedCount() >= g.usableSlots(now)
+}
+
+// missesDeadline reports whether a request will likely miss its deadline, given
+// its wait for a slot and the time left. An idle target gets requests whatever
+// its estimated service time, since otherwise a high estimate would never be
+// corrected.
+func (g *Gate) missesDeadline(r *request.Request, wait, left time.Duration) bool {
+	if g.busySlots == 0 {
+		return wait >= left
+	}
+	return wait+g.serviceTimeOf(r.Route).mean() > left
+}
+
+// missesSoftDeadline reports whether a request is late: its answer would likely
+// miss the soft deadline even if it started at once.
+func (g *Gate) missesSoftDeadline(r *request.Request) bool {
+	return r.LatencyTarget > 0 && r.LatencyTarget <= g.serviceTimeOf(r.Route).mean()
+}
+
+// softDeadline returns when a request's answer is wanted; without a latency
+// target that is at once, which makes the queue first in, first out. A late
+// request gets its deadline instead, so that it is queued behind those that can
+// be in time.
+func (g *Gate) softDeadline(now mono.Time, r *request.Request) mono.Time {
+	if g.missesSoftDeadline(r) {
+		return now.Add(r.Budget)
+	}
+	return now.Add(r.LatencyTarget)
+}
+
+// excessWait returns by how much a request's expected wait exceeds what is
+// allowed; there is room after about that time. A request without a latency
+// target may wait as long as its deadline allows, and one that is not late as
+// long as it can still meet its soft deadline. A late one may wait for
+// LateWait, but not at all within OverloadWindow of an overload.
+//
+// This limits the queue under a load that exceeds the target's capacity for
+// long: a longer queue would not serve more requests, but make every request
+// late, and a slot for a late request makes another one late.
+func (g *Gate) excessWait(now mono.Time, r *request.Request, wait time.Duration) time.Duration {
+	switch {
+	case r.LatencyTarget == 0:
+		return 0
+	case !g.missesSoftDeadline(r):
+		return wait - (r.LatencyTarget - g.serviceTimeOf(r.Route).mean())
+	case g.overloaded(now):
+		return wait
+	}
+	return wait - g.cfg.LateWait
+}
+
+// overloaded reports whether a request that could still have met its soft
+// deadline was refused within the last OverloadWindow.
+func (g *Gate) overloaded(now mono.Time) bool {
+	return g.overloadedAt > 0 && now.Sub(g.overloadedAt) < g.cfg.OverloadWindow
+}
+
+// retryAfterExcess returns the retry delay for a request that would wait too
+// long: until there is room or, for a late request, which is in no hurry, at
+// least RetryAfter. For a request that is not late it also records the
+// overload.
+func (g *Gate) retryAfterExcess(now mono.Time, r *request.Request, excess time.Duration) time.Duration {
+	if g.missesSoftDeadline(r) {
+		return max(excess, g.cfg.RetryAfter)
+	}
+	g.overloadedAt = now
+	return max(excess, g.cfg.MinRetryAfter)
+}
+
+// queueDeadline returns until when a job may be queued. A late one gives way to
+// others: it is refused after at most twice LateWait, so that its caller learns
+// of it long before a distant deadline.
+func (g *Gate) queueDeadline(now mono.Time, j *job) mono.Time {
+	if g.missesSoftDeadline(j.req) {
+		return min(j.deadline, now.Add(2*g.cfg.LateWait))
+	}
+	return j.deadline
+}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
 )
 
 // queue holds the queued jobs of one class in the order of their soft
@@ -84,3 +85,52 @@
 	}
 	return jobs
 }
+
+// queueOf returns the queue of a class.
+func (g *Gate) queueOf(c request.Class) *queue {
+	if c == request.Urgent {
+		return &g.urgent
+	}
+	return &g.normal
+}
+
+// queuedCount returns the number of queued jobs.
+func (g *Gate) queuedCount() int {
+	return g.urgent.len() + g.normal.len()
+}
+
+// queuedJobs returns the queued jobs in the order of their queues, urgent ones
+// first.
+func (g *Gate) queuedJobs() []*job {
+	return append(g.urgent.all(), g.normal.all()...)
+}
+
+// allJobs returns the queued jobs in the order of their queues, urgent ones
+// first, and then the running ones by run number.
+func (g *Gate) allJobs() []*job {
+	jobs := g.queuedJobs()
+	queued := len(jobs)
+	for _, j := range g.runs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs[queued:], func(a, b *job) int { return int(a.run) - int(b.run) })
+	return jobs
+}
+
+// findJob returns the queued or running job that matches, or nil. At most one
+// job may match.
+func (g *Gate) findJob(match func(*job) bool) *job {
+	for _, j := range g.runs {
+		if match(j) {
+			return j
+		}
+	}
+	for _, q := range [...]*queue{&g.urgent, &g.normal} {
+		for _, j := range q.jobs[q.head:] {
+			if j != nil && match(j) {
+				return j
+			}
+		}
+	}
+	return nil
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -114,134 +113,6 @@
 	j.conn = noConnection
 }
 
-// TargetAnswer is a target's complete answer to a run. Its fields have the
-// meaning of those of the same names in request.Answer.
-type TargetAnswer struct {
-	Status      int
-	ContentType string
-	Header      []byte
-	Body        []byte
-}
-
-// reportedRun returns the run that an event of the target names. It returns nil
-// and counts the event if there is no such run.
-func (g *Gate) reportedRun(run uint64) *job {
-	j := g.runs[run]
-	if j == nil {
-		g.counters.Unmatched++
-	}
-	return j
-}
-
-// TargetAnswered handles the target's complete answer to a run. If the run's
-// grant is no longer valid, the waiting entry daemons get LeaseLapsedAfter
-// instead.
-func (g *Gate) TargetAnswered(now mono.Time, run uint64, answer TargetAnswer, out *Actions) {
-	j := g.reportedRun(run)
-	if j == nil {
-		return
-	}
-	g.recordServiceTime(j.req.Route, now.Sub(j.startedAt))
-	g.target.nextPause = 0
-	a := g.newAnswer(j, result.OK)
-	a.Status = answer.Status
-	a.ContentType = answer.ContentType
-	a.Header = answer.Header
-	a.Body = answer.Body
-	if !g.grantStillHeld(now, j) {
-		a = g.newAnswer(j, result.LeaseLapsedAfter)
-	}
-	g.step(now, j, eventAnswered, a, out)
-	g.startQueued(now, out)
-}
-
-// grantStillHeld reports whether the grant of a run is still valid at now. A
-// target that checks grants has checked it itself.
-func (g *Gate) grantStillHeld(now mono.Time, j *job) bool {
-	if !j.needsOwnership() || g.target.ChecksGrants || g.disabled.leaseAfterAnswer {
-		return true
-	}
-	adm := g.cfg.Ownership.Admit(j.req.App, j.req.Key, j.req.Slice, now)
-	return adm.Epoch == j.epoch && now.Before(adm.Expires)
-}
-
-// TargetRefused handles the target's refusal of a run, which it did not
-// execute. The code is FenceRefused, TargetShed, Draining or DeadlineTooShort.
-func (g *Gate) TargetRefused(now mono.Time, run uint64, code result.Code, out *Actions) {
-	if code == result.TargetShed {
-		g.pauseStarts(now)
-	}
-	g.finishNotRun(now, run, code, out)
-}
-
-// TargetConnectFailed handles a run of which nothing was sent to the target.
-func (g *Gate) TargetConnectFailed(now mono.Time, run uint64, out *Actions) {
-	g.finishNotRun(now, run, result.TargetUnavailable, out)
-}
-
-// finishNotRun finishes a run that the target did not execute.
-func (g *Gate) finishNotRun(now mono.Time, run uint64, code result.Code, out *Actions) {
-	j := g.reportedRun(run)
-	if j == nil {
-		return
-	}
-	a := g.newAnswer(j, code)
-	a.RetryAfter = max(g.retryAfter(code), g.target.pausedUntil.Sub(now))
-	g.step(now, j, eventRefused, a, out)
-	g.startQueued(now, out)
-}
-
-// TargetTruncated handles an answer of the target that is incomplete or exceeds
-// the size limit. The target executed the run and is done with it.
-func (g *Gate) TargetTruncated(now mono.Time, run uint64, out *Actions) {
-	j := g.reportedRun(run)
-	if j == nil {
-		return
-	}
-	g.step(now, j, eventAnswered, g.newAnswer(j, result.AnswerTruncated), out)
-	g.startQueued(now, out)
-}
-
-// TargetLost handles the loss of the connection after all or part of a run was
-// sent; code says why no answer comes. The target may still execute the run, so
-// it keeps its slot.
-func (g *Gate) TargetLost(now mono.Time, run uint64, code result.Code, out *Actions) {
-	j := g.reportedRun(run)
-	if j == nil {
-		return
-	}
-	g.counters.Lost++
-	g.releaseConnection(j)
-	g.step(now, j, eventLost, g.newAnswer(j, code), out)
-	g.releaseIfHoldDisabled(now, j, out)
-	g.startQueued(now, out)
-}
-
-// releaseIfHoldDisabled frees the slot of a run that may still be executing, if
-// a test has disabled that check.
-func (g *Gate) releaseIfHoldDisabled(now mono.Time, j *job, out *Actions) {
-	if g.disabled.slotHold {
-		g.step(now, j, eventRelease, nil, out)
-	}
-}
-
-// TargetCancelAnswered handles the target's answer to a cancellation; stopped
-// means that the run has had no effect and will have none.
-func (g *Gate) TargetCancelAnswered(now mono.Time, run uint64, stopped bool, out *Actions) {
-	j := g.runs[run]
-	if j == nil {
-		return
-	}
-	if !stopped {
-		g.step(now, j, eventNotStopped, g.newAnswer(j, result.OutcomeUnknown), out)
-		return
-	}
-	a := g.newAnswer(j, result.DeadlineTooShort)
-	a.RetryAfter = g.cfg.RetryAfter
-	g.step(now, j, eventStopped, a, out)
-	g.startQueued(now, out)
-}
-
 // CancelReceived handles an entry daemon's cancellation of an attempt. A queued
 // request is dropped; a running one continues if it is not idempotent. A
 // request is not cancelled if joined repeats wait for its answer.
@@ -257,40 +128,6 @@
 	g.startQueued(now, out)
 }
 
-// queuedCount returns the number of queued jobs.
-func (g *Gate) queuedCount() int {
-	return g.urgent.len() + g.normal.len()
-}
-
-// queuedJobs returns the queued jobs in the order of their queues, urgent ones
-// first.
-func (g *Gate) queuedJobs() []*job {
-	return append(g.urgent.all(), g.normal.all()...)
-}
-
-// allJobs returns the queued jobs in the order of their queues, urgent ones
-// first, and then the running ones by run number.
-func (g *Gate) allJobs() []*job {
-	jobs := g.queuedJobs()
-	queued := len(jobs)
-	for _, j := range g.runs {
-		jobs = append(jobs, j)
-	}
-	slices.SortFunc(jobs[queued:], func(a, b *job) int { return int(a.run) - int(b.run) })
-	return jobs
-}
-
-// OwnershipChanged refuses at once the queued requests whose slices this daemon
-// no longer serves, so that they can be sent to the new owner.
-func (g *Gate) OwnershipChanged(now mono.Time, out *Actions) {
-	for _, j := range g.queuedJobs() {
-		if code, adm := g.checkOwnership(now, j.req); code != result.OK {
-			g.refuseJob(now, j, code, adm, out)
-		}
-	}
-	g.startQueued(now, out)
-}
-
 // handleTimer handles the timer of a job by the job's state.
 func (g *Gate) handleTimer(now mono.Time, j *job, out *Actions) {
 	switch j.state {
@@ -346,18 +183,3 @@
 	}
 	return min(j.deadline, adm.Expires)
 }
-
-// refuseJob refuses a queued job, which did not run and never will.
-func (g *Gate) refuseJob(now mono.Time, j *job, code result.Code, adm Admission, out *Actions) {
-	g.refuseJobFor(now, j, code, adm, g.retryAfter(code), out)
-}
-
-// refuseJobFor is refuseJob with the time after which the caller may come back.
-func (g *Gate) refuseJobFor(now mono.Time, j *job, code result.Code, adm Admission, retryAfter time.Duration, out *Actions) {
-	g.counters.Refused++
-	a := g.newAnswer(j, code)
-	a.Epoch = adm.Newest
-	a.OwnerEpoch = adm.Epoch
-	a.RetryAfter = retryAfter
-	g.step(now, j, eventRefuse, a, out)
-}
--- a/gate/target.go
+++ b/gate/target.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/mono"
-	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -156,13 +155,6 @@
 	}
 }
 
-// refuseQueued refuses all queued requests.
-func (g *Gate) refuseQueued(now mono.Time, code result.Code, out *Actions) {
-	for _, j := range g.queuedJobs() {
-		g.refuseJob(now, j, code, Admission{}, out)
-	}
-}
-
 // usableSlots returns how many slots may be taken at now. A new target's slots
 // increase from WarmUpStartShare to all within WarmUp. Load that the target
 // reports beyond the runs of this gate takes away at most MaxLoadDeduction,
@@ -218,93 +210,3 @@
 	t.pausedUntil = now.Add(t.nextPause)
 	t.nextPause = min(2*t.nextPause, g.cfg.ShedPauseMax)
 }
-
-// expectedWait returns how long a new request of a class with the given soft
-// deadline would wait for a slot and for the target's rate limit.
-func (g *Gate) expectedWait(now mono.Time, class request.Class, softDeadline mono.Time) time.Duration {
-	slots := g.usableSlots(now)
-	if slots == 0 {
-		return 0
-	}
-	queued := g.queuedAhead(class, softDeadline)
-	slotWait := max(g.target.pausedUntil.Sub(now), 0)
-	if ahead := queued + g.busySlots - slots; ahead >= 0 {
-		slotWait += time.Duration(ahead+1) * g.serviceTime.mean() / time.Duration(slots)
-	}
-	return max(slotWait, g.rate.wait(now, queued+1))
-}
-
-// queuedAhead returns the number of queued requests that are started before a
-// new one of a class with the given soft deadline.
-func (g *Gate) queuedAhead(class request.Class, softDeadline mono.Time) int {
-	urgent, normal := g.urgent.len(), g.normal.len()
-	if class == request.Urgent {
-		urgent = g.urgent.countUpTo(softDeadline)
-		return urgent + min(normal, urgent/g.cfg.UrgentBurst)
-	}
-	normal = g.normal.countUpTo(softDeadline)
-	return normal + min(urgent, (normal+1)*g.cfg.UrgentBurst)
-}
-
-// maxRoutes bounds the number of routes whose service time is tracked. Further
-// routes are treated as never served.
-const maxRoutes = 256
-
-// recordServiceTime adds the service time of a request to the means of the
-// target and of the route.
-func (g *Gate) recordServiceTime(route string, took time.Duration) {
-	g.serviceTime.add(took)
-	e := g.routeServiceTime[route]
-	if e == nil {
-		if len(g.routeServiceTime) >= maxRoutes {
-			return
-		}
-		e = &ewma{}
-		g.routeServiceTime[route] = e
-	}
-	e.add(took)
-}
-
-// MeanServiceTime returns the mean service time of all requests; 0 before the first
-// answer.
-func (g *Gate) MeanServiceTime() time.Duration {
-	return g.serviceTime.mean()
-}
-
-// ServiceTime returns the mean service time of a route, 0 if it is not known.
-func (g *Gate) ServiceTime(route string) time.Duration {
-	return g.serviceTimeOf(route).mean()
-}
-
-// serviceTimeOf returns the moving average of a route's service time. It is
-// empty, with mean 0, for a route that was never served, so that its requests
-// are tried.
-func (g *Gate) serviceTimeOf(route string) *ewma {
-	if e := g.routeServiceTime[route]; e != nil {
-		return e
-	}
-	return &ewma{}
-}
-
-// ewma is an exponentially weighted moving average of a duration.
-type ewma struct {
-	meanNs float64
-	seen   bool
-}
-
-// ewmaWeight is the weight of the newest value.
-const ewmaWeight = 1.0 / 16
-
-func (e *ewma) add(d time.Duration) {
-	ns := float64(d)
-	if !e.seen {
-		e.meanNs = ns
-		e.seen = true
-		return
-	}
-	e.meanNs += ewmaWeight * (ns - e.meanNs)
-}
-
-func (e *ewma) mean() time.Duration {
-	return time.Duration(e.meanNs)
-}
--- a/gate/wait_estimate.go
+++ b/gate/wait_estimate.go
@@ -2,8 +2,38 @@
 
 import (
 	"time"
+
+	"github.com/rhubarbring/rhubarbring/mono"
+	"github.com/rhubarbring/rhubarbring/request"
 )
 
+// expectedWait returns how long a new request of a class with the given soft
+// deadline would wait for a slot and for the target's rate limit.
+func (g *Gate) expectedWait(now mono.Time, class request.Class, softDeadline mono.Time) time.Duration {
+	slots := g.usableSlots(now)
+	if slots == 0 {
+		return 0
+	}
+	queued := g.queuedAhead(class, softDeadline)
+	slotWait := max(g.target.pausedUntil.Sub(now), 0)
+	if ahead := queued + g.busySlots - slots; ahead >= 0 {
+		slotWait += time.Duration(ahead+1) * g.serviceTime.mean() / time.Duration(slots)
+	}
+	return max(slotWait, g.rate.wait(now, queued+1))
+}
+
+// queuedAhead returns the number of queued requests that are started before a
+// new one of a class with the given soft deadline.
+func (g *Gate) queuedAhead(class request.Class, softDeadline mono.Time) int {
+	urgent, normal := g.urgent.len(), g.normal.len()
+	if class == request.Urgent {
+		urgent = g.urgent.countUpTo(softDeadline)
+		return urgent + min(normal, urgent/g.cfg.UrgentBurst)
+	}
+	normal = g.normal.countUpTo(softDeadline)
+	return normal + min(urgent, (normal+1)*g.cfg.UrgentBurst)
+}
+
 // maxWaitCorrection bounds the correction of an expected wait.
 const maxWaitCorrection = 8.0
 
