Describe the app payments of the trial's layouts once

What was hard to read: both layouts of internal/trial have the app payments; a reader had to compare the two descriptions to see that they are the same.

Change: one variable, which both layouts name.

Behaviour: none changed; the files that a trial is started from are the same.

Tests: go test ./internal/trial passes.

--- a/internal/trial/layout.go
+++ b/internal/trial/layout.go
@@ -34,6 +34,11 @@
 	KillHost string
 }
 
+// payments is the app without keys, which both customers run alike.
+var payments = AppLayout{Targets: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
+	Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 256,
+}}
+
 var layouts = []Layout{
 	{
 		Name:  "rayuela",
@@ -51,9 +56,7 @@
 			{Targets: 5, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
 				Name: "reservation", Keys: 2000, Zipf: 1.05, Weight: 3, NonIdempotent: 0.5, DeadlineMs: 5000, BodyBytes: 256,
 			}},
-			{Targets: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
-				Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 256,
-			}},
+			payments,
 		},
 		StopHost: "h2",
 		KillHost: "h8",
@@ -71,9 +74,7 @@
 			{Targets: 5, MeanServiceMs: 10, Traffic: load.App{
 				Name: "availability", Keys: 3000, Zipf: 1.1, Weight: 5, DeadlineMs: 2000, BodyBytes: 32,
 			}},
-			{Targets: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
-				Name: "payments", Weight: 1, NonIdempotent: 0.8, DeadlineMs: 5000, BodyBytes: 256,
-			}},
+			payments,
 			{Targets: 4, ChecksGrants: true, MeanServiceMs: 20, Traffic: load.App{
 				Name: "booking", Keys: 1000, Zipf: 1.05, Weight: 2, NonIdempotent: 0.7, DeadlineMs: 5000, BodyBytes: 256,
 			}},
