Keep a replaced instance from coming back by one late announcement

What callers saw: when the wall clock had jumped back between the starts of two instances of a server, one late heartbeat of the earlier one, which had ended, took every slice from the one that runs: they were released while it held them, and its heartbeats went without effect until the other had been silent for 2.5 s.

Cause: an announcement with a later start time replaced the current instance at once, also one of an instance that had been replaced before.

Ruled out: to accept a new instance with an earlier start time sooner than after 2.5 s of silence.

Change: the tracker remembers the last 8 replaced instances. One of them becomes current again by three announcements with rising sequence that span 2.5 s in which the current one was silent, so that an instance that lives is never locked out. It keeps its mark of leaving. A living instance that was replaced wrongly is back up to one heartbeat later than before, and up to 4.4 s later if it is the one that started later.

Evidence: the three tests failed before: NewInstance for the late announcement, for the batch and for the return (after 2.61 s, without the mark of leaving).

--- a/targetinstance/targetinstance.go
+++ b/targetinstance/targetinstance.go
@@ -1,20 +1,37 @@
 // Package targetinstance decides which announcements come from the instance of
 // the target that is running now. Each start of a target is a new instance,
 // which knows nothing of the one before. Announcements of an earlier instance
-// may arrive late.
+// may arrive late, and start times are not always in order, since the wall clock
+// can jump.
+//
+// What can't be told apart: an instance that is heard for the first time replaces
+// the current one by a later start time even if its announcement is late and the
+// instance has ended, for instance when the tracker has just begun. The current
+// one then comes back as soon as it proves that it lives.
 package targetinstance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 // silentAfter is how long the current instance must be silent before one with
-// an earlier start time replaces it. Start times are not always in order, since
-// the wall clock can jump back.
+// an earlier start time, or one that was replaced, replaces it.
 const silentAfter = 2500 * time.Millisecond
 
+const (
+	// provingAnnouncements is how many announcements with rising sequence prove,
+	// over silentAfter, that a replaced instance lives. Two may be late ones that
+	// arrive apart from each other.
+	provingAnnouncements = 3
+	// maxReplaced is the number of replaced instances that are remembered. An
+	// announcement is late by seconds, and a target takes most of a second to
+	// start, so that no more than these have announcements on the way.
+	maxReplaced = 8
+)
+
 // Announcement is what an announcement says about its sender's instance.
 type Announcement struct {
 	// ID is the target's own name. A later instance may use it again.
@@ -46,35 +63,90 @@
 	current   Announcement
 	lastNewAt mono.Time
 	leaving   bool
+	// replaced holds the instances that another one replaced, the latest last.
+	replaced []replacedInstance
+	disabled disabledChecks
+}
+
+// disabledChecks turns off single checks, so that tests of this package can show
+// that each is needed.
+type disabledChecks struct {
+	sequence bool // An announcement of the current instance must be newer than those before.
+	silence  bool // The current instance is replaced when it is silent.
+	memory   bool // Replaced instances are remembered.
+	proof    bool // A replaced instance must prove that it lives.
+	comeback bool // A replaced instance that lives comes back.
 }
 
-// Observe classifies an announcement and updates the current instance. A later
-// start time replaces the current instance at once. An equal or earlier one of
-// another instance replaces it only if the current one has sent nothing new
-// for silentAfter.
+// replacedInstance is an instance that another one replaced. It has ended, or the
+// announcement that replaced it was a late one.
+type replacedInstance struct {
+	newest  Announcement
+	leaving bool
+	// rises is the number of announcements with rising sequence since the current
+	// instance was last heard, and risesSince the time of the first.
+	rises      int
+	risesSince mono.Time
+}
+
+// Observe classifies an announcement and updates the current instance. An instance
+// that is heard for the first time replaces the current one at once if it started
+// later, and otherwise if the current one has sent nothing new for silentAfter.
+// An instance that was replaced comes back only when it proves that it lives.
 func (t *Tracker) Observe(now mono.Time, a Announcement) Verdict {
-	switch {
-	case !t.known:
+	if !t.known {
 		return t.replace(now, a)
-	case a.ID == t.current.ID && a.StartedMs == t.current.StartedMs:
+	}
+	if a.sameInstance(t.current) {
 		return t.refresh(now, a)
-	case a.StartedMs > t.current.StartedMs:
-		return t.replace(now, a)
-	case now.Sub(t.lastNewAt) >= silentAfter:
+	}
+	if i := t.indexOfReplaced(a); i >= 0 {
+		return t.observeReplaced(now, a, i)
+	}
+	if a.StartedMs > t.current.StartedMs || t.isSilent(now) {
 		return t.replace(now, a)
 	}
 	return Stale
 }
 
+// sameInstance reports whether two announcements name the same instance.
+func (a Announcement) sameInstance(b Announcement) bool {
+	return a.ID == b.ID && a.StartedMs == b.StartedMs
+}
+
+// isSilent reports whether the current instance has sent nothing new for
+// silentAfter.
+func (t *Tracker) isSilent(now mono.Time) bool {
+	return now.Sub(t.lastNewAt) >= silentAfter && !t.disabled.silence
+}
+
 // replace makes the sender of an announcement the current instance.
 func (t *Tracker) replace(now mono.Time, a Announcement) Verdict {
-	*t = Tracker{known: true, current: a, lastNewAt: now}
+	if t.known {
+		t.rememberCurrent()
+	}
+	t.known = true
+	t.current = a
+	t.lastNewAt = now
+	t.leaving = false
 	return NewInstance
 }
 
+// rememberCurrent adds the current instance to the replaced ones and forgets the
+// one that was replaced first if there are too many.
+func (t *Tracker) rememberCurrent() {
+	if t.disabled.memory {
+		return
+	}
+	if len(t.replaced) == maxReplaced {
+		t.replaced = slices.Delete(t.replaced, 0, 1)
+	}
+	t.replaced = append(t.replaced, replacedInstance{newest: t.current, leaving: t.leaving})
+}
+
 // refresh handles an announcement of the current instance.
 func (t *Tracker) refresh(now mono.Time, a Announcement) Verdict {
-	if a.Sequence <= t.current.Sequence {
+	if a.Sequence <= t.current.Sequence && !t.disabled.sequence {
 		return Stale
 	}
 	t.current.Sequence = a.Sequence
@@ -82,6 +154,53 @@
 	return Current
 }
 
+// indexOfReplaced returns the index of the replaced instance that sent an
+// announcement, or -1.
+func (t *Tracker) indexOfReplaced(a Announcement) int {
+	return slices.IndexFunc(t.replaced, func(r replacedInstance) bool { return r.newest.sameInstance(a) })
+}
+
+// observeReplaced handles an announcement of a replaced instance.
+func (t *Tracker) observeReplaced(now mono.Time, a Announcement, index int) Verdict {
+	r := &t.replaced[index]
+	if a.Sequence <= r.newest.Sequence {
+		return Stale
+	}
+	r.newest.Sequence = a.Sequence
+	r.countRise(now, t.lastNewAt)
+	if !t.hasProvedLife(now, r) {
+		return Stale
+	}
+	leaving := r.leaving
+	t.replaced = slices.Delete(t.replaced, index, index+1)
+	t.replace(now, a)
+	t.leaving = leaving
+	return NewInstance
+}
+
+// countRise counts an announcement with rising sequence. The count begins anew
+// whenever the current instance is heard.
+func (r *replacedInstance) countRise(now, currentHeardAt mono.Time) {
+	if r.rises == 0 || !r.risesSince.After(currentHeardAt) {
+		r.rises = 0
+		r.risesSince = now
+	}
+	r.rises++
+}
+
+// hasProvedLife reports whether a replaced instance announced itself again and
+// again for silentAfter, during which the current one was silent. Late
+// announcements of an instance that has ended come at once or soon run out.
+func (t *Tracker) hasProvedLife(now mono.Time, r *replacedInstance) bool {
+	if t.disabled.comeback {
+		return false
+	}
+	if t.disabled.proof {
+		return t.isSilent(now)
+	}
+	return r.rises >= provingAnnouncements && now.Sub(r.risesSince) >= silentAfter
+}
+
 // MarkLeaving marks the current instance as about to end, if it has the given ID,
 // and reports whether it has. An instance that leaves does not come back, so the
 // mark stays until another instance replaces it.
--- a/targetinstance/targetinstance_test.go
+++ b/targetinstance/targetinstance_test.go
@@ -57,3 +57,42 @@
 	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 2000, Sequence: 1})
 	must.False(t, j.Leaving())
 }
+
+// An instance that was replaced must not come back by one late announcement,
+// although its start time is later.
+func TestLateAnnouncementOfReplacedInstanceIsStale(t *testing.T) {
+	for _, id := range []string{"a", "b"} {
+		var j targetinstance.Tracker
+		j.Observe(start, targetinstance.Announcement{ID: id, StartedMs: 9000, Sequence: 9})
+		must.Eq(t, targetinstance.NewInstance, j.Observe(start.Add(3*time.Second), targetinstance.Announcement{ID: "b", StartedMs: 4000, Sequence: 3}))
+		must.Eq(t, targetinstance.Stale, j.Observe(start.Add(3100*time.Millisecond), targetinstance.Announcement{ID: id, StartedMs: 9000, Sequence: 10}))
+		must.Eq(t, targetinstance.Current, j.Observe(start.Add(3900*time.Millisecond), targetinstance.Announcement{ID: "b", StartedMs: 4000, Sequence: 4}))
+	}
+}
+
+// A batch of late announcements is no proof that a replaced instance lives, even
+// if the current one is silent.
+func TestLateBatchOfReplacedInstanceIsStale(t *testing.T) {
+	var j targetinstance.Tracker
+	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 9000, Sequence: 9})
+	j.Observe(start.Add(3*time.Second), targetinstance.Announcement{ID: "b", StartedMs: 4000, Sequence: 3})
+	for sequence := range uint64(5) {
+		must.Eq(t, targetinstance.Stale, j.Observe(start.Add(6*time.Second), targetinstance.Announcement{ID: "a", StartedMs: 9000, Sequence: 10 + sequence}))
+	}
+}
+
+// A living instance must not be locked out after a late announcement of another
+// one replaced it.
+func TestReplacedInstanceThatLivesComesBack(t *testing.T) {
+	var j targetinstance.Tracker
+	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: 1})
+	must.True(t, j.MarkLeaving("a"))
+	must.Eq(t, targetinstance.NewInstance, j.Observe(start, targetinstance.Announcement{ID: "b", StartedMs: 9000, Sequence: 30}))
+	must.False(t, j.Leaving())
+	for beat := range 3 {
+		must.Eq(t, targetinstance.Stale, j.Observe(start.Add(time.Duration(beat+1)*870*time.Millisecond), targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: uint64(2 + beat)}))
+	}
+	must.Eq(t, targetinstance.NewInstance, j.Observe(start.Add(4*870*time.Millisecond), targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: 5}))
+	must.True(t, j.Leaving())
+	must.Eq(t, targetinstance.Current, j.Observe(start.Add(5*870*time.Millisecond), targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: 6}))
+}
