Let a deregistration end only the instance that sent it

What callers saw: a late deregistration of an earlier instance of a server marked the next one under the same id as leaving for as long as it lived: it got no slices, also when it announced itself as ready.

Cause: the deregistration was matched by the id alone.

Ruled out: nothing; found by reading.

Change: Daemon.TargetLeaving and Tracker.MarkLeaving take a targetinstance.Departure, the id and the start time.

--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -38,14 +38,14 @@
 	return key.Hash(a.InstanceName) ^ uint64(a.StartedMs)
 }
 
-// TargetLeaving reports that the target with this name is about to end. It gets
+// TargetLeaving reports that an instance of the target is about to end. It gets
 // no more work, and its slices move to other daemons, as if it had announced
-// that it is draining.
-func (d *Daemon) TargetLeaving(name string) error {
+// that it is draining. A late report of an earlier instance is refused.
+func (d *Daemon) TargetLeaving(departure targetinstance.Departure) error {
 	d.targetMu.Lock()
 	defer d.targetMu.Unlock()
-	if !d.targetTracker.MarkLeaving(name) {
-		return &result.Error{Code: result.TargetUnavailable, Field: name, Detail: "no target of this name is known"}
+	if !d.targetTracker.MarkLeaving(departure) {
+		return &result.Error{Code: result.TargetUnavailable, Field: departure.ID, Detail: "this instance of the target is not the current one"}
 	}
 	d.lastAnnounced.State = control.StateDraining
 	_, err := d.Announce(d.lastAnnounced)
--- a/internal/daemon/routing_status_test.go
+++ b/internal/daemon/routing_status_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/status"
+	"github.com/rhubarbring/rhubarbring/targetinstance"
 )
 
 // statingTarget is a target whose answers have the given header fields.
@@ -91,7 +92,7 @@
 	address := startTarget(t, target.handle)
 	p.announceNumbered(t, address, 1)
 	must.Eq(t, 200, p.call(t, p.entry, "first", nil).Status)
-	must.NoError(t, p.owner.TargetLeaving("i-1"))
+	must.NoError(t, p.owner.TargetLeaving(targetinstance.Departure{ID: "i-1"}))
 	must.Eq(t, 200, p.call(t, p.entry, "within the grace", nil).Status)
 	p.restartOwner(t, address)
 	must.NotNil(t, p.owner.announcedTarget.Load())
--- a/targetinstance/targetinstance.go
+++ b/targetinstance/targetinstance.go
@@ -201,17 +201,30 @@
 	return r.rises >= provingAnnouncements && now.Sub(r.risesSince) >= silentAfter
 }
 
-// MarkLeaving marks the current instance as about to end, if it has the given ID,
-// and reports whether it has. An instance that leaves does not come back, so the
-// mark stays until another instance replaces it.
-func (t *Tracker) MarkLeaving(id string) bool {
-	if !t.known || t.current.ID != id {
+// Departure is what an instance says of itself when it is about to end. StartedMs
+// is 0 if it is not given.
+type Departure struct {
+	ID        string
+	StartedMs int64
+}
+
+// MarkLeaving marks the current instance as about to end, if the departure is its
+// own, and reports whether it is. An instance that leaves stays marked, also if
+// another one replaces it and it comes back.
+func (t *Tracker) MarkLeaving(d Departure) bool {
+	if !t.known || !d.isOf(t.current) {
 		return false
 	}
 	t.leaving = true
 	return true
 }
 
+// isOf reports whether a departure is of the instance that sent an announcement.
+// The ID decides if the start time is not given.
+func (d Departure) isOf(a Announcement) bool {
+	return d.ID == a.ID && (d.StartedMs == 0 || d.StartedMs == a.StartedMs)
+}
+
 // Leaving reports whether the current instance is about to end.
 func (t *Tracker) Leaving() bool {
 	return t.leaving
--- a/targetinstance/targetinstance_test.go
+++ b/targetinstance/targetinstance_test.go
@@ -48,10 +48,10 @@
 // again. The next one is not.
 func TestLeavingInstanceStaysLeavingUntilReplaced(t *testing.T) {
 	var j targetinstance.Tracker
-	must.False(t, j.MarkLeaving("a"))
+	must.False(t, j.MarkLeaving(targetinstance.Departure{ID: "a"}))
 	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 1})
-	must.False(t, j.MarkLeaving("b"))
-	must.True(t, j.MarkLeaving("a"))
+	must.False(t, j.MarkLeaving(targetinstance.Departure{ID: "b"}))
+	must.True(t, j.MarkLeaving(targetinstance.Departure{ID: "a"}))
 	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 2})
 	must.True(t, j.Leaving())
 	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 2000, Sequence: 1})
@@ -86,7 +86,7 @@
 func TestReplacedInstanceThatLivesComesBack(t *testing.T) {
 	var j targetinstance.Tracker
 	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: 1})
-	must.True(t, j.MarkLeaving("a"))
+	must.True(t, j.MarkLeaving(targetinstance.Departure{ID: "a"}))
 	must.Eq(t, targetinstance.NewInstance, j.Observe(start, targetinstance.Announcement{ID: "b", StartedMs: 9000, Sequence: 30}))
 	must.False(t, j.Leaving())
 	for beat := range 3 {
@@ -96,3 +96,15 @@
 	must.True(t, j.Leaving())
 	must.Eq(t, targetinstance.Current, j.Observe(start.Add(5*870*time.Millisecond), targetinstance.Announcement{ID: "a", StartedMs: 4000, Sequence: 6}))
 }
+
+// A late deregistration of an earlier instance must not end the next one of the
+// same name, which would get no slices as long as it lives.
+func TestLateDepartureOfEarlierInstanceDoesNotMarkNext(t *testing.T) {
+	var j targetinstance.Tracker
+	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 9})
+	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 2000, Sequence: 1})
+	must.False(t, j.MarkLeaving(targetinstance.Departure{ID: "a", StartedMs: 1000}))
+	must.False(t, j.Leaving())
+	must.True(t, j.MarkLeaving(targetinstance.Departure{ID: "a", StartedMs: 2000}))
+	must.True(t, j.Leaving())
+}
