Wait for a target that may hold what it was granted elsewhere or before

What callers could see: two servers that are up hold one key.

Cause: what an earlier process could hold was left out in three places. - grant.Core was always made for a target that holds nothing. A daemon that starts beside a running server reported a slice as released at once if it had not granted it, or if its grant was not accepted; the server held it from the earlier daemon for up to a lease. - An instance at another address than the one before it counted as a replacement of a process that has ended. Its core, for calls or heartbeats, started empty and released at once what the earlier instance may still have held. So did a third instance after it. - An instance that was known before the document was made a core of its own start time by the document: unknown from then on, also if it had replaced another one.

Ruled out: a grant by calls that outlasts a lease (holdTime is bounded by the lease left).

Change: - grant.NewForRunningTarget, unknownUntil: as in the heartbeat core. Such a slice is released by a call that the target accepts, or when the longest grant is over. HoldsNothing of both cores is false until then. A core's MaxHold is a lease, for calls too. - The daemon starts a core as empty only if the instance took the address of another one that it knew; instanceSeenAt and instanceEmpty are kept until the document comes. - heldElsewhereUntil: while an earlier instance at another address may hold slices, no release is reported and no stop is complete.

--- a/grant/core.go
+++ b/grant/core.go
@@ -18,6 +18,9 @@
 	lastUnit  uint64
 	tokens    tokens
 	releasing map[key.Slice]pendingRelease
+	// Until unknownUntil the target may hold any slice, granted by an earlier
+	// daemon on this host. An accepted release shows that it does not.
+	unknownUntil mono.Time
 }
 
 // wantedSlice is a slice that the session owns and that is not granted yet.
@@ -49,7 +52,8 @@
 	due     mono.Time
 }
 
-// New returns a Core for a target that holds no slices.
+// New returns a Core for a target that holds nothing: an instance that started
+// while this daemon was running.
 func New(cfg Config) *Core {
 	return &Core{
 		cfg:       cfg,
@@ -58,9 +62,21 @@
 		units:     make(map[uint64]*unit),
 		tokens:    make(tokens),
 		releasing: make(map[key.Slice]pendingRelease),
+
+		unknownUntil: mono.Never,
 	}
 }
 
+// NewForRunningTarget returns a Core for a target that may have run before this
+// daemon, which first heard from it at the given instant. The target may hold what
+// an earlier daemon granted, for as long as any grant lasts. Config.MaxHold must
+// be the longest grant of any daemon.
+func NewForRunningTarget(seen mono.Time, cfg Config) *Core {
+	c := New(cfg)
+	c.unknownUntil = seen.Add(cfg.LongestHold())
+	return c
+}
+
 // SetLease sets the instant at which the session's lease expires.
 func (c *Core) SetLease(until mono.Time) {
 	c.leaseEnd = until
@@ -116,7 +132,7 @@
 // HoldsNothing reports whether the target certainly holds nothing at an
 // instant, and no grant or release is pending.
 func (c *Core) HoldsNothing(now mono.Time) bool {
-	if len(c.releasing) > 0 {
+	if len(c.releasing) > 0 || now.Before(c.unknownUntil) {
 		return false
 	}
 	for _, u := range c.units {
@@ -141,6 +157,14 @@
 	return nil
 }
 
+// mayHoldUntil returns until when the target may hold a slice.
+func (c *Core) mayHoldUntil(s key.Slice) mono.Time {
+	if u := c.unitOf(s); u != nil {
+		return u.mayHoldUntil
+	}
+	return c.unknownUntil
+}
+
 // Tick adds the grants and releases that are due to out.
 func (c *Core) Tick(now mono.Time, out *Actions) {
 	c.formUnits(now)
@@ -203,7 +227,7 @@
 			Token: token,
 		},
 		heldUntil:    mono.Never,
-		mayHoldUntil: mono.Never,
+		mayHoldUntil: c.unknownUntil,
 		due:          now,
 	}
 	c.units[c.lastUnit] = u
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -128,6 +128,12 @@
 	return min(safe.Truncate(time.Millisecond), c.MaxHold)
 }
 
+// LongestHold returns how long any grant may last at a target whose clock runs
+// slow by Drift.
+func (c Config) LongestHold() time.Duration {
+	return c.longestHold(c.MaxHold)
+}
+
 // longestHold returns how long a grant may last at a target whose clock runs
 // slow by Drift.
 func (c Config) longestHold(hold time.Duration) time.Duration {
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -125,6 +125,44 @@
 	must.SliceEmpty(t, out.Grants)
 }
 
+// Until the longest grant is over, only an accepted call shows that the target
+// does not hold a slice that this daemon has not granted.
+func TestSliceOfEarlierDaemonIsReleasedByAcceptedCall(t *testing.T) {
+	c := NewForRunningTarget(start, DefaultConfig())
+	c.SetOwned(start, permit(slice(0), 2))
+	c.RequestRelease(start, slice(0), 2)
+	c.RequestRelease(start, slice(1), 2)
+	out := tick(c, start)
+	must.SliceEmpty(t, out.Released)
+	must.Eq(t, []Release{{Range: Range{App: app, First: 0, Last: 1}, Epoch: 2}}, out.Releases)
+	var answered Actions
+	c.ReleaseAnswered(start, out.Releases[0], "tok", Accepted, &answered)
+	must.Eq(t, []ReleasedSlice{{Slice: slice(0), Epoch: 2, Token: "tok"}, {Slice: slice(1), Epoch: 2, Token: "tok"}}, answered.Released)
+	end := start.Add(c.cfg.LongestHold())
+	must.False(t, c.HoldsNothing(end-1), must.Sprint("other slices"))
+	must.True(t, c.HoldsNothing(end))
+}
+
+// The same for a slice whose grant the target has not accepted, and calls that fail.
+func TestSliceOfEarlierDaemonExpiresIfCallsFail(t *testing.T) {
+	for _, answer := range []Answer{Refused, Unanswered, Unsent} {
+		c := NewForRunningTarget(start, DefaultConfig())
+		c.SetOwned(start.Add(-c.cfg.TokenWait), permit(slice(0), 2))
+		out := tick(c, start)
+		must.Len(t, 1, out.Grants)
+		c.GrantAnswered(start, out.Grants[0].Unit, Unsent, &out)
+		c.RequestRelease(start, slice(0), 2)
+		end := start.Add(c.cfg.LongestHold())
+		for now := start; now.Before(end); now = now.Add(c.cfg.Retry) {
+			out = tick(c, now)
+			must.Len(t, 1, out.Releases)
+			c.ReleaseAnswered(now, out.Releases[0], "", answer, &out)
+			must.SliceEmpty(t, out.Released)
+		}
+		must.Len(t, 1, tick(c, end).Released)
+	}
+}
+
 // Guards against reporting a slice as released while a grant may still take
 // effect: one whose answer was lost may arrive after the release, so the slice
 // counts as held until that grant would have expired.
@@ -181,6 +219,19 @@
 	}
 }
 
+// newCore returns the Core of a daemon. It may follow another one, which granted
+// all slices.
+func (m *modelTarget) newCore(earlierDaemon bool, slices key.SliceID) *Core {
+	if !earlierDaemon {
+		return New(DefaultConfig())
+	}
+	hold := time.Duration(m.rng.Int64N(int64(lease)))
+	m.apply(Grant{Range: Range{App: app, Last: slices - 1}, Hold: hold}, start)
+	cfg := DefaultConfig()
+	cfg.MaxHold = lease
+	return NewForRunningTarget(start, cfg)
+}
+
 // deliverLate applies the late grants that are due.
 func (m *modelTarget) deliverLate(now mono.Time) {
 	var remaining []lateGrant
@@ -228,15 +279,18 @@
 // the target must hold every slice that the Core reports as held.
 func TestReleasedSlicesAreNotHeldByTarget(t *testing.T) {
 	for seed := range uint64(300) {
-		runModel(t, seed)
+		runModel(t, seed, false)
+		runModel(t, seed, true)
 	}
 }
 
-func runModel(t *testing.T, seed uint64) {
+// runModel plays a target that holds nothing when the Core begins, or one that
+// holds what an earlier daemon granted.
+func runModel(t *testing.T, seed uint64, earlierDaemon bool) {
 	const slices = 12
 	rng := rand.New(rand.NewPCG(seed, 1))
 	m := &modelTarget{rng: rng, held: make(map[key.Slice]mono.Time)}
-	c := New(DefaultConfig())
+	c := m.newCore(earlierDaemon, slices)
 	epochs := make(map[key.Slice]uint64)
 	leaving := make(map[key.Slice]bool)
 	released := make(map[key.Slice]bool)
--- a/grant/heartbeat.go
+++ b/grant/heartbeat.go
@@ -90,11 +90,12 @@
 }
 
 // NewHeartbeatCoreForRunningTarget returns a HeartbeatCore for a target that may
-// have run before this daemon. It may hold what an earlier daemon granted, for as
-// long as any grant lasts.
-func NewHeartbeatCoreForRunningTarget(now mono.Time, cfg Config) *HeartbeatCore {
+// have run before this daemon, which first heard from it at the given instant. The
+// target may hold what an earlier daemon granted, for as long as any grant lasts.
+// Config.MaxHold must be the longest grant of any daemon.
+func NewHeartbeatCoreForRunningTarget(seen mono.Time, cfg Config) *HeartbeatCore {
 	c := NewHeartbeatCore(cfg)
-	c.unknownUntil = now.Add(cfg.longestHold(cfg.MaxHold))
+	c.unknownUntil = seen.Add(cfg.LongestHold())
 	return c
 }
 
@@ -102,7 +103,7 @@
 func (c *HeartbeatCore) newHolding(s key.Slice, epoch uint64) *holding {
 	h := &holding{epoch: epoch, heldFrom: mono.Never, heldUntil: mono.Never, mayHoldUntil: c.unknownUntil}
 	if _, held := c.lastHeld[s]; held {
-		h.mayHoldUntil = c.lastHeldAt.Add(c.cfg.longestHold(c.cfg.MaxHold))
+		h.mayHoldUntil = c.lastHeldAt.Add(c.cfg.LongestHold())
 	}
 	return h
 }
@@ -189,6 +190,9 @@
 // HoldsNothing reports whether the target certainly holds nothing at an instant,
 // and no release is pending.
 func (c *HeartbeatCore) HoldsNothing(now mono.Time) bool {
+	if now.Before(c.unknownUntil) {
+		return false
+	}
 	for _, h := range c.holdings {
 		if h.release != 0 || now.Before(h.mayHoldUntil) {
 			return false
--- a/grant/heartbeat_observe.go
+++ b/grant/heartbeat_observe.go
@@ -32,7 +32,7 @@
 		case epoch == h.epoch || c.disabled.epochs:
 			h.reported, h.misses, h.token = true, 0, ""
 		default:
-			h.mayHoldUntil = latest(h.mayHoldUntil, now.Add(c.cfg.longestHold(c.cfg.MaxHold)))
+			h.mayHoldUntil = latest(h.mayHoldUntil, now.Add(c.cfg.LongestHold()))
 			c.observeMissing(s, h, countMisses, out)
 		}
 		if epoch > h.epoch {
--- a/grant/release.go
+++ b/grant/release.go
@@ -22,8 +22,10 @@
 		switch {
 		case u != nil && u.calling:
 			// Wait for the answer to the grant.
-		case u == nil || !now.Before(u.mayHoldUntil):
+		case !now.Before(c.mayHoldUntil(d.Slice)):
 			c.finishRelease(d.Slice, "", out)
+		case u == nil:
+			c.addRelease(d.Slice, d.Epoch, out)
 		default:
 			c.detach(u, d.Slice)
 			c.addRelease(d.Slice, u.grant.Epoch, out)
@@ -67,7 +69,8 @@
 
 // ReleaseAnswered handles the answer to a release. A grant whose answer was lost
 // may still arrive after the release, so its slices count as held until that
-// grant would have expired.
+// grant would have expired. An accepted release also ends what an earlier daemon
+// granted: it carries a higher epoch.
 func (c *Core) ReleaseAnswered(now mono.Time, r Release, token string, a Answer, out *Actions) {
 	for id := r.Range.First; id <= r.Range.Last; id++ {
 		s := key.Slice{App: r.Range.App, ID: id}
@@ -76,8 +79,8 @@
 			continue
 		}
 		u := c.unitOf(s)
-		notHeld := u == nil || !now.Before(u.mayHoldUntil)
-		if notHeld || a == Accepted && !u.unanswered {
+		accepted := a == Accepted && (u == nil || !u.unanswered)
+		if accepted || !now.Before(c.mayHoldUntil(s)) {
 			c.finishRelease(s, token, out)
 			continue
 		}
--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -31,6 +31,7 @@
 	r        *routingLoop
 	now      mono.Time
 	slice    key.Slice
+	daemon   *Daemon
 	version  uint64 // Of the last observed pack.
 	released []handover.Release
 }
@@ -40,28 +41,43 @@
 }
 
 func newGrantHost(t *testing.T, delivery document.GrantDelivery) *grantHost {
+	h := newHostWithoutDocument(t)
+	h.adoptDocument(delivery)
+	h.announce(1)
+	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1})
+	return h
+}
+
+func newHostWithoutDocument(t *testing.T) *grantHost {
 	s := &settings.Daemon{Host: "h1", Region: "r", Zone: "z", Environment: "trial", StoreAddress: "127.0.0.1:1"}
 	registry := metrics.NewRegistry()
 	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
 	t.Cleanup(log.Close)
-	d := New(s, log, registry, WithTargetFactory(func(control.Announcement) Target { return &blockedTarget{} }))
+	d := New(s, log, registry, WithTargetFactory(func(a control.Announcement) Target { return &blockedTarget{address: a.Address} }))
 	d.createLoops()
-	h := &grantHost{t: t, r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}}
+	h := &grantHost{t: t, r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}, daemon: d}
 	h.r.onReleased = func(rel handover.Release) { h.released = append(h.released, rel) }
+	h.r.holder.SetLease(h.now.Add(time.Minute))
+	return h
+}
+
+// adoptDocument puts a document with the target's app in force.
+func (h *grantHost) adoptDocument(delivery document.GrantDelivery) {
 	if delivery == document.GrantsByHeartbeat {
-		d.lease.leaseEndsAt.Store(int64(h.now.Add(time.Minute)))
+		h.daemon.lease.leaseEndsAt.Store(int64(h.now.Add(time.Minute)))
 	}
-	h.r.holder.SetLease(h.now.Add(time.Minute))
 	doc := &document.Document{Apps: []document.App{{Name: "katalog", DividedByKey: true, Slices: 1, QueueBound: 24, GrantDelivery: delivery}}}
-	d.fleet.adopt(&document.Stored{Version: 1}, doc)
-	h.announce(1)
-	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1})
-	return h
+	h.daemon.fleet.adopt(&document.Stored{Version: 1}, doc)
+	documentChanged{doc}.handle(h.r, h.now)
 }
 
 // announce delivers an announcement of an instance of the target.
 func (h *grantHost) announce(instance uint64) {
-	targetAnnounced{control.Announcement{App: "katalog", Address: "held", Slots: 12, ChecksGrants: true, State: control.StateWarm, Instance: instance}}.handle(h.r, h.now)
+	h.announceAt("held", instance)
+}
+
+func (h *grantHost) announceAt(address string, instance uint64) {
+	targetAnnounced{control.Announcement{App: "katalog", Address: address, Slots: 12, ChecksGrants: true, State: control.StateWarm, Instance: instance}}.handle(h.r, h.now)
 }
 
 // grantEpochs lets the target accept the calls that are due, and returns the epochs
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -22,6 +22,11 @@
 // targets.
 type grantState struct {
 	grantHolder GrantHolder
+	// instanceSeenAt is when this daemon first heard from the instance.
+	// instanceEmpty is set if it held nothing then: it had taken the address of an
+	// instance that this daemon knew.
+	instanceSeenAt mono.Time
+	instanceEmpty  bool
 	// granter is callGrants or heartbeatGrants, whichever is set.
 	granter         sliceGranter
 	callGrants      *grant.Core
@@ -71,17 +76,24 @@
 	tokenReceived struct{ token handover.ReleaseToken }
 )
 
-// startTargetInstance starts with a new instance of the target, which holds no
-// slices yet. An earlier instance has ended if the new one has its address. What
-// it held is renounced, since another instance may get it only at a higher epoch.
+// startTargetInstance starts with a new instance of the target. An earlier
+// instance has ended if the new one has its address; then the new one holds nothing
+// yet. Else the earlier one may live on and hold what it was granted, and the new
+// one, as the first that this daemon hears from, may have run before. What the
+// earlier instance held is renounced, since another one may get it only at a higher
+// epoch.
 func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement, earlier *localTarget) {
 	replaced := earlier != nil
 	earlierInstance, ended := uint64(0), false
 	if replaced {
-		earlierInstance, ended = earlier.instance, earlier.client.Address() == a.Address
+		earlierInstance = earlier.instance
+		ended = earlier.instance != a.Instance && earlier.client.Address() == a.Address
 		earlier.client.Close()
 		r.epochs.Replace()
 	}
+	if replaced && !ended && r.grantHolder != nil {
+		r.heldElsewhereUntil = now.Add(grantConfig().LongestHold())
+	}
 	r.target.client = r.targets(a)
 	r.target.instance = a.Instance
 	r.targetStatus.Begin(a.Instance)
@@ -90,11 +102,13 @@
 	if granter, ok := r.target.client.(GrantHolder); ok {
 		r.grantState = grantState{
 			grantHolder:    granter,
+			instanceSeenAt: now,
+			instanceEmpty:  ended,
 			nextOwners:     make(map[key.Slice]host.Session),
 			releasedEpochs: make(map[key.Slice]uint64),
 		}
 	}
-	r.startGranting(now, replaced)
+	r.startGranting()
 	if replaced {
 		r.executeHolder(now, r.holder.TargetReplaced(now))
 	}
@@ -106,9 +120,8 @@
 
 // startGranting starts to grant slices to a target that holds them for a time, in
 // the way that the document in force says. Before there is a document, no slice
-// is owned. A target keeps the way with which it started. An instance that
-// replaced another one holds nothing yet.
-func (r *routingLoop) startGranting(now mono.Time, replaced bool) {
+// is owned. A target keeps the way with which it started.
+func (r *routingLoop) startGranting() {
 	if r.grantHolder == nil || r.granter != nil {
 		return
 	}
@@ -117,10 +130,10 @@
 	case !known:
 		return
 	case app.GrantDelivery == document.GrantsByHeartbeat:
-		r.heartbeatGrants = newHeartbeatCore(now, replaced)
+		r.heartbeatGrants = r.newHeartbeatCore()
 		r.granter = r.heartbeatGrants
 	default:
-		r.callGrants = grant.New(grant.DefaultConfig())
+		r.callGrants = r.newCallCore()
 		r.granter = r.callGrants
 	}
 }
@@ -132,15 +145,29 @@
 	}
 }
 
-// newHeartbeatCore returns the core for a target that gets its slices with
-// heartbeats. No grant of any daemon outlasts a lease.
-func newHeartbeatCore(now mono.Time, replaced bool) *grant.HeartbeatCore {
+// grantConfig returns the settings of the cores. No grant of any daemon outlasts a
+// lease.
+func grantConfig() grant.Config {
 	cfg := grant.DefaultConfig()
 	cfg.MaxHold = session.DefaultTiming().Lease
-	if replaced {
-		return grant.NewHeartbeatCore(cfg)
+	return cfg
+}
+
+// newCallCore returns the core for a target that is granted its slices by calls.
+func (r *routingLoop) newCallCore() *grant.Core {
+	if r.instanceEmpty {
+		return grant.New(grantConfig())
 	}
-	return grant.NewHeartbeatCoreForRunningTarget(now, cfg)
+	return grant.NewForRunningTarget(r.instanceSeenAt, grantConfig())
+}
+
+// newHeartbeatCore returns the core for a target that gets its slices with
+// heartbeats.
+func (r *routingLoop) newHeartbeatCore() *grant.HeartbeatCore {
+	if r.instanceEmpty {
+		return grant.NewHeartbeatCore(grantConfig())
+	}
+	return grant.NewHeartbeatCoreForRunningTarget(r.instanceSeenAt, grantConfig())
 }
 
 // targetHolds reports whether the target can run requests for a slice that the
@@ -181,10 +208,15 @@
 }
 
 // releaseSlice makes the target release a slice before the leader is told that
-// the session released it.
+// the session released it. While an earlier target may hold slices elsewhere,
+// nothing is released: the holder repeats the release. A target holds no slice of
+// an app that it does not serve.
 func (r *routingLoop) releaseSlice(now mono.Time, release handover.Release) {
+	if now.Before(r.heldElsewhereUntil) {
+		return
+	}
 	s := key.Slice{App: release.App, ID: release.ID}
-	if r.granter == nil || r.releasedEpochs[s] == release.Epoch {
+	if r.granter == nil || s.App != r.target.app || r.releasedEpochs[s] == release.Epoch {
 		r.log.Event(event.SliceReleased, "slice", s.String(), "epoch", release.Epoch)
 		r.onReleased(release)
 		return
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -105,6 +105,9 @@
 	// the instances of the target.
 	grantState
 	epochs grant.Epochs
+	// heldElsewhereUntil is until when an earlier instance of the target, at another
+	// address, may hold what this daemon granted to it.
+	heldElsewhereUntil mono.Time
 
 	waitingCallers map[request.CallID]waitingCaller
 	sentRequests   map[uint64]sentRequest
@@ -291,8 +294,9 @@
 // publishStopState makes the progress of a planned stop available to
 // Daemon.Stop.
 func (r *routingLoop) publishStopState() {
-	targetReleased := r.granter == nil || r.granter.HoldsNothing(bootclock.Now())
-	released := r.holder.Stopped() && targetReleased
+	now := bootclock.Now()
+	targetReleased := r.granter == nil || r.granter.HoldsNothing(now)
+	released := r.holder.Stopped() && targetReleased && !now.Before(r.heldElsewhereUntil)
 	r.allReleased.Store(released)
 	r.idle.Store(released && len(r.retiredGates) == 0 && (r.gate == nil || r.gate.Idle()))
 }
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -246,7 +246,7 @@
 		r.owners.SetNumericKeys(a.Name, a.KeyNumbers)
 	}
 	if r.granter == nil {
-		r.startGranting(now, false)
+		r.startGranting()
 		r.offerOwned(now)
 	}
 }
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -15,12 +16,13 @@
 // blockedTarget accepts every grant, and answers a release only when the test
 // provides the answer.
 type blockedTarget struct {
+	address       string
 	granted       chan bool
 	releaseAsked  chan bool // receives when a release is requested
 	releaseAnswer chan grant.Answer
 }
 
-func (*blockedTarget) Address() string                           { return "held" }
+func (h *blockedTarget) Address() string                         { return cmp.Or(h.address, "held") }
 func (*blockedTarget) Do(targetclient.Call) targetclient.Reply   { return targetclient.Reply{} }
 func (*blockedTarget) Cancel(string, uint64, time.Duration) bool { return false }
 func (*blockedTarget) IsListening() bool                         { return true }
