Keep slices that the next instance may hold by an earlier daemon's grant

What callers could see: two servers hold a key for up to 2 s (OWNER).

Cause: a daemon that has just started knows no instance of its target. If the first heartbeat that it gets is a late one of an instance O that has ended, the heartbeat of the instance N that runs replaces O. The daemon then took N for one that started after O, so after the daemon, and released what it owns at once. N may have run beside the daemon before and hold the slices by its grants until these expire.

Ruled out: to tell from the sequence whether N is older than the daemon; the heartbeats of N may be late or lost as well.

Change: the heartbeat core of an instance that replaces another one is told when the daemon started; no grant of an earlier daemon lasts longer than a lease from then. Later, nothing changes. Cost: if a target is replaced within 2.04 s after its daemon started, its slices are released when these are over.

Open: slices that are granted by calls. grant.Core knows of no earlier daemon at all, also for the first instance; routingLoop.startedAt is what it needs.

--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -107,7 +107,7 @@
 // startGranting starts to grant slices to a target that holds them for a time, in
 // the way that the document in force says. Before there is a document, no slice
 // is owned. A target keeps the way with which it started. An instance that
-// replaced another one holds nothing yet.
+// replaced another one holds nothing of this daemon yet.
 func (r *routingLoop) startGranting(now mono.Time, replaced bool) {
 	if r.grantHolder == nil || r.granter != nil {
 		return
@@ -117,7 +117,7 @@
 	case !known:
 		return
 	case app.GrantDelivery == document.GrantsByHeartbeat:
-		r.heartbeatGrants = newHeartbeatCore(now, replaced)
+		r.heartbeatGrants = r.newHeartbeatCore(now, replaced)
 		r.granter = r.heartbeatGrants
 	default:
 		r.callGrants = grant.New(grant.DefaultConfig())
@@ -133,12 +133,14 @@
 }
 
 // newHeartbeatCore returns the core for a target that gets its slices with
-// heartbeats. No grant of any daemon outlasts a lease.
-func newHeartbeatCore(now mono.Time, replaced bool) *grant.HeartbeatCore {
+// heartbeats. No grant of any daemon outlasts a lease. An instance that replaced
+// another one may have run before this daemon all the same, and hold what an
+// earlier daemon granted: the announcement of the replaced one may have been late.
+func (r *routingLoop) newHeartbeatCore(now mono.Time, replaced bool) *grant.HeartbeatCore {
 	cfg := grant.DefaultConfig()
 	cfg.MaxHold = session.DefaultTiming().Lease
 	if replaced {
-		return grant.NewHeartbeatCore(cfg)
+		return grant.NewHeartbeatCoreForRunningTarget(r.startedAt, cfg)
 	}
 	return grant.NewHeartbeatCoreForRunningTarget(now, cfg)
 }
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -65,9 +65,12 @@
 	store    *storeExecutor
 	log      *eventlog.Log
 	leaseEnd func() mono.Time
-	ring     *ring.Ring[routingTask]
-	router   *request.Router
-	elapsed  *request.ElapsedEstimator
+	// startedAt is when the daemon started. No earlier daemon of the host grants
+	// anything after it.
+	startedAt mono.Time
+	ring      *ring.Ring[routingTask]
+	router    *request.Router
+	elapsed   *request.ElapsedEstimator
 	// balancer chooses gates; balancedGates is the list that it was given last.
 	balancer      *balance.Balancer
 	balancedGates map[key.App][]balance.GateInfo
@@ -195,6 +198,7 @@
 		store:          d.store,
 		log:            d.log,
 		leaseEnd:       d.lease.leaseEnd,
+		startedAt:      bootclock.Now(),
 		targets:        d.targets,
 		ring:           ring.New[routingTask]("routing", routingRingSize, registry),
 		holder:         handover.New(holderConfig),
