--- a/grant/core.go
+++ b/grant/core.go
@@ -41,8 +41,11 @@
 	// unanswered is set once the answer to a grant was lost, and stays set.
 	// Until mayHoldUntil such a grant may still take effect.
 	unanswered bool
-	sentAt     mono.Time
-	due        mono.Time
+	// refused is set once the target has refused a grant. It may hold the range by
+	// an earlier one, which is not renewed.
+	refused bool
+	sentAt  mono.Time
+	due     mono.Time
 }
 
 // pendingRelease is a slice whose release the session has requested.
@@ -237,7 +240,7 @@
 // requestGrant requests a unit's grant if it is due and the lease lasts long
 // enough. It waits while a slice of the unit is to be released.
 func (c *Core) requestGrant(now mono.Time, u *unit, out *Actions) {
-	if u.calling || now.Before(u.due) || c.hasRelease(u.grant.Range) {
+	if u.calling || u.refused || now.Before(u.due) || c.hasRelease(u.grant.Range) {
 		return
 	}
 	hold := c.cfg.holdTime(now, c.leaseEnd)
@@ -268,16 +271,20 @@
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = now.Add(c.cfg.Retry)
 	case Refused:
-		c.dropRefused(u, out)
+		c.refuse(now, u, out)
 	default:
 		u.due = now.Add(c.cfg.Retry)
 	}
 }
 
-// dropRefused removes a unit whose grant was refused. The target knows a higher
-// epoch or cannot decode the grant, so the same grant would fail again.
-func (c *Core) dropRefused(u *unit, out *Actions) {
-	delete(c.units, u.grant.Unit)
+// refuse handles the refusal of a unit's grant. The target knows a higher epoch or
+// cannot decode the grant, so the same grant would fail again. What it may hold by
+// an earlier grant stays a unit until it is released.
+func (c *Core) refuse(now mono.Time, u *unit, out *Actions) {
+	u.refused = true
+	if !now.Before(u.mayHoldUntil) {
+		delete(c.units, u.grant.Unit)
+	}
 	r := u.grant.Range
 	for id := r.First; id <= r.Last; id++ {
 		out.Refused = append(out.Refused, SliceEpoch{Slice: key.Slice{App: r.App, ID: id}, Epoch: u.grant.Epoch})
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -347,3 +347,21 @@
 		must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", s))
 	}
 }
+
+func TestRefusedRenewalDoesNotReleaseWhatTargetHolds(t *testing.T) {
+	c := newGrantedCore(t, 1, 0, 1)
+	now := c.unitOf(slice(0)).due
+	c.SetLease(now.Add(time.Minute))
+	out := tick(c, now)
+	must.Len(t, 1, out.Grants)
+	held := c.mayHoldUntil(slice(0))
+	must.True(t, now.Before(held))
+	c.GrantAnswered(now, out.Grants[0].Unit, Refused, &out)
+	c.RequestRelease(now, slice(0), 1)
+	out = tick(c, now)
+	must.SliceEmpty(t, out.Released)
+	must.Len(t, 1, out.Releases)
+	c.ReleaseAnswered(held, out.Releases[0], "", Unsent, &out)
+	must.Len(t, 1, out.Released)
+	must.SliceEmpty(t, tick(c, held).Grants)
+}
--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -95,6 +95,15 @@
 	return epochs
 }
 
+// answerRelease delivers the answer to the call that releases the slice. Targets that
+// get slices with heartbeats get no calls.
+func (h *grantHost) answerRelease(a grant.Answer) {
+	if h.r.callGrants == nil {
+		return
+	}
+	releaseAnswered{core: h.r.callGrants, release: grant.Release{Range: grant.Range{App: h.slice.App}, Epoch: 1}, reply: grant.Reply{Answer: a}}.handle(h.r, h.now)
+}
+
 // run starts a run of a request for the slice whose end is not delivered.
 func (h *grantHost) run() {
 	h.r.startRun(h.now, &gate.Start{Run: 1, Request: &request.Request{App: h.slice.App, Slice: h.slice.ID}, Deadline: h.now.Add(time.Minute)})
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -23,8 +23,8 @@
 type grantState struct {
 	grantHolder GrantHolder
 	// instanceSeenAt is when this daemon first heard from the instance.
-	// instanceEmpty is set if it held nothing then: it had taken the address of an
-	// instance that this daemon knew.
+	// instanceEmpty is set if it held nothing of this daemon then: it had taken the
+	// address of an instance that this daemon knew.
 	instanceSeenAt mono.Time
 	instanceEmpty  bool
 	// granter is callGrants or heartbeatGrants, whichever is set.
@@ -153,19 +153,20 @@
 	return cfg
 }
 
-// newCallCore returns the core for a target that is granted its slices by calls.
+// newCallCore returns the core for a target that is granted its slices by calls. No
+// instance is taken to hold nothing: its answer to a release shows at once that it
+// holds none, and that it is the one that was announced.
 func (r *routingLoop) newCallCore() *grant.Core {
-	if r.instanceEmpty {
-		return grant.New(grantConfig())
-	}
 	return grant.NewForRunningTarget(r.instanceSeenAt, grantConfig())
 }
 
 // newHeartbeatCore returns the core for a target that gets its slices with
-// heartbeats.
+// heartbeats. An instance that took the address of another one may have run before
+// this daemon all the same, and hold what an earlier daemon granted: the
+// announcement of the other one may have been late.
 func (r *routingLoop) newHeartbeatCore() *grant.HeartbeatCore {
 	if r.instanceEmpty {
-		return grant.NewHeartbeatCore(grantConfig())
+		return grant.NewHeartbeatCoreForRunningTarget(r.startedAt, grantConfig())
 	}
 	return grant.NewHeartbeatCoreForRunningTarget(r.instanceSeenAt, grantConfig())
 }
@@ -207,12 +208,20 @@
 	}
 }
 
+// slicesHeldUnseen reports whether slices may be held of which no core knows: by an
+// earlier target at another address, or by a target that ran before this daemon
+// and for which there is no core before there is a document.
+func (r *routingLoop) slicesHeldUnseen(now mono.Time) bool {
+	noCore := r.grantHolder != nil && r.granter == nil
+	return now.Before(r.heldElsewhereUntil) || noCore && now.Before(r.instanceSeenAt.Add(grantConfig().LongestHold()))
+}
+
 // releaseSlice makes the target release a slice before the leader is told that
-// the session released it. While an earlier target may hold slices elsewhere,
-// nothing is released: the holder repeats the release. A target holds no slice of
-// an app that it does not serve.
+// the session released it. While slices may be held unseen, nothing is released:
+// the holder repeats the release. A target holds no slice of an app that it does
+// not serve.
 func (r *routingLoop) releaseSlice(now mono.Time, release handover.Release) {
-	if now.Before(r.heldElsewhereUntil) {
+	if r.slicesHeldUnseen(now) {
 		return
 	}
 	s := key.Slice{App: release.App, ID: release.ID}
