Test that fails: a handover that waits for a heartbeat is lost with its instance

Cause: a daemon that learns of its epoch and of the next owner by one pack puts the change into awaitingHeartbeat. startTargetInstance empties that with grantState when another instance is announced first. The holder never learns of the epoch, so that it is neither served nor released, and the leader waits for the release of a session that lives.

--- a/internal/daemon/routing_heartbeat_test.go
+++ b/internal/daemon/routing_heartbeat_test.go
@@ -46,6 +46,27 @@
 	must.Eq(t, []handover.Release{{From: h.r.self, App: "katalog", Epoch: 1}}, h.released)
 }
 
+// A daemon may learn of its epoch and of the next owner by one pack. If another
+// instance replaces the target before the heartbeat that the handover waits for,
+// the epoch is released all the same. Else nobody serves the slice.
+func TestHandoverOfUnseenEpochIsReleasedAfterNewInstance(t *testing.T) {
+	h := newHeartbeatHost(t)
+	other := host.Session{Host: "h2", Incarnation: 1}
+	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1, Next: other})
+	h.heartbeat(time.Second, grant.Report{})
+	h.heartbeat(time.Second, grant.Report{})
+	h.observe(assignment.Ownership{Owner: other, Epoch: 2})
+	h.released = nil
+	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 3, Next: other})
+	h.announce(2)
+	for range 5 {
+		h.heartbeat(time.Second, grant.Report{})
+		h.r.executeHolder(h.now, h.r.holder.Tick(h.now))
+		h.r.tickHeartbeatHandovers(h.now)
+	}
+	must.SliceContains(t, h.released, handover.Release{From: h.r.self, App: "katalog", Epoch: 3})
+}
+
 // A handover that the leader withdraws before the next heartbeat changes nothing.
 func TestHandoverWithdrawnBeforeHeartbeat(t *testing.T) {
 	h := newHeartbeatHost(t)
