Name the slices that a target holds although nobody granted them to it

What callers saw: nothing.

Cause: a heartbeat says what its target holds. The core looked up its own slices in it, and dropped the rest.

The rule stands at expectedHoldings: a heartbeat may report what the answer before granted, and what the heartbeat before reported rightly, at the same epoch. So slices that are being released and earlier epochs are expected for as long as the target may have them, and a slice that is held again after it was not reported is not.

Targets that are granted slices by calls report nothing.

Evidence: the event is new, so that no test of it could fail for its reason before. Each condition of the rule was left out once; tests failed each time.

--- a/grant/grant.go
+++ b/grant/grant.go
@@ -141,7 +141,7 @@
 }
 
 // Actions holds the calls that the daemon must make, and the slices that were
-// released, or whose grant was refused. Calls for one unit are sequential: none
+// released, whose grant was refused, or that the target holds unexpectedly. Calls for one unit are sequential: none
 // is requested before the previous one was answered.
 type Actions struct {
 	Grants   []Grant
@@ -151,6 +151,10 @@
 	// Refused lists slices of grants that the target refused. The session must
 	// own them at another epoch before they can be granted.
 	Refused []SliceEpoch
+	// Unexpected lists slices that the target reports to hold at epochs at which
+	// they were not granted to it. Each is listed for the first heartbeat that
+	// shows it.
+	Unexpected []SliceEpoch
 }
 
 // Reset empties the actions and keeps their allocated memory.
@@ -159,6 +163,7 @@
 	a.Releases = a.Releases[:0]
 	a.Released = a.Released[:0]
 	a.Refused = a.Refused[:0]
+	a.Unexpected = a.Unexpected[:0]
 }
 
 // ReleasedSlice is a released slice, with the epoch of the release and the
--- a/grant/heartbeat.go
+++ b/grant/heartbeat.go
@@ -43,6 +43,7 @@
 	// lostAnswers is how many answers in a row left no trace in the heartbeat
 	// after them.
 	lostAnswers int
+	expected    expectedHoldings
 	disabled    disabledChecks
 }
 
@@ -86,6 +87,7 @@
 		holdings:     make(map[key.Slice]*holding),
 		tokens:       make(tokens),
 		unknownUntil: mono.Never,
+		expected:     expectedHoldings{earlierUntil: mono.Never},
 	}
 }
 
@@ -96,6 +98,7 @@
 func NewHeartbeatCoreForRunningTarget(seen mono.Time, cfg Config) *HeartbeatCore {
 	c := NewHeartbeatCore(cfg)
 	c.unknownUntil = seen.Add(cfg.LongestHold())
+	c.expected.earlierUntil = c.unknownUntil.Add(reportDelay)
 	return c
 }
 
--- a/grant/heartbeat_answer.go
+++ b/grant/heartbeat_answer.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
@@ -20,14 +19,9 @@
 		return HeartbeatAnswer{}
 	}
 	a := HeartbeatAnswer{Rows: c.fittingRows(), Hold: hold}
-	granted := make(map[key.Slice]bool)
-	for _, r := range a.Rows {
-		for id := r.Range.First; id <= r.Range.Last; id++ {
-			granted[key.Slice{App: r.Range.App, ID: id}] = true
-		}
-	}
+	c.expected.answered(a.Rows)
 	for s, h := range c.holdings {
-		if granted[s] {
+		if _, granted := c.expected.granted[s]; granted {
 			c.markOffered(now, h, hold)
 			continue
 		}
--- a/grant/heartbeat_model_test.go
+++ b/grant/heartbeat_model_test.go
@@ -46,6 +46,8 @@
 	slices    [fleetSlices]fleetAssignment
 	moved     int // Handovers with a release.
 	violation string
+	// unexpected is set if a core names a holding of a running target as not granted.
+	unexpected string
 }
 
 // fleetAssignment is the owner of a slice. A next owner is named when the slice is
@@ -285,6 +287,9 @@
 	}
 	var out Actions
 	h.core.Observe(m.now, b.report, &out)
+	if len(out.Unexpected) > 0 && b.target == h.target {
+		m.unexpected = fmt.Sprintf("host %d at %s: %v", h.index, m.now.Sub(start), out.Unexpected)
+	}
 	h.execute(out)
 	h.checkReported(b)
 	answer := h.core.Answer(m.now)
@@ -356,6 +361,7 @@
 	for seed := range *fleetSeeds {
 		m := runFleet(seed, fleetRule{})
 		must.Eq(t, "", m.violation, must.Sprint("seed ", seed, " at ", m.now.Sub(start)))
+		must.Eq(t, "", m.unexpected, must.Sprint("seed ", seed))
 		moved += m.moved
 	}
 	must.Greater(t, 3*int(*fleetSeeds), moved, must.Sprint("slices moved"))
--- a/grant/heartbeat_observe.go
+++ b/grant/heartbeat_observe.go
@@ -20,6 +20,7 @@
 func (c *HeartbeatCore) Observe(now mono.Time, r Report, out *Actions) {
 	c.storeFreedTokens(r.Freed)
 	held := r.epochs()
+	out.Unexpected = append(out.Unexpected, c.expected.observe(now, held)...)
 	countMisses := c.answerTaken(held)
 	c.lastHeld, c.lastHeldAt = held, now
 	for _, s := range c.sortedSlices() {
--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -32,6 +32,7 @@
 	now      mono.Time
 	slice    key.Slice
 	daemon   *Daemon
+	registry metrics.Registry
 	version  uint64 // Of the last observed pack.
 	released []handover.Release
 }
@@ -55,7 +56,7 @@
 	t.Cleanup(log.Close)
 	d := New(s, log, registry, WithTargetFactory(func(a control.Announcement) Target { return &blockedTarget{address: a.Address} }))
 	d.createLoops()
-	h := &grantHost{t: t, r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}, daemon: d}
+	h := &grantHost{t: t, r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}, daemon: d, registry: registry}
 	h.r.onReleased = func(rel handover.Release) { h.released = append(h.released, rel) }
 	h.r.holder.SetLease(h.now.Add(time.Minute))
 	return h
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -251,6 +251,9 @@
 		go r.callRelease(r.callGrants, r.grantHolder, release)
 	}
 	r.finishReleases(out.Released)
+	for _, held := range out.Unexpected {
+		r.log.Event(event.HoldingUnexpected, "slice", held.Slice.String(), "epoch", held.Epoch, "instance", r.target.instance)
+	}
 	for _, refused := range out.Refused {
 		r.log.Event(event.GrantRefused, "slice", refused.Slice.String(), "epoch", refused.Epoch)
 		r.executeHolder(now, r.holder.Renounce(now, refused.Slice, refused.Epoch))
--- a/internal/daemon/routing_heartbeat_test.go
+++ b/internal/daemon/routing_heartbeat_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
@@ -67,6 +68,19 @@
 	must.SliceContains(t, h.released, handover.Release{From: h.r.self, App: "katalog", Epoch: 3})
 }
 
+// Nobody would see otherwise that two servers hold a slice.
+func TestHoldingThatNobodyGrantedIsLoggedOnce(t *testing.T) {
+	h := newHeartbeatHost(t)
+	logged := metrics.GetOrRegisterCounter("events.holding_unexpected", h.registry)
+	h.heartbeat(30*time.Second, grant.Report{})
+	h.heartbeat(time.Second, h.held())
+	must.Zero(t, logged.Count())
+	for range 2 {
+		h.heartbeat(time.Second, grant.Report{Held: []grant.HeldRange{{Range: grant.Range{App: "katalog"}, Epoch: 9}}})
+		must.Eq(t, 1, logged.Count())
+	}
+}
+
 // A handover that the leader withdraws before the next heartbeat changes nothing.
 func TestHandoverWithdrawnBeforeHeartbeat(t *testing.T) {
 	h := newHeartbeatHost(t)
