Remember what a target holds of a grant that was given up

What callers could see: two servers that are up hold one key.

Cause: grant.Core forgot a unit together with how long the target may hold it. - A refused renewal removed the unit. The target may still hold what it took before, of all slices of the range; their release was reported at once. - A slice that became owned at a higher epoch left its unit. If the next grant was not sent, or was refused, a release was reported at once, or with the first accepted call, although a grant without an answer at the earlier epoch could still be applied.

Ruled out: the heartbeat core has neither; its holdings stay, and SetOwned takes over mayHoldUntil.

Change: Core.dropped keeps mayHoldUntil and unanswered of such slices until they are granted again (the unit inherits them), released or revoked. HoldsNothing follows.

Not tried: leaving out the deletions.

--- a/grant/core.go
+++ b/grant/core.go
@@ -18,6 +18,8 @@
 	lastUnit  uint64
 	tokens    tokens
 	releasing map[key.Slice]pendingRelease
+	// dropped holds what the target may still hold of units that were given up.
+	dropped map[key.Slice]droppedGrant
 	// Until unknownUntil the target may hold any slice of which this Core does not
 	// know. An accepted release shows that it does not. Once the instance has
 	// answered a call, that time ends at unknownOnceHeard, if that is earlier.
@@ -43,11 +45,14 @@
 	// unanswered is set once the answer to a grant was lost, and stays set.
 	// Until mayHoldUntil such a grant may still take effect.
 	unanswered bool
-	// refused is set once the target has refused a grant. It may hold the range by
-	// an earlier one, which is not renewed.
-	refused bool
-	sentAt  mono.Time
-	due     mono.Time
+	sentAt     mono.Time
+	due        mono.Time
+}
+
+// droppedGrant is a slice of a unit that was given up, as the unit was.
+type droppedGrant struct {
+	mayHoldUntil mono.Time
+	unanswered   bool
 }
 
 // pendingRelease is a slice whose release the session has requested. While a call is
@@ -69,6 +74,7 @@
 		units:     make(map[uint64]*unit),
 		tokens:    make(tokens),
 		releasing: make(map[key.Slice]pendingRelease),
+		dropped:   make(map[key.Slice]droppedGrant),
 
 		unknownUntil:     mono.Never,
 		unknownOnceHeard: mono.Never,
@@ -131,6 +137,7 @@
 // so no release is requested.
 func (c *Core) Revoke(s key.Slice) {
 	delete(c.wanted, s)
+	delete(c.dropped, s)
 	if u := c.unitOf(s); u != nil {
 		c.removeSlice(u, s)
 	}
@@ -167,6 +174,11 @@
 			return false
 		}
 	}
+	for _, d := range c.dropped {
+		if now.Before(d.mayHoldUntil) {
+			return false
+		}
+	}
 	return true
 }
 
@@ -184,12 +196,27 @@
 	return nil
 }
 
-// mayHoldUntil returns until when the target may hold a slice.
-func (c *Core) mayHoldUntil(s key.Slice) mono.Time {
+// mayHold returns until when the target may hold a slice, and whether a grant of it
+// was not answered.
+func (c *Core) mayHold(s key.Slice) (until mono.Time, unanswered bool) {
 	if u := c.unitOf(s); u != nil {
-		return latest(u.mayHoldUntil, c.unknownUntil)
+		return latest(u.mayHoldUntil, c.unknownUntil), u.unanswered
+	}
+	if d, ok := c.dropped[s]; ok {
+		return latest(c.unknownUntil, d.mayHoldUntil), d.unanswered
 	}
-	return c.unknownUntil
+	return c.unknownUntil, false
+}
+
+// inherit adds to a unit what the target may hold of a slice at an earlier epoch.
+func (c *Core) inherit(now mono.Time, u *unit, s key.Slice) {
+	d, ok := c.dropped[s]
+	delete(c.dropped, s)
+	if !ok || !now.Before(d.mayHoldUntil) {
+		return
+	}
+	u.mayHoldUntil = latest(u.mayHoldUntil, d.mayHoldUntil)
+	u.unanswered = u.unanswered || d.unanswered
 }
 
 // Tick adds the grants and releases that are due to out.
@@ -217,9 +244,11 @@
 		delete(c.wanted, w.Slice)
 		if current != nil && follows(current.grant, w, token) {
 			current.grant.Range.Last = w.Slice.ID
+			c.inherit(now, current, w.Slice)
 			continue
 		}
 		current = c.addUnit(now, w, token)
+		c.inherit(now, current, w.Slice)
 	}
 }
 
@@ -231,6 +260,7 @@
 		if old.calling {
 			return false
 		}
+		c.dropped[s] = droppedGrant{mayHoldUntil: old.mayHoldUntil, unanswered: old.unanswered}
 		c.removeSlice(old, s)
 	}
 	if w.firstOwner || now.Sub(w.since) >= c.cfg.TokenWait {
@@ -264,7 +294,7 @@
 // requestGrant requests a unit's grant if it is due and the lease lasts long
 // enough. It waits while a slice of the unit is to be released.
 func (c *Core) requestGrant(now mono.Time, u *unit, out *Actions) {
-	if u.calling || u.refused || now.Before(u.due) || c.hasRelease(u.grant.Range) {
+	if u.calling || now.Before(u.due) || c.hasRelease(u.grant.Range) {
 		return
 	}
 	hold := c.cfg.holdTime(now, c.leaseEnd)
@@ -296,23 +326,22 @@
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = now.Add(c.cfg.Retry)
 	case Refused:
-		c.refuse(now, u, out)
+		c.dropRefused(u, out)
 	default:
 		u.due = now.Add(c.cfg.Retry)
 	}
 }
 
-// refuse handles the refusal of a unit's grant. The target knows a higher epoch or
-// cannot decode the grant, so the same grant would fail again. What it may hold by
-// an earlier grant stays a unit until it is released.
-func (c *Core) refuse(now mono.Time, u *unit, out *Actions) {
-	u.refused = true
-	if !now.Before(latest(u.mayHoldUntil, c.unknownUntil)) {
-		delete(c.units, u.grant.Unit)
-	}
+// dropRefused removes a unit whose grant was refused. The target knows a higher
+// epoch or cannot decode the grant, so the same grant would fail again. It may
+// still hold what it took of the unit before.
+func (c *Core) dropRefused(u *unit, out *Actions) {
+	delete(c.units, u.grant.Unit)
 	r := u.grant.Range
 	for id := r.First; id <= r.Last; id++ {
-		out.Refused = append(out.Refused, SliceEpoch{Slice: key.Slice{App: r.App, ID: id}, Epoch: u.grant.Epoch})
+		s := key.Slice{App: r.App, ID: id}
+		c.dropped[s] = droppedGrant{mayHoldUntil: u.mayHoldUntil, unanswered: u.unanswered}
+		out.Refused = append(out.Refused, SliceEpoch{Slice: s, Epoch: u.grant.Epoch})
 	}
 }
 
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -198,6 +198,41 @@
 	must.Len(t, 1, tick(c, start.Add(2*time.Minute)).Grants)
 }
 
+// A target that refuses a renewal still holds what it took before.
+func TestSliceIsNotReleasedUnaskedAfterRefusedRenewal(t *testing.T) {
+	c := newGrantedCore(t, 1, 2, 7)
+	now := start.Add(time.Second)
+	out := tick(c, now)
+	c.GrantAnswered(now, out.Grants[0].Unit, Refused, &out)
+	must.False(t, c.HoldsNothing(now))
+	c.RequestRelease(now, slice(3), 1)
+	out = tick(c, now)
+	must.SliceEmpty(t, out.Released)
+	must.Len(t, 1, out.Releases)
+	c.ReleaseAnswered(now, out.Releases[0], "", Accepted, &out)
+	must.Eq(t, []ReleasedSlice{{Slice: slice(3), Epoch: 1}}, out.Released)
+}
+
+// A lost grant at an earlier epoch may be applied after the release at the next.
+func TestUnansweredGrantIsRememberedAtNextEpoch(t *testing.T) {
+	c := newGrantedCore(t, 1, 0, 0)
+	now := start.Add(time.Second)
+	out := tick(c, now)
+	c.GrantAnswered(now, out.Grants[0].Unit, Unanswered, &out)
+	end := now.Add(c.cfg.longestHold(out.Grants[0].Hold))
+	c.SetOwned(now, permit(slice(0), 3))
+	now = now.Add(c.cfg.TokenWait)
+	out = tick(c, now)
+	must.Eq(t, 3, out.Grants[0].Epoch)
+	c.GrantAnswered(now, out.Grants[0].Unit, Unsent, &out)
+	c.RequestRelease(now, slice(0), 3)
+	out = tick(c, now)
+	must.Len(t, 1, out.Releases)
+	c.ReleaseAnswered(now, out.Releases[0], "", Accepted, &out)
+	must.SliceEmpty(t, out.Released)
+	must.Len(t, 1, tick(c, end).Released)
+}
+
 // modelTarget simulates a target that applies some grants late, and whose answers
 // to some calls are lost.
 type modelTarget struct {
@@ -347,21 +382,3 @@
 		must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", s))
 	}
 }
-
-func TestRefusedRenewalDoesNotReleaseWhatTargetHolds(t *testing.T) {
-	c := newGrantedCore(t, 1, 0, 1)
-	now := c.unitOf(slice(0)).due
-	c.SetLease(now.Add(time.Minute))
-	out := tick(c, now)
-	must.Len(t, 1, out.Grants)
-	held := c.mayHoldUntil(slice(0))
-	must.True(t, now.Before(held))
-	c.GrantAnswered(now, out.Grants[0].Unit, Refused, &out)
-	c.RequestRelease(now, slice(0), 1)
-	out = tick(c, now)
-	must.SliceEmpty(t, out.Released)
-	must.Len(t, 1, out.Releases)
-	c.ReleaseAnswered(held, out.Releases[0], "", Unsent, &out)
-	must.Len(t, 1, out.Released)
-	must.SliceEmpty(t, tick(c, held).Grants)
-}
--- a/grant/heartbeat_model_test.go
+++ b/grant/heartbeat_model_test.go
@@ -64,7 +64,8 @@
 	target  *fleetTarget
 	core    *HeartbeatCore
 	tracker targetinstance.Tracker
-	known   bool // The session has seen an instance of the target.
+	known   bool // The session has seen an instance of the target, first at seenAt.
+	seenAt  mono.Time
 	session int
 	// leaseEnd is when the session's lease ends; renewing is false while the
 	// daemon can't reach its witnesses.
@@ -214,15 +215,17 @@
 	h.renewing = true
 	h.tracker, h.known = targetinstance.Tracker{}, false
 	h.releaseAt = make(map[key.Slice]mono.Time)
-	h.newCore(false)
+	h.newCore(h.m.now)
 }
 
-func (h *fleetHost) newCore(newInstance bool) {
+// newCore begins with an instance of a target that the daemon first heard of at an
+// instant.
+func (h *fleetHost) newCore(seen mono.Time) {
 	cfg := DefaultConfig()
 	cfg.MaxHold = lease
 	h.core = NewHeartbeatCore(cfg)
-	if !newInstance && !h.m.rule.earlierDaemon {
-		h.core = NewHeartbeatCoreForRunningTarget(h.m.now, cfg)
+	if !h.m.rule.earlierDaemon {
+		h.core = NewHeartbeatCoreForRunningTarget(seen, cfg)
 	}
 	h.core.disabled = h.m.rule.checks
 }
@@ -272,7 +275,9 @@
 func (h *fleetHost) handle(b fleetHeartbeat) {
 	m := h.m
 	known := h.known
-	h.known = true
+	if !known {
+		h.known, h.seenAt = true, m.now
+	}
 	verdict := h.tracker.Observe(m.now, targetinstance.Announcement{ID: "a", StartedMs: b.target.born, Sequence: b.sequence})
 	if m.rule.staleHeartbeats && verdict == targetinstance.Stale {
 		verdict = targetinstance.Current
@@ -281,7 +286,7 @@
 	case targetinstance.Stale:
 		return
 	case targetinstance.NewInstance:
-		h.newCore(known)
+		h.newCore(h.seenAt)
 		h.core.SetLease(h.leaseEnd)
 		h.adoptInstance(known)
 	}
--- a/grant/release.go
+++ b/grant/release.go
@@ -12,18 +12,20 @@
 func (c *Core) requestReleases(now mono.Time, out *Actions) {
 	var due []SliceEpoch
 	for s, p := range c.releasing {
+		until, _ := c.mayHold(s)
 		callDue := !p.calling && !now.Before(p.due)
-		if callDue || !now.Before(c.mayHoldUntil(s)) {
+		if callDue || !now.Before(until) {
 			due = append(due, SliceEpoch{Slice: s, Epoch: p.epoch})
 		}
 	}
 	slices.SortFunc(due, compareSlices)
 	for _, d := range due {
 		u := c.unitOf(d.Slice)
+		until, _ := c.mayHold(d.Slice)
 		switch {
 		case u != nil && u.calling:
 			// Wait for the answer to the grant.
-		case !now.Before(c.mayHoldUntil(d.Slice)):
+		case !now.Before(until):
 			c.finishRelease(d.Slice, "", out)
 		case u == nil:
 			c.addRelease(d.Slice, d.Epoch, out)
@@ -81,16 +83,15 @@
 		if !ok || !p.calling || p.callEpoch != r.Epoch {
 			continue
 		}
-		u := c.unitOf(s)
-		accepted := a == Accepted && (u == nil || !u.unanswered)
-		if accepted || !now.Before(c.mayHoldUntil(s)) {
+		until, unanswered := c.mayHold(s)
+		if a == Accepted && !unanswered || !now.Before(until) {
 			c.finishRelease(s, token, out)
 			continue
 		}
 		p.calling = false
 		p.due = now.Add(c.cfg.Retry)
 		if a == Accepted {
-			p.due = u.mayHoldUntil
+			p.due = until
 		}
 		c.releasing[s] = p
 	}
@@ -101,6 +102,7 @@
 func (c *Core) finishRelease(s key.Slice, token string, out *Actions) {
 	p := c.releasing[s]
 	delete(c.releasing, s)
+	delete(c.dropped, s)
 	if u := c.unitOf(s); u != nil {
 		c.removeSlice(u, s)
 	}
--- a/internal/daemon/target_replaced_test.go
+++ b/internal/daemon/target_replaced_test.go
@@ -103,7 +103,7 @@
 	h.answerRelease(grant.Unsent)
 	must.SliceEmpty(t, h.released, must.Sprint("the target may still hold the slice"))
 	h.now = h.now.Add(earlierGrantsLast)
-	h.answerRelease(grant.Unsent)
+	h.r.tickGrants(h.now)
 	must.SliceLen(t, 1, h.released)
 }
 
