Say why two instances with the same id and start time count as one

What callers could see: a server that starts again under its id, in the very millisecond by the wall clock in which the earlier instance had started, stays unserved until its sequence exceeds that of the earlier one. It takes a jump back by just the time between the starts.

Weighed: announcements that rise below the newest sequence mean a new instance. But session records, orders and grants identify the instance by id and start time, and every daemon has to derive the same number: a number that only this daemon knows would let the next session of the host pass for one beside another instance, whereupon the slices may go to any host at once. So it is left, and the package comment says so.

Evidence: TestLateBatchOfCurrentInstanceIsStale passed before.

--- a/targetinstance/targetinstance.go
+++ b/targetinstance/targetinstance.go
@@ -7,7 +7,12 @@
 // What can't be told apart: an instance that is heard for the first time replaces
 // the current one by a later start time even if its announcement is late and the
 // instance has ended, for instance when the tracker has just begun. The current
-// one then comes back as soon as it proves that it lives.
+// one then comes back as soon as it proves that it lives. Two instances with the
+// same ID and the same start time count as one, which the wall clock makes
+// possible if it jumps back by just the time between the starts: the announcements
+// of the second are stale until its sequence exceeds that of the first. Every
+// daemon identifies an instance by these two values, so that the tracker could not
+// name the second one even if it knew of it.
 package targetinstance
 
 import (
--- a/targetinstance/targetinstance_test.go
+++ b/targetinstance/targetinstance_test.go
@@ -108,3 +108,14 @@
 	must.True(t, j.MarkLeaving(targetinstance.Departure{ID: "a", StartedMs: 2000}))
 	must.True(t, j.Leaving())
 }
+
+// Late announcements rise too: they must not pass for a new instance that has the
+// start time of the current one.
+func TestLateBatchOfCurrentInstanceIsStale(t *testing.T) {
+	var j targetinstance.Tracker
+	j.Observe(start, targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 9})
+	for sequence := range uint64(5) {
+		must.Eq(t, targetinstance.Stale, j.Observe(start.Add(time.Second), targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 4 + sequence}))
+	}
+	must.Eq(t, targetinstance.Current, j.Observe(start.Add(time.Second), targetinstance.Announcement{ID: "a", StartedMs: 1000, Sequence: 10}))
+}
