--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -4,17 +4,13 @@
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
-	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
-	"github.com/rhubarbring/rhubarbring/internal/control"
-	"github.com/rhubarbring/rhubarbring/internal/wire"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
-	"github.com/rhubarbring/rhubarbring/session"
 )
 
 // grantState is the part of the routing loop that grants slices to a target
@@ -76,122 +72,12 @@
 	tokenReceived struct{ token handover.ReleaseToken }
 )
 
-// startTargetInstance starts with a new instance of the target. What an earlier
-// instance held is renounced, since another one may get it only at a higher epoch.
-func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement, earlier *localTarget) {
-	ended := earlier.endedBefore(a)
-	var earlierInstance uint64
-	if earlier != nil {
-		earlierInstance = earlier.instance
-		earlier.client.Close()
-		r.applyHandovers(now)
-		r.epochs.Replace()
-		if !ended && r.grantHolder != nil {
-			r.heldElsewhereUntil = now.Add(grantConfig().LongestHold())
-		}
-	}
-	r.resetGrants(now, ended && a.StartedMs >= earlier.startedMs)
-	r.target.setInstance(r.targets(a), a)
-	r.targetStatus.Begin(a.Instance)
-	r.log.Event(event.TargetLife, "app", a.App, "address", a.Address, "target", a.InstanceName, "instance", a.Instance)
-	r.grantHolder, _ = r.target.client.(GrantHolder)
-	r.startGranting()
-	if earlier != nil {
-		r.executeHolder(now, r.holder.RenounceAll(now))
-	}
-	if ended {
-		r.endTicketsOf(now, earlierInstance)
-	}
-	r.offerOwned(now)
-}
-
-// resetGrants begins anew with an instance that this daemon hears from for the first
-// time. It is empty if it surely holds nothing of this daemon.
-func (r *routingLoop) resetGrants(now mono.Time, empty bool) {
-	r.grantState = grantState{
-		instanceSeenAt: now,
-		instanceEmpty:  empty,
-		nextOwners:     make(map[key.Slice]host.Session),
-		releasedEpochs: make(map[key.Slice]uint64),
-	}
-}
-
-// startGranting starts to grant slices to a target that holds them for a time, in
-// the way that the document in force says. Before there is a document, no slice
-// is owned. A target keeps the way with which it started.
-func (r *routingLoop) startGranting() {
-	if r.grantHolder == nil || r.granter != nil {
-		return
-	}
-	app, known := r.fleet.app(r.target.app)
-	switch {
-	case !known:
-		return
-	case app.GrantDelivery == document.GrantsByHeartbeat:
-		r.heartbeatGrants = r.newHeartbeatCore()
-		r.granter = r.heartbeatGrants
-	default:
-		r.callGrants = r.newCallCore()
-		r.granter = r.callGrants
-	}
-}
-
-// offerOwned offers the slices that the session owns to the target.
-func (r *routingLoop) offerOwned(now mono.Time) {
-	for _, h := range r.holder.Owned() {
-		r.ownSlice(now, h.Slice, h.Epoch)
-	}
-}
-
-// grantConfig returns the settings of the cores. No grant of any daemon outlasts a
-// lease.
-func grantConfig() grant.Config {
-	cfg := grant.DefaultConfig()
-	cfg.MaxHold = session.DefaultTiming().Lease
-	return cfg
-}
-
-// newCallCore returns the core for a target that is granted its slices by calls.
-func (r *routingLoop) newCallCore() *grant.Core {
-	if r.instanceEmpty {
-		return grant.NewForReplacingTarget(r.startedAt, r.instanceSeenAt, grantConfig())
-	}
-	return grant.NewForRunningTarget(r.instanceSeenAt, grantConfig())
-}
-
-// newHeartbeatCore returns the core for a target that gets its slices with
-// heartbeats. An instance that replaced another one may hold what an earlier daemon
-// granted all the same: the announcement of the other one may have been late.
-func (r *routingLoop) newHeartbeatCore() *grant.HeartbeatCore {
-	if r.instanceEmpty {
-		return grant.NewHeartbeatCoreForRunningTarget(r.startedAt, grantConfig())
-	}
-	return grant.NewHeartbeatCoreForRunningTarget(r.instanceSeenAt, grantConfig())
-}
-
 // targetHolds reports whether the target can run requests for a slice that the
 // session owns. A target that does not track its slices always can.
 func (r *routingLoop) targetHolds(now mono.Time, s key.Slice) bool {
 	return r.granter == nil || r.granter.Holds(now, s)
 }
 
-// ownSlice starts granting a slice that the session now owns to the target, if it
-// serves the slice's app. The holder renounces what the target replaced, so that
-// the permit is only refused if one of the two is wrong.
-func (r *routingLoop) ownSlice(now mono.Time, s key.Slice, epoch uint64) {
-	if r.granter == nil || s.App != r.target.app {
-		return
-	}
-	delete(r.nextOwners, s)
-	permit, ok := r.epochs.Permit(s, epoch)
-	if !ok {
-		r.log.Event(event.EpochSpent, "slice", s.String(), "epoch", epoch, "instance", r.target.instance)
-		r.executeHolder(now, r.holder.Renounce(now, s, epoch))
-		return
-	}
-	r.granter.SetOwned(now, permit)
-}
-
 // setNextOwner records which session gets a slice that is draining.
 func (r *routingLoop) setNextOwner(s key.Slice, next host.Session) {
 	if r.granter != nil {
@@ -322,50 +208,3 @@
 		r.onReleased(handover.Release{From: r.self, App: e.Slice.App, ID: e.Slice.ID, Epoch: e.Epoch})
 	}
 }
-
-// tokenDelivery is a token to be sent to a next owner.
-type tokenDelivery struct {
-	to    host.Session
-	token handover.ReleaseToken
-}
-
-// collectTokens returns the tokens of released slices for their next owners.
-// Adjacent slices with the same next owner, epoch and token are joined into
-// one.
-func (r *routingLoop) collectTokens(list []grant.ReleasedSlice) []tokenDelivery {
-	var out []tokenDelivery
-	for _, e := range list {
-		to := r.nextOwners[e.Slice]
-		delete(r.nextOwners, e.Slice)
-		if to.IsZero() || e.Token == "" {
-			continue
-		}
-		if n := len(out); n > 0 && out[n-1].to == to && extendsToken(out[n-1].token, e) {
-			out[n-1].token.Last = e.Slice.ID
-			continue
-		}
-		out = append(out, tokenDelivery{to: to, token: handover.ReleaseToken{
-			App: e.Slice.App, First: e.Slice.ID, Last: e.Slice.ID, Epoch: e.Epoch, Token: e.Token,
-		}})
-	}
-	return out
-}
-
-// extendsToken reports whether a released slice directly follows the range of a
-// token and has the same app, epoch and token.
-func extendsToken(t handover.ReleaseToken, e grant.ReleasedSlice) bool {
-	return t.App == e.Slice.App && t.Last+1 == e.Slice.ID && t.Epoch == e.Epoch && t.Token == e.Token
-}
-
-func (r *routingLoop) sendToken(to host.Session, t handover.ReleaseToken) {
-	address := r.fleet.peerAddress(to)
-	if address == "" {
-		return
-	}
-	frame, err := wire.Encode(wire.KindReleaseToken, t)
-	if err != nil {
-		r.log.Event(event.BadFrame, "peer", to.String(), "cause", err.Error())
-		return
-	}
-	_, _ = r.peers.Send(address, frame, 0) // A lost token only delays the grant at the next owner.
-}
