Bind an epoch to the process that it was sent to, as far as connections prove it

What callers could see: two processes of a server have a key with the same fence (OWNER).

Cause: a server may start again under its own name. A late heartbeat of its earlier process allows the daemon to open a connection, and a renewal at the earlier epoch names an id that the next process has too.

Ruled out: to tell late heartbeats from others; they carry no time.

The core keeps to which process the epoch of a unit was first sent, whatever the answer; a renewal for another one is not sent (OtherProcess), and the slice is renounced, released and assigned anew. A release token without a known next owner is kept, since the slice mostly comes back to the same session.

--- a/grant/core.go
+++ b/grant/core.go
@@ -249,6 +249,14 @@
 	out.Grants = append(out.Grants, u.grant)
 }
 
+// SentTo records to which process the grant of a unit was sent, 0 if it was not.
+// GrantAnswered follows. The process may have the unit's epoch whatever it answers.
+func (c *Core) SentTo(number, process uint64) {
+	if u := c.units[number]; u != nil && u.grant.Process == 0 {
+		u.grant.Process = process
+	}
+}
+
 // GrantAnswered handles the answer to the grant of a unit.
 func (c *Core) GrantAnswered(now mono.Time, number uint64, a Answer, out *Actions) {
 	u := c.units[number]
@@ -267,7 +275,7 @@
 		u.unanswered = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = now.Add(c.cfg.Retry)
-	case Refused:
+	case Refused, OtherProcess:
 		c.dropRefused(u, out)
 	default:
 		u.due = now.Add(c.cfg.Retry)
@@ -275,7 +283,8 @@
 }
 
 // dropRefused removes a unit whose grant was refused. The target knows a higher
-// epoch or cannot decode the grant, so the same grant would fail again. It may
+// epoch or cannot decode the grant, or may be another process than the one that has
+// the epoch, so the same grant would fail again. It may
 // still hold what it took of the unit before.
 func (c *Core) dropRefused(u *unit, out *Actions) {
 	delete(c.units, u.grant.Unit)
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -43,6 +43,9 @@
 	Hold time.Duration
 	// Renewal is set if the target has accepted an earlier grant of the unit.
 	Renewal bool
+	// Process is the Reply.Process of the first call with the unit's epoch; 0 if
+	// there was none. Only that process may get the epoch.
+	Process uint64
 	// Token is the token that the previous owner's target returned on its
 	// release; empty if it is not known.
 	Token string
@@ -68,6 +71,9 @@
 	Unanswered
 	// Unsent means that the call was not sent.
 	Unsent
+	// OtherProcess means that the call was not sent, since the connections to the
+	// process that had the epoch are gone and the next ones may lead to another.
+	OtherProcess
 )
 
 // String returns the name used in logs.
@@ -81,6 +87,8 @@
 		return "unanswered"
 	case Unsent:
 		return "unsent"
+	case OtherProcess:
+		return "other_process"
 	}
 	return "unknown"
 }
@@ -202,4 +210,7 @@
 	Token string
 	// Statement is what the answer says of the target itself.
 	Statement targetstatus.Statement
+	// Process numbers the process of the target to which a grant was sent, as far as
+	// open connections prove that it is the same; 0 if the grant was not sent.
+	Process uint64
 }
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -382,3 +382,20 @@
 		must.True(t, m.held[s].After(now), must.Sprint("seed", seed, "slice", s))
 	}
 }
+
+func TestEpochIsBoundToProcessThatItWasSentTo(t *testing.T) {
+	c := New(DefaultConfig())
+	c.SetLease(start.Add(time.Minute))
+	c.SetOwned(start, permit(slice(0), 1))
+	out := tick(c, start)
+	must.Zero(t, out.Grants[0].Process)
+	c.SentTo(out.Grants[0].Unit, 7)
+	c.GrantAnswered(start, out.Grants[0].Unit, Unanswered, &out)
+	now := start.Add(c.cfg.Retry)
+	out = tick(c, now)
+	must.Eq(t, 7, out.Grants[0].Process)
+	c.GrantAnswered(now, out.Grants[0].Unit, OtherProcess, &out)
+	must.Eq(t, []SliceEpoch{{Slice: slice(0), Epoch: 1}}, out.Refused)
+	c.RequestRelease(now, slice(0), 1)
+	must.SliceEmpty(t, tick(c, now).Released, must.Sprint("the process may have taken the first call"))
+}
--- a/handover/target.go
+++ b/handover/target.go
@@ -7,9 +7,10 @@
 
 // RenounceAll renounces every slice that this session has not released, after the
 // instance of the target has ended or was replaced: another one may get them only
-// at a higher epoch. Each is released once its requests have ended. The leader receives the releases and
-// assigns owners again. Releases that no pack has acknowledged are sent again: the
-// instance may have ended before it gave the slice up.
+// at a higher epoch. Each is released once its requests have ended. The leader
+// receives the releases and assigns owners again. Releases that no pack has
+// acknowledged are sent again: the instance may have ended before it gave the slice
+// up.
 func (h *Holder) RenounceAll(now mono.Time) []Action {
 	h.out = nil
 	for _, r := range h.sorted(stateReleased) {
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -14,8 +14,8 @@
 )
 
 // grantState is the part of the routing loop that grants slices to a target
-// which tracks them itself (a GrantHolder). Its fields are nil for other
-// targets.
+// which tracks them itself (a GrantHolder). For other targets grantHolder and the
+// cores are nil.
 type grantState struct {
 	grantHolder GrantHolder
 	// instanceSeenAt is when this daemon first heard from the instance.
@@ -136,7 +136,7 @@
 	for _, release := range out.Releases {
 		go r.callRelease(r.callGrants, r.grantHolder, release)
 	}
-	r.finishReleases(out.Released)
+	r.finishReleases(now, out.Released)
 	for _, held := range out.Unexpected {
 		r.log.Event(event.HoldingUnexpected, "slice", held.Slice.String(), "epoch", held.Epoch, "instance", r.target.instance)
 	}
@@ -168,6 +168,7 @@
 	}
 	r.log.Event(id, "app", string(g.Range.App), "instance", r.target.instance, "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
 		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.reply.Answer.String())
+	r.callGrants.SentTo(g.Unit, w.reply.Process)
 	r.callGrants.GrantAnswered(now, g.Unit, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
 }
@@ -196,12 +197,12 @@
 
 // finishReleases reports to the leader the slices that the target has released.
 // Before that it sends the release tokens to the next owners.
-func (r *routingLoop) finishReleases(list []grant.ReleasedSlice) {
+func (r *routingLoop) finishReleases(now mono.Time, list []grant.ReleasedSlice) {
 	for _, e := range list {
 		r.releasedEpochs[e.Slice] = e.Epoch
 		r.log.Event(event.SliceReleased, "slice", e.Slice.String(), "epoch", e.Epoch)
 	}
-	for _, t := range r.collectTokens(list) {
+	for _, t := range r.collectTokens(now, list) {
 		r.sendToken(t.to, t.token)
 	}
 	for _, e := range list {
--- a/internal/daemon/routing_tokens.go
+++ b/internal/daemon/routing_tokens.go
@@ -6,6 +6,7 @@
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
+	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 // tokenDelivery is a token to be sent to a next owner.
@@ -16,13 +17,17 @@
 
 // collectTokens returns the tokens of released slices for their next owners.
 // Adjacent slices with the same next owner, epoch and token are joined into
-// one.
-func (r *routingLoop) collectTokens(list []grant.ReleasedSlice) []tokenDelivery {
+// one. Without a known next owner, this session may be it, and keeps the token.
+func (r *routingLoop) collectTokens(now mono.Time, list []grant.ReleasedSlice) []tokenDelivery {
 	var out []tokenDelivery
 	for _, e := range list {
 		to := r.nextOwners[e.Slice]
 		delete(r.nextOwners, e.Slice)
-		if to.IsZero() || e.Token == "" {
+		if e.Token == "" {
+			continue
+		}
+		if to.IsZero() {
+			r.granter.SetToken(now, e.Slice, e.Epoch+1, e.Token)
 			continue
 		}
 		if n := len(out); n > 0 && out[n-1].to == to && extendsToken(out[n-1].token, e) {
--- a/internal/daemon/target_replaced_test.go
+++ b/internal/daemon/target_replaced_test.go
@@ -183,3 +183,16 @@
 	h.r.executeHolder(h.now, h.r.holder.Tick(h.now))
 	must.SliceLen(t, 1, h.released)
 }
+
+func TestRefusedSliceThatComesBackIsGrantedWithItsToken(t *testing.T) {
+	h := newGrantHost(t, document.GrantsByCall)
+	must.Eq(t, []uint64{1}, h.grantEpochs())
+	h.r.executeHolder(h.now, h.r.holder.Renounce(h.now, h.slice, 1))
+	releaseAnswered{core: h.r.callGrants, release: grant.Release{Range: grant.Range{App: h.slice.App}, Epoch: 1}, reply: grant.Reply{Answer: grant.Accepted, Token: "warm"}}.handle(h.r, h.now)
+	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 2})
+	var out grant.Actions
+	h.r.callGrants.SetLease(h.now.Add(time.Minute))
+	h.r.callGrants.Tick(h.now, &out)
+	must.SliceLen(t, 1, out.Grants)
+	must.Eq(t, "warm", out.Grants[0].Token)
+}
