Count a release as final only when no late grant of an earlier daemon can follow

What callers could see: two servers hold a key (OWNER).

Cause: a daemon that starts beside a running server took an accepted release as proof that the server holds nothing. A grant of the earlier daemon that got no answer may be carried out after it. That the release's higher fence would stop it was an assumption (question 8 of docs/design/0007), which PROTOCOL does not promise for releases.

Change: within the time of an earlier daemon's grants a release counts at once only if the server has accepted a grant of this daemon, whose higher fence PROTOCOL does promise to be kept; else when the time is over. The token of the accepted call is kept. The tests of this series that demanded the release at once demand it after the time, and at once after an accepted grant.

--- a/grant/core.go
+++ b/grant/core.go
@@ -21,8 +21,8 @@
 	// dropped holds what the target may still hold of units that were given up.
 	dropped map[key.Slice]droppedGrant
 	// Until unknownUntil the target may hold any slice of which this Core does not
-	// know. An accepted release shows that it does not. Once the instance has
-	// answered a call, that time ends at unknownOnceHeard, if that is earlier.
+	// know. Once the instance has answered a call, that time ends at
+	// unknownOnceHeard, if that is earlier.
 	unknownUntil     mono.Time
 	unknownOnceHeard mono.Time
 }
@@ -50,11 +50,13 @@
 }
 
 // pendingRelease is a slice whose release the session has requested. While a call is
-// pending, callEpoch is its epoch.
+// pending, callEpoch is its epoch. The token is that of an accepted call after which
+// an earlier grant may still take effect.
 type pendingRelease struct {
 	epoch     uint64
 	calling   bool
 	callEpoch uint64
+	token     string
 	due       mono.Time
 }
 
--- a/grant/release.go
+++ b/grant/release.go
@@ -26,7 +26,7 @@
 		case u != nil && u.calling:
 			// Wait for the answer to the grant.
 		case !now.Before(until):
-			c.finishRelease(d.Slice, "", out)
+			c.finishRelease(d.Slice, c.releasing[d.Slice].token, out)
 		case u == nil:
 			c.addRelease(d.Slice, d.Epoch, out)
 		default:
@@ -73,8 +73,8 @@
 
 // ReleaseAnswered handles the answer to a release. A grant whose answer was lost
 // may still arrive after the release, so its slices count as held until that
-// grant would have expired. An accepted release also ends what an earlier daemon
-// granted: it carries a higher epoch.
+// grant would have expired. That holds also for grants of an earlier daemon, unless
+// the target has accepted a higher epoch since, at which it refuses them.
 func (c *Core) ReleaseAnswered(now mono.Time, r Release, token string, a Answer, out *Actions) {
 	c.heard(a)
 	for id := r.Range.First; id <= r.Range.Last; id++ {
@@ -84,19 +84,27 @@
 			continue
 		}
 		until, unanswered := c.mayHold(s)
-		if a == Accepted && !unanswered || !now.Before(until) {
+		lateGrant := unanswered || now.Before(c.unknownUntil) && !c.hasAccepted(s)
+		if a == Accepted && !lateGrant || !now.Before(until) {
 			c.finishRelease(s, token, out)
 			continue
 		}
 		p.calling = false
 		p.due = now.Add(c.cfg.Retry)
 		if a == Accepted {
-			p.due = until
+			p.due, p.token = until, token
 		}
 		c.releasing[s] = p
 	}
 }
 
+// hasAccepted reports whether the target has accepted a grant of a slice from this
+// Core.
+func (c *Core) hasAccepted(s key.Slice) bool {
+	u := c.unitOf(s)
+	return u != nil && u.grant.Renewal
+}
+
 // finishRelease reports a slice as released and removes it from its unit. It must
 // be called only when the target certainly does not hold the slice.
 func (c *Core) finishRelease(s key.Slice, token string, out *Actions) {
--- a/internal/daemon/target_replaced_test.go
+++ b/internal/daemon/target_replaced_test.go
@@ -66,6 +66,7 @@
 
 func TestTargetThatListensNoMoreKeepsSlicesOfItsRuns(t *testing.T) {
 	h := newGrantHost(t, document.GrantsByCall)
+	must.Eq(t, []uint64{1}, h.grantEpochs())
 	h.run()
 	h.r.executeHolder(h.now, h.r.holder.Renounce(h.now, h.slice, 1))
 	targetProbed{instance: 1}.handle(h.r, h.now)
@@ -83,6 +84,7 @@
 	must.Eq(t, []uint64{1}, h.grantEpochs())
 	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 1, Next: host.Session{Host: "h2", Incarnation: 1}})
 	must.SliceEmpty(t, h.released, must.Sprint("the target has not answered"))
+	h.now = h.now.Add(earlierGrantsLast)
 	h.announce(2)
 	must.SliceEmpty(t, h.released, must.Sprint("nor has the next instance"))
 	h.answerRelease(grant.Accepted)
@@ -109,6 +111,7 @@
 
 func TestTargetThatRefusedConnectionsIsGrantedTheNextEpoch(t *testing.T) {
 	h := newGrantHost(t, document.GrantsByCall)
+	must.Eq(t, []uint64{1}, h.grantEpochs())
 	targetProbed{instance: 1}.handle(h.r, h.now)
 	h.answerRelease(grant.Accepted)
 	must.SliceLen(t, 1, h.released)
