--- a/placement/successor_test.go
+++ b/placement/successor_test.go
@@ -60,6 +60,7 @@
 func TestSupersededSlicesGoToSuccessorWhateverItsInstance(t *testing.T) {
 	f, superseded, successor := newSupersededFleet(t)
 	count := f.ownedSlices(superseded)
+	f.slots = 1 // The successor would be the last choice by load.
 	f.recordSession(successor, session.Live, secondInstance, false)
 	f.tickUntilIdle()
 	must.Eq(t, count, f.ownedSlices(successor))
