--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,6 +15,7 @@
 type play func(f *fleet, trouble bool) (int, error)
 
 var cases = map[string]play{
+	"large-body":  playLargeBody,
 	"late-copy":   playLateCopy,
 	"second-life": playSecondLife,
 	"store-drill": playStoreDrill,
