--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]play{
 	"large-body":  playLargeBody,
 	"late-copy":   playLateCopy,
+	"lost-leave":  playLostLeave,
 	"second-life": playSecondLife,
 	"store-drill": playStoreDrill,
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -52,6 +52,21 @@
 	return append([]*run(nil), l.runs[id]...)
 }
 
+// runsAt returns the runs at a server.
+func (l *ledger) runsAt(server string) []*run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*run
+	for _, runs := range l.runs {
+		for _, r := range runs {
+			if r.server == server {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
 // keyHold is what a server holds of one key.
 type keyHold struct {
 	fence uint64
@@ -466,5 +481,7 @@
 	for c := range s.conns {
 		_ = c.Close()
 	}
-	s.owners.released(s.lifeName(), 0, shardKeys-1, time.Now())
+	if s.owners != nil {
+		s.owners.released(s.lifeName(), 0, shardKeys-1, time.Now())
+	}
 }
