Keep the copies of case 2 within the length that the site allows

The copies and the refusals come in spells of 5 s with 3 s between them; they ran for 75 s without a pause before, where the site's entry has 5 s.

--- a/review/harness/latecopy.go
+++ b/review/harness/latecopy.go
@@ -7,35 +7,46 @@
 	"time"
 )
 
-// Shares of the disruption, both at or below those of the site's days.
+// The disruptions come in spells, each within what the site allows for one entry.
 const (
-	refusedShare = 0.20 // srv_grey, how shed: 0.45 at most in the troubles of the site.
-	copiedShare  = 0.03 // garble, how "extra late": x 0.03.
+	refusedShare = 0.30            // srv_grey, how shed: x 0.45, for 6.5 s.
+	copiedShare  = 0.03            // garble, how "extra late": x 0.03, for 5.0 s.
+	spell        = 5 * time.Second // Of both.
+	pause        = 3 * time.Second
+	pressLength  = 96 * time.Second
 )
 
 // playLateCopy lets the only server of a service refuse some requests without
 // running them, and send some of its answers a second time, where the next
 // response is expected.
 func playLateCopy(f *fleet, trouble bool) (int, error) {
-	m, err := f.add("kapari", func(s *server) {
+	begin := time.Now()
+	inSpell := func() bool { return time.Since(begin)%(spell+pause) < spell }
+	_, err := f.add("kapari", func(s *server) {
 		s.work = 40 * time.Millisecond
 		rnd := rand.New(rand.NewPCG(1, 2))
 		var mu sync.Mutex
 		chance := func(share float64) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			return rnd.Float64() < share
+			return rnd.Float64() < share && inSpell()
+		}
+		s.refuse = func(id string) bool {
+			refused := chance(refusedShare)
+			if refused {
+				s.rec.line("server %s refuses %s without running it", s.name, id)
+			}
+			return refused
 		}
-		s.refuse = func(string) bool { return chance(refusedShare) }
 		if !trouble {
 			return
 		}
 		s.arrived = func(c *serverConn, id string) {
-			if c.pending != nil {
+			if c.pending != nil && inSpell() {
 				s.rec.line("server %s sends an earlier answer again, where the response to %s is expected", s.name, id)
 				write(c, string(c.pending))
-				c.pending = nil
 			}
+			c.pending = nil
 		}
 		s.answer = func(c *serverConn, _ *http.Request, _ string, head, body []byte) bool {
 			if chance(copiedShare) {
@@ -58,8 +69,7 @@
 		return 0, err
 	}
 	time.Sleep(3 * time.Second)
-	_ = m
-	return f.pressUnsafe(75 * time.Second), nil
+	return f.pressUnsafe(pressLength), nil
 }
 
 // pressUnsafe sends deposits for a while and returns how many were refused as not
