Freeze one of ten machines in case 5

One of six was a share of 0.17, where the limit is 0.1; one of four servers of the service leaves now, 0.25.

--- a/review/harness/lostleave.go
+++ b/review/harness/lostleave.go
@@ -18,7 +18,7 @@
 // playLostLeave freezes the sidecar of one machine after the other. Soon after it
 // has woken up, the server beside it deregisters, serves on and exits.
 func playLostLeave(f *fleet, trouble bool) (int, error) {
-	for _, service := range []string{"kapari", "kapari", "kapari", "samari", "samari", "samari"} {
+	for _, service := range []string{"kapari", "kapari", "kapari", "kapari", "samari", "samari", "samari", "samari", "samari", "samari"} {
 		if _, err := f.add(service, func(*server) {}); err != nil {
 			return 0, err
 		}
@@ -35,7 +35,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
-	for _, m := range f.machines[3:] {
+	for _, m := range f.machines[4:] {
 		go f.pressDeposits(m, stop)
 	}
 	late := 0
