--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -287,6 +287,9 @@
 	return err
 }
 
+// post sends a message other than a request and returns the body of the answer.
+// Each goes out on a connection of its own: its answer names no request, so that
+// a second copy of an earlier answer could not be told from it.
 func (c *Client) post(path string, body []byte, wait time.Duration) ([]byte, error) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
@@ -295,6 +298,7 @@
 	req.SetRequestURI("http://" + c.address + path)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
+	req.SetConnectionClose()
 	req.SetBody(body)
 	if err := c.controlClient.DoTimeout(req, resp, wait); err != nil {
 		return nil, err
--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -1,7 +1,11 @@
 package targetclient_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +98,43 @@
 	})
 	must.Eq(t, targetclient.AnswerTooLarge, client.Do(newCall(3, 2, bootclock.Now())).Verdict)
 }
+
+// A second copy of the answer to a cancellation must not pass for the answer to the
+// next one: the caller would be told "not run" of a request that runs.
+func TestCopyOfCancelAnswerIsNotTheAnswerToTheNext(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerCancelsWithCopies(conn)
+		}
+	}()
+	client := targetclient.New(ln.Addr().String(), 1)
+	must.True(t, client.Cancel("stopped", 1, time.Second))
+	must.False(t, client.Cancel("running", 2, time.Second))
+}
+
+// answerCancelsWithCopies says that it has stopped the run of the request "stopped"
+// only, and sends each answer again in front of the next one.
+func answerCancelsWithCopies(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	earlier := ""
+	for {
+		var req fasthttp.Request
+		if req.Read(reader) != nil {
+			return
+		}
+		body := fmt.Sprintf(`{"stopped":%t}`, strings.Contains(string(req.Body()), `"stopped"`))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if _, err := io.WriteString(conn, earlier+answer); err != nil {
+			return
+		}
+		earlier = answer
+	}
+}
