Keep confirmed departures across the sessions of a process

Cause: a freeze ends the session, and the process goes on with a new daemon.Daemon. Departures, the target's instances and what it said of itself were fields of the Daemon that had confirmed them; the next heartbeat said "ready", and the next session offered the server again.

Ruled out: requests to the lost session (nothing is sent to it once it is recorded lost); a heartbeat that revokes the departure within one daemon.

Change: daemon.Process keeps what a process has promised or seen in force, and daemons are made from a Process only: departures, announced drains, instances with their sequences, limits, the document in force, the last incarnation.

--- a/cmd/rhubarb-sidecar/main.go
+++ b/cmd/rhubarb-sidecar/main.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	p := &process{settingsPath: path, settings: s, level: level, stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	p := &process{settingsPath: path, settings: s, daemons: daemon.NewProcess(s.Daemon), level: level, stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(p.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(p.reload, syscall.SIGHUP)
 	for {
@@ -76,10 +76,12 @@
 	}
 }
 
-// process is the state that outlives a session.
+// process is the state that outlives a session. What a daemon must know of the
+// sessions before it is in daemons.
 type process struct {
 	settingsPath string
 	settings     *platform.Settings
+	daemons      *daemon.Process
 	level        event.Level
 	stop         chan os.Signal // SIGTERM and SIGINT: stop.
 	reload       chan os.Signal // SIGHUP: read the settings again.
@@ -96,7 +98,7 @@
 		log.Event(event.BadObject, "object", object, "cause", err.Error())
 	}
 	store := platform.NewStore(s, reportBadObject)
-	d := daemon.New(s.Daemon, log, registry,
+	d := daemon.New(p.daemons, log, registry,
 		daemon.WithStore(store),
 		daemon.WithProtocol(platform.NewCallerProtocol(s)),
 		daemon.WithTargetFactory(func(a control.Announcement) daemon.Target {
--- a/cmd/rhubarbd/main.go
+++ b/cmd/rhubarbd/main.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/daemon"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
 	"github.com/rhubarbring/rhubarbring/internal/profile"
@@ -82,10 +83,11 @@
 		}
 		defer profiles.Close()
 	}
+	process := daemon.NewProcess(s)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	for {
-		restart, err := runSession(s, out, level, signals)
+		restart, err := runSession(process, s.Host, out, level, signals)
 		if err != nil || !restart {
 			return err
 		}
@@ -94,11 +96,11 @@
 
 // runSession runs the daemon for one session. It returns true if the session
 // ended without a signal, so that a new session must be started.
-func runSession(s *settings.Daemon, out io.Writer, level event.Level, signals <-chan os.Signal) (bool, error) {
+func runSession(p *daemon.Process, name host.ID, out io.Writer, level event.Level, signals <-chan os.Signal) (bool, error) {
 	registry := metrics.NewRegistry()
-	log := eventlog.New(out, level, s.Host, registry)
+	log := eventlog.New(out, level, name, registry)
 	defer log.Close()
-	d := daemon.New(s, log, registry)
+	d := daemon.New(p, log, registry)
 	if err := d.Start(); err != nil {
 		return false, err
 	}
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/rhubarbring/rhubarbring/grant"
-	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -15,17 +14,12 @@
 // announcement has no effect. The report says what the target holds of the slices
 // that it is granted with heartbeats; the answer, what it is to hold.
 func (d *Daemon) HandleAnnouncement(a control.Announcement, report grant.Report) (grant.HeartbeatAnswer, error) {
-	d.targetMu.Lock()
-	defer d.targetMu.Unlock()
-	announced := targetinstance.Announcement{ID: a.InstanceName, StartedMs: a.StartedMs, Sequence: a.Sequence}
-	if d.targetTracker.Observe(bootclock.Now(), announced) == targetinstance.Stale {
+	d.announceMu.Lock()
+	defer d.announceMu.Unlock()
+	a, ok := d.process.observeAnnouncement(a)
+	if !ok {
 		return grant.HeartbeatAnswer{}, nil
 	}
-	if d.targetTracker.Leaving() {
-		a.State = control.StateDraining
-	}
-	a.Instance = instanceNumber(a)
-	d.lastAnnounced = a
 	if _, err := d.Announce(a); err != nil {
 		return grant.HeartbeatAnswer{}, err
 	}
@@ -40,14 +34,15 @@
 
 // TargetLeaving reports that an instance of the target is about to end. It gets
 // no more work, and its slices move to other daemons, as if it had announced
-// that it is draining. A late report of an earlier instance is refused.
+// that it is draining. That holds for the next sessions of the process as well,
+// also if this one is over. A late report of an earlier instance is refused.
 func (d *Daemon) TargetLeaving(departure targetinstance.Departure) error {
-	d.targetMu.Lock()
-	defer d.targetMu.Unlock()
-	if !d.targetTracker.MarkLeaving(departure) {
+	d.announceMu.Lock()
+	defer d.announceMu.Unlock()
+	a, ok := d.process.markLeaving(departure)
+	if !ok {
 		return &result.Error{Code: result.TargetUnavailable, Field: departure.ID, Detail: "this instance of the target is not the current one"}
 	}
-	d.lastAnnounced.State = control.StateDraining
-	_, err := d.Announce(d.lastAnnounced)
+	_, err := d.Announce(a)
 	return err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,7 +38,6 @@
 	"github.com/rhubarbring/rhubarbring/retry"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/spread"
-	"github.com/rhubarbring/rhubarbring/targetinstance"
 	"github.com/rhubarbring/rhubarbring/targetstatus"
 )
 
@@ -57,6 +56,7 @@
 // Daemon runs for the time of one session. A process whose session ended goes
 // on with a new Daemon.
 type Daemon struct {
+	process  *Process
 	settings *settings.Daemon
 	self     host.Session
 	log      *eventlog.Log
@@ -79,10 +79,8 @@
 	control      *control.Server
 	metrics      *control.MetricsServer // nil without a metrics address in the settings
 
-	// targetMu guards targetTracker and lastAnnounced.
-	targetMu      sync.Mutex
-	targetTracker targetinstance.Tracker
-	lastAnnounced control.Announcement
+	// announceMu orders what the target says of itself.
+	announceMu sync.Mutex
 
 	// recordMu orders the changes of the target's part of the session record.
 	recordMu        sync.Mutex
@@ -118,15 +116,17 @@
 	return func(d *Daemon) { d.targets = targets }
 }
 
-// New returns a daemon that has not been started.
-func New(s *settings.Daemon, log *eventlog.Log, registry metrics.Registry, options ...Option) *Daemon {
+// New returns a daemon for the next session of a process. It has not been started.
+func New(p *Process, log *eventlog.Log, registry metrics.Registry, options ...Option) *Daemon {
+	s := p.settings
 	d := &Daemon{
+		process:      p,
 		settings:     s,
-		self:         host.Session{Host: s.Host, Incarnation: uint64(time.Now().UnixNano())},
+		self:         host.Session{Host: s.Host, Incarnation: p.nextIncarnation(time.Now().UnixNano())},
 		log:          log,
 		registry:     registry,
 		dial:         peer.DialTCP,
-		fleet:        newFleet(),
+		fleet:        newFleet(&p.document),
 		zoneActivity: &zoneActivity{at: make(map[string]mono.Time), clock: bootclock.Now},
 	}
 	for _, option := range options {
@@ -194,10 +194,22 @@
 	d.placement.start()
 	d.spread.start()
 	d.risk.start()
+	d.applyEarlierDocument()
 	d.log.Event(event.Started, "zone", string(d.settings.Zone), "incarnation", d.self.Incarnation)
 	return nil
 }
 
+// applyEarlierDocument puts the document in force that the process had in force
+// before this session, if any. The daemon is not ready before it has caught up.
+func (d *Daemon) applyEarlierDocument() {
+	earlier := d.fleet.document.Load()
+	if earlier == nil {
+		return
+	}
+	d.routing.ring.PushWait(documentChanged{document: earlier.document}, d.routing.stop)
+	d.placement.pushWait(appsChanged{apps: placementApps(earlier.stored, earlier.document)})
+}
+
 // createLoops creates the loops and connects them with each other. Start starts
 // them.
 func (d *Daemon) createLoops() {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -23,7 +23,8 @@
 	// bootstrap holds session records that a peer sent before the daemon had
 	// caught up. They serve only to look up peer addresses.
 	bootstrap atomic.Pointer[[]session.Record]
-	document  atomic.Pointer[documentInForce]
+	// document is shared with the process, so that none goes back with a session.
+	document *atomic.Pointer[documentInForce]
 	// refusedVersion is the highest version of the document that this daemon
 	// could not put in force, or 0.
 	refusedVersion atomic.Uint64
@@ -43,8 +44,8 @@
 	routes   *routes.Table
 }
 
-func newFleet() *fleet {
-	f := &fleet{}
+func newFleet(document *atomic.Pointer[documentInForce]) *fleet {
+	f := &fleet{document: document}
 	f.sessions.Store(&sessionDirectory{records: map[host.Session]session.VersionedRecord{}})
 	return f
 }
--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -54,7 +54,7 @@
 	registry := metrics.NewRegistry()
 	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
 	t.Cleanup(log.Close)
-	d := New(s, log, registry, WithTargetFactory(func(a control.Announcement) Target { return &blockedTarget{address: a.Address} }))
+	d := New(NewProcess(s), log, registry, WithTargetFactory(func(a control.Announcement) Target { return &blockedTarget{address: a.Address} }))
 	d.createLoops()
 	h := &grantHost{t: t, r: d.routing, now: bootclock.Now(), slice: key.Slice{App: "katalog"}, daemon: d, registry: registry}
 	h.r.onReleased = func(rel handover.Release) { h.released = append(h.released, rel) }
--- a/internal/daemon/pair_test.go
+++ b/internal/daemon/pair_test.go
@@ -118,7 +118,7 @@
 	}
 	registry := metrics.NewRegistry()
 	address := freeAddress(t)
-	d := New(&settings.Daemon{Host: name, Region: "pampa-norte", Zone: "pampa-norte-1", Environment: "trial", PeerAddress: address, StoreAddress: "127.0.0.1:1", Seed: 1},
+	d := New(NewProcess(&settings.Daemon{Host: name, Region: "pampa-norte", Zone: "pampa-norte-1", Environment: "trial", PeerAddress: address, StoreAddress: "127.0.0.1:1", Seed: 1}),
 		eventlog.New(out, level, name, registry), registry)
 	d.createLoops()
 	d.routing.onReleased = p.reassign
--- a/internal/daemon/routing_confirm_test.go
+++ b/internal/daemon/routing_confirm_test.go
@@ -28,7 +28,7 @@
 	registry := metrics.NewRegistry()
 	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
 	defer log.Close()
-	d := New(s, log, registry)
+	d := New(NewProcess(s), log, registry)
 	d.createLoops()
 	r := d.routing
 	var released []handover.Release
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -58,6 +58,7 @@
 // Both roles need the map of owners, so one loop has both and keeps a single
 // copy of the map.
 type routingLoop struct {
+	process  *Process
 	self     host.Session
 	place    host.Place
 	fleet    *fleet
@@ -199,6 +200,7 @@
 
 func newRoutingLoop(d *Daemon, cfg request.Config, holderConfig handover.Config, registry metrics.Registry) *routingLoop {
 	r := &routingLoop{
+		process:        d.process,
 		self:           d.self,
 		place:          d.place(),
 		fleet:          d.fleet,
@@ -238,6 +240,9 @@
 	cfg.Quarantine = r.quarantine
 	r.router = request.NewRouter(cfg)
 	r.metrics = newRoutingMetrics(registry)
+	for _, report := range d.process.rememberedStatuses() {
+		r.targetStatus.Reported(report)
+	}
 	return r
 }
 
--- a/internal/daemon/routing_status.go
+++ b/internal/daemon/routing_status.go
@@ -60,6 +60,7 @@
 		r.gate.TargetLeaving(now, r.leavingSince(now), &r.gateActions)
 		r.onTargetLeaving(r.target.instance)
 	}
+	r.process.rememberStatus(r.targetStatus.Report(r.self.Host))
 	r.onTargetStatus(r.statusReport(now))
 }
 
--- a/internal/daemon/state_bench_test.go
+++ b/internal/daemon/state_bench_test.go
@@ -65,7 +65,7 @@
 	s := &settings.Daemon{Host: "bench", Region: "r0", Zone: "z0", Environment: "trial", StoreAddress: "127.0.0.1:1"}
 	log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
 	b.Cleanup(log.Close)
-	d := New(s, log, registry)
+	d := New(NewProcess(s), log, registry)
 	d.createLoops()
 	return d
 }
--- a/internal/daemon/written_test.go
+++ b/internal/daemon/written_test.go
@@ -26,7 +26,7 @@
 		registry := metrics.NewRegistry()
 		log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
 		t.Cleanup(log.Close)
-		d := New(s, log, registry)
+		d := New(NewProcess(s), log, registry)
 		d.createLoops()
 		var records []session.VersionedRecord
 		for i := range hosts {
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -22,10 +22,11 @@
 	app      string
 	target   *target
 
-	mu     sync.Mutex
-	daemon *daemon.Daemon
-	log    *eventlog.Log
-	down   bool
+	mu      sync.Mutex
+	daemon  *daemon.Daemon
+	process *daemon.Process
+	log     *eventlog.Log
+	down    bool
 	// exit is closed when the process must end. sessionEnded is true while the
 	// daemon of an ended session is being replaced by that of a new one.
 	exit         chan struct{}
@@ -41,6 +42,7 @@
 	h.mu.Lock()
 	h.exit = make(chan struct{})
 	h.down, h.sessionEnded = false, false
+	h.process = daemon.NewProcess(&h.settings)
 	exit := h.exit
 	h.mu.Unlock()
 	d := h.startSession()
@@ -51,8 +53,7 @@
 func (h *node) startSession() *daemon.Daemon {
 	registry := metrics.NewRegistry()
 	log := eventlog.New(&h.f.log, event.Info, h.settings.Host, registry)
-	s := h.settings
-	d := daemon.New(&s, log, registry, daemon.WithDial(h.f.net.dial(h.name())))
+	d := daemon.New(h.process, log, registry, daemon.WithDial(h.f.net.dial(h.name())))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err := d.Start(); err != nil {
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -209,7 +209,7 @@
 		registry := metrics.NewRegistry()
 		s := f.settings(i)
 		log := eventlog.New(io.Discard, event.Warn, s.Host, registry)
-		d := daemon.New(s, log, registry)
+		d := daemon.New(daemon.NewProcess(s), log, registry)
 		if err := d.Start(); err != nil {
 			return err
 		}
