Keep the client of the store and the watch of the settings for the whole process

After the end of a session the process went on with a new client of the store, made from the settings of its start, so that a changed address of the store was forgotten. Each session began a watch of the settings file with the content that it then had, so that a change between two sessions, or between the first reading and the watch, was never noticed.

Change: rhubarb-sidecar has one client of the store, which so keeps the eras that it has seen too, and one watch, which begins with the content that was loaded.

--- a/cmd/rhubarb-sidecar/main.go
+++ b/cmd/rhubarb-sidecar/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -65,9 +66,12 @@
 	if err != nil {
 		return err
 	}
-	p := &process{settingsPath: path, settings: s, daemons: daemon.NewProcess(s.Daemon), level: level, stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	p := newProcess(path, s, level)
 	signal.Notify(p.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(p.reload, syscall.SIGHUP)
+	done := make(chan struct{})
+	defer close(done)
+	go p.watchSettings(done)
 	for {
 		restart, err := p.runSession()
 		if err != nil || !restart {
@@ -80,11 +84,30 @@
 // sessions before it is in daemons.
 type process struct {
 	settingsPath string
-	settings     *platform.Settings
+	settings     *platform.Settings // As read at the start.
 	daemons      *daemon.Process
+	store        *platform.Store // Follows the settings as they change.
 	level        event.Level
-	stop         chan os.Signal // SIGTERM and SIGINT: stop.
-	reload       chan os.Signal // SIGHUP: read the settings again.
+	log          atomic.Pointer[eventlog.Log] // Of the session that runs, or ran last.
+	stop         chan os.Signal               // SIGTERM and SIGINT: stop.
+	reload       chan os.Signal               // SIGHUP: read the settings again.
+}
+
+func newProcess(path string, s *platform.Settings, level event.Level) *process {
+	p := &process{settingsPath: path, settings: s, daemons: daemon.NewProcess(s.Daemon), level: level, stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	p.store = platform.NewStore(s, p.reportBadObject)
+	return p
+}
+
+// event logs an event. Between two sessions, events are not logged.
+func (p *process) event(id event.ID, fields ...any) {
+	if log := p.log.Load(); log != nil {
+		log.Event(id, fields...)
+	}
+}
+
+func (p *process) reportBadObject(object string, err error) {
+	p.event(event.BadObject, "object", object, "cause", err.Error())
 }
 
 // runSession runs the daemon for one session. It returns true if the session
@@ -94,12 +117,9 @@
 	registry := metrics.NewRegistry()
 	log := eventlog.New(os.Stdout, p.level, s.Daemon.Host, registry)
 	defer log.Close()
-	reportBadObject := func(object string, err error) {
-		log.Event(event.BadObject, "object", object, "cause", err.Error())
-	}
-	store := platform.NewStore(s, reportBadObject)
+	p.log.Store(log)
 	d := daemon.New(p.daemons, log, registry,
-		daemon.WithStore(store),
+		daemon.WithStore(p.store),
 		daemon.WithProtocol(platform.NewCallerProtocol(s)),
 		daemon.WithTargetFactory(func(a control.Announcement) daemon.Target {
 			return platform.NewTarget(a, s.App.Slices)
@@ -107,15 +127,12 @@
 	if err := d.Start(); err != nil {
 		return false, err
 	}
-	server := platform.NewServer(s, d, reportBadObject)
+	server := platform.NewServer(s, d, p.reportBadObject)
 	if err := server.Start(); err != nil {
 		d.Close()
 		return false, err
 	}
 	defer server.Stop()
-	done := make(chan struct{})
-	defer close(done)
-	go p.watchSettings(log, store, done)
 	select {
 	case <-p.stop:
 		d.Stop()
@@ -128,13 +145,13 @@
 
 // watchSettings applies changed settings until done is closed. Only the store
 // client uses them without a restart.
-func (p *process) watchSettings(log *eventlog.Log, store *platform.Store, done <-chan struct{}) {
+func (p *process) watchSettings(done <-chan struct{}) {
 	changed := func(next *platform.Settings) {
 		restart := strings.Join(p.settings.NeedsRestart(next), " ")
-		log.Event(event.SettingsReloaded, "store", next.Daemon.StoreAddress, "needs_restart", restart)
-		store.Reload(next)
+		p.event(event.SettingsReloaded, "store", next.Daemon.StoreAddress, "needs_restart", restart)
+		p.store.Reload(next)
 	}
-	platform.WatchSettings(p.settingsPath, p.reload, done, changed, func(err error) {
-		log.Event(event.SettingsRefused, "cause", err.Error())
+	platform.WatchSettings(p.settingsPath, p.settings, p.reload, done, changed, func(err error) {
+		p.event(event.SettingsRefused, "cause", err.Error())
 	})
 }
