Let holders see restored entries in time; ask the store before a session counts as lost

A relay's watch of the packs waits for up to 10 s. If the store leaves it waiting over a restore, a holder sees the restored entry later than the leader allows for, and another session may get its slice. The bound is 3 s from the leader's first sight, in place of 2.

Now the store must say that there is no record.

--- a/internal/daemon/placement_tasks.go
+++ b/internal/daemon/placement_tasks.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/restore"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/targetstatus"
@@ -90,6 +91,10 @@
 		p.observeLeader(now, w.answer, found)
 		return
 	}
+	if w.read.Kind == session.ObjectKind {
+		p.observeSession(now, w.read.Name, w.answer.object, found)
+		return
+	}
 	if found {
 		p.observePack(now, w.answer.object)
 		return
@@ -110,15 +115,40 @@
 	p.step(now, seen)
 }
 
+func (p *placementLoop) observeSession(now mono.Time, name string, object objectstore.Object, found bool) {
+	id, ok := session.ParseObjectName(name)
+	if !ok {
+		return
+	}
+	if !found {
+		p.step(now, placement.SessionMissing{Session: id})
+		return
+	}
+	if record, err := session.Decode(object.Value); err == nil {
+		p.step(now, placement.SessionObserved{Record: record, Version: object.Version})
+	}
+}
+
 func (p *placementLoop) observePack(now mono.Time, object objectstore.Object) {
 	pack, err := assignment.Decode(object.Value)
 	if err != nil {
 		p.log.Event(event.BadObject, "object", object.Kind+"/"+object.Name, "cause", err.Error())
 		return
 	}
+	p.spreadRestored(object)
 	p.step(now, placement.PackObserved{Pack: pack, Version: object.Version})
 }
 
+// spreadRestored passes a pack that this daemon has read on as if it had written it,
+// if the store has come back from a copy. Holders that do not know of that yet must
+// see its entries within restore.NoticeTime of the leader. What they have seen
+// already is not sent again.
+func (p *placementLoop) spreadRestored(object objectstore.Object) {
+	if restore.VersionOf(object.Version).Era > 0 {
+		p.store.onWritten(object)
+	}
+}
+
 func (w storeSynced) handle(p *placementLoop, now mono.Time) {
 	for _, object := range w.sessions {
 		if record, err := session.Decode(object.Value); err == nil {
--- a/placement/core.go
+++ b/placement/core.go
@@ -105,6 +105,8 @@
 		}
 	case SessionDeleted:
 		c.fleet.recordDeleted(now, ev.Session)
+	case SessionMissing:
+		c.fleet.endRecordless(now, ev.Session)
 	case LeaderObserved:
 		c.leaderObserved(now, ev)
 	case ListingComplete:
@@ -155,7 +157,7 @@
 }
 
 func (c *Core) tick(now mono.Time) {
-	c.fleet.endRecordless(now)
+	c.readRecordless(now)
 	c.tickLeadership(now)
 	if now.Sub(c.departuresPrunedAt) > departureRetention {
 		c.departuresPrunedAt = now
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -80,14 +80,14 @@
 	// was last reported.
 	leaving map[uint64]mono.Time
 	// recordless holds the sessions that have not ended and whose records the store
-	// lost when it came back from a copy, and since when that is known.
-	recordless map[host.Session]mono.Time
+	// lost when it came back from a copy.
+	recordless map[host.Session]recordlessSession
 	listed     bool
 	generation uint64 // Increases with each change that concerns placement.
 }
 
 func newFleet() fleet {
-	return fleet{hosts: make(map[host.ID]*hostInfo), earlier: make(map[host.Session]*hostInfo), departures: make(map[host.Session]departure), leaving: make(map[uint64]mono.Time), recordless: make(map[host.Session]mono.Time)}
+	return fleet{hosts: make(map[host.ID]*hostInfo), earlier: make(map[host.Session]*hostInfo), departures: make(map[host.Session]departure), leaving: make(map[uint64]mono.Time), recordless: make(map[host.Session]recordlessSession)}
 }
 
 // observe records a session record unless the same or a later version is known.
--- a/placement/model_invariants_test.go
+++ b/placement/model_invariants_test.go
@@ -100,6 +100,10 @@
 func (m *model) checkServed() {
 	for name, versions := range m.packs {
 		p := versions[len(versions)-1].pack
+		if p == nil {
+			m.fail("%s: the store has lost the pack, and nobody has written it again", name)
+			return
+		}
 		for _, k := range m.keys {
 			id := key.SliceOf(m.app.Name, k, m.app.Slices).ID
 			for _, c := range p.CarveOuts() {
--- a/placement/model_restore_test.go
+++ b/placement/model_restore_test.go
@@ -61,6 +61,18 @@
 	m.stepLeader(l, PackObserved{Pack: v.pack, Version: v.version})
 }
 
+// readRecord answers a leader's read of a session record.
+func (m *model) readRecord(l *modelLeader, name string) {
+	id, _ := session.ParseObjectName(name)
+	for _, r := range slices.Backward(m.records[id.Host]) {
+		if r.record.Session == id {
+			m.stepLeader(l, SessionObserved{Record: r.record, Version: r.version})
+			return
+		}
+	}
+	m.stepLeader(l, SessionMissing{Session: id})
+}
+
 // showRestored shows the newest packs to a leader, as relays do after a restore.
 func (m *model) showRestored(l *modelLeader) {
 	if !m.restores.enabled {
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -254,6 +254,10 @@
 		m.stepLeader(l, LeaderObserved{Leader: m.leader, Version: m.version})
 		return
 	}
+	if a.Kind == session.ObjectKind {
+		m.readRecord(l, a.Name)
+		return
+	}
 	if faults && m.intn(4) == 0 {
 		return
 	}
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -70,7 +70,7 @@
 // out of date, unless the store has come back from a copy since.
 func (c *Core) packMissing(now mono.Time, ev PackMissing) {
 	a, p := c.findPack(ev.App, ev.First)
-	if p == nil || p.version != 0 && ev.Version <= p.version {
+	if p == nil || ev.Version < p.version {
 		return
 	}
 	c.observePack(now, a, p, assignment.NewPack(ev.App, a.params.Slices, ev.First), ev.Version)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -158,6 +158,9 @@
 // SessionDeleted says that the store no longer has the record of a session.
 type SessionDeleted struct{ Session host.Session }
 
+// SessionMissing is the answer to a Read of a record that the store does not have.
+type SessionMissing struct{ Session host.Session }
+
 // PackObserved holds a pack as read from the store or from a relay. A leader needs
 // every pack of every app, a follower none. The pack must not be modified
 // afterwards; other goroutines may continue to read it.
@@ -229,6 +232,7 @@
 func (AppsChanged) isEvent()      {}
 func (SessionObserved) isEvent()  {}
 func (SessionDeleted) isEvent()   {}
+func (SessionMissing) isEvent()   {}
 func (PackObserved) isEvent()     {}
 func (PackMissing) isEvent()      {}
 func (LeaderObserved) isEvent()   {}
@@ -255,8 +259,8 @@
 	Moves []Move
 }
 
-// Read requests an object. The answer is a PackObserved, PackMissing or
-// LeaderObserved event; a failed read needs no answer.
+// Read requests an object. The answer is a PackObserved, PackMissing, LeaderObserved,
+// SessionObserved or SessionMissing event; a failed read needs no answer.
 type Read struct {
 	Kind, Name string
 }
--- a/placement/restored.go
+++ b/placement/restored.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
@@ -162,35 +165,64 @@
 	f.generation++
 }
 
+// recordlessSession is a session that packs or the leader object name, and whose
+// record is not known.
+type recordlessSession struct {
+	since  mono.Time
+	readAt mono.Time // When its record was last read.
+}
+
 // noteRecordless notes that a session that packs or the leader object name has no
-// record, and returns since when that is known.
+// known record, and returns since when.
 func (f *fleet) noteRecordless(now mono.Time, s host.Session) mono.Time {
-	since, ok := f.recordless[s]
+	r, ok := f.recordless[s]
 	if !ok {
-		since = now
-		f.recordless[s] = now
+		r.since = now
+		f.recordless[s] = r
 	}
-	return since
+	return r.since
 }
 
-// endRecordless counts sessions without records as lost once they have noticed that
-// themselves and what they held has run out.
-func (f *fleet) endRecordless(now mono.Time) {
+// recordlessWait is how long the record of a session must have been unknown before
+// the session counts as lost: it has noticed that itself by then, and what it held
+// has run out.
+func recordlessWait() time.Duration {
 	timing := session.DefaultTiming()
-	wait := restore.UnclaimedWait(timing.Lease, timing.Margin)
-	for s, since := range f.recordless {
-		if now.Sub(since) < wait {
+	return restore.UnclaimedWait(timing.Lease, timing.Margin)
+}
+
+// readRecordless reads the records that have been unknown for recordlessWait: only
+// the store can say that they are missing.
+func (c *Core) readRecordless(now mono.Time) {
+	for _, s := range slices.SortedFunc(maps.Keys(c.fleet.recordless), compareSessions) {
+		r := c.fleet.recordless[s]
+		if now.Sub(r.since) < recordlessWait() || r.readAt != 0 && now.Sub(r.readAt) < c.cfg.ReadRetry {
 			continue
 		}
-		delete(f.recordless, s)
-		d := departure{seenAt: now}
-		if h := f.lookup(s); h != nil {
-			h.state = session.Lost
-			d.checksGrants = h.checksGrants
-		}
-		f.addDeparture(s, d)
-		f.generation++
+		r.readAt = now
+		c.fleet.recordless[s] = r
+		c.emit(Read{Kind: session.ObjectKind, Name: session.ObjectName(s)})
+	}
+}
+
+func compareSessions(a, b host.Session) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// endRecordless counts a session as lost whose record the store does not have.
+func (f *fleet) endRecordless(now mono.Time, s host.Session) {
+	r, ok := f.recordless[s]
+	if !ok || now.Sub(r.since) < recordlessWait() {
+		return
+	}
+	delete(f.recordless, s)
+	d := departure{seenAt: now}
+	if h := f.lookup(s); h != nil {
+		h.state = session.Lost
+		d.checksGrants = h.checksGrants
 	}
+	f.addDeparture(s, d)
+	f.generation++
 }
 
 // unclaimedWait returns how long a slice that nobody claims waits. Where targets
--- a/placement/restored_test.go
+++ b/placement/restored_test.go
@@ -119,6 +119,12 @@
 	must.SliceLen(t, 1, writes)
 	must.Eq(t, lost, writes[0].IfVersion)
 	must.Eq(t, restore.Era(2), restore.Epoch(writes[0].Moves[0].Epoch).Era())
+
+	// A write whose answer is lost, and that the store never took, is made again.
+	f.m.stepLeader(f.l, WriteUnconfirmed{Kind: writes[0].Kind, Name: writes[0].Name, Token: writes[0].Token})
+	must.SliceEmpty(t, f.writes())
+	f.m.stepLeader(f.l, PackMissing{App: f.m.app.Name, Version: lost})
+	must.SliceLen(t, 1, f.writes())
 }
 
 // The store may have lost the record of the session that leads: that session ends,
@@ -178,8 +184,14 @@
 	}
 	f.m.stepLeader(f.l, PackObserved{Pack: f.pack, Version: f.version + 1})
 	must.SliceEmpty(t, f.writes())
+	f.m.stepLeader(f.l, SessionMissing{Session: owner})
 	timing := session.DefaultTiming()
 	f.m.now = f.m.now.Add(restore.UnclaimedWait(timing.Lease, timing.Margin))
+	f.m.stepLeader(f.l, SessionMissing{Session: host.Session{Host: "other", Incarnation: 1}})
+	must.SliceEmpty(t, f.writes())
+	must.Eq(t, []Action{Read{Kind: session.ObjectKind, Name: session.ObjectName(owner)}}, f.l.pending)
+	must.SliceEmpty(t, f.writes(), must.Sprint("the store has not answered"))
+	f.m.stepLeader(f.l, SessionMissing{Session: owner})
 	must.SliceEmpty(t, f.writes(), must.Sprint("its target is not known to check grants"))
 	f.m.now = f.m.now.Add(modelDeadline)
 	writes := f.writes()
--- a/restore/epoch.go
+++ b/restore/epoch.go
@@ -62,9 +62,9 @@
 }
 
 const (
-	// NoticeTime bounds the time from a restore until every daemon that holds
-	// slices has seen the restored entries.
-	NoticeTime = 2 * time.Second
+	// NoticeTime bounds the time from a leader's first sight of a restored entry
+	// until every daemon that may hold the slice has seen it.
+	NoticeTime = 3 * time.Second
 	// ClaimTime is how long a holder may go on with an entry that it has seen not
 	// to be in force. Meanwhile it claims the slice from the leader.
 	ClaimTime = 4 * time.Second
