--- a/internal/daemon/placement_tasks.go
+++ b/internal/daemon/placement_tasks.go
@@ -10,7 +10,6 @@
 	"github.com/rhubarbring/rhubarbring/host"
 	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/wire"
-	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/restore"
@@ -37,13 +36,8 @@
 		records []session.VersionedRecord
 		deleted []host.Session
 	}
-	packChanged struct{ pack packVersion }
-	// packDeleted says that the store has no such pack any more.
-	packDeleted struct {
-		app     key.App
-		first   key.SliceID
-		version uint64
-	}
+	packChanged   struct{ pack packVersion }
+	packMissing   struct{ lostPack }
 	leaderChanged struct {
 		leader  placement.Leader
 		version uint64
@@ -179,7 +173,7 @@
 	}
 }
 
-func (w packDeleted) handle(p *placementLoop, now mono.Time) {
+func (w packMissing) handle(p *placementLoop, now mono.Time) {
 	if p.core.IsLeader() {
 		p.step(now, placement.PackMissing{App: w.app, First: w.first, Version: w.version})
 	}
--- a/internal/daemon/routing_restored.go
+++ b/internal/daemon/routing_restored.go
@@ -29,13 +29,15 @@
 	}
 }
 
-// packLost says that the store has no such pack any more.
-type packLost struct {
+// lostPack is a pack that the store does not have any more, as of a version.
+type lostPack struct {
 	app     key.App
 	first   key.SliceID
 	version uint64
 }
 
+type packLost struct{ lostPack }
+
 // handle replaces the pack by an empty one.
 func (w packLost) handle(r *routingLoop, now mono.Time) {
 	total := r.owners.Total(w.app)
--- a/internal/daemon/routing_restored_test.go
+++ b/internal/daemon/routing_restored_test.go
@@ -9,7 +9,6 @@
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/handover"
 	"github.com/rhubarbring/rhubarbring/host"
-	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/restore"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -97,7 +96,7 @@
 // store, but a holder.
 func TestHolderClaimsSliceOfLostPack(t *testing.T) {
 	h, claims := restoredHost(t)
-	packLost{app: "katalog", first: key.SliceID(0), version: versionInEra1(t, 60)}.handle(h.r, h.now)
+	packLost{lostPack{app: "katalog", version: versionInEra1(t, 60)}}.handle(h.r, h.now)
 	must.SliceLen(t, 1, *claims)
 	must.Eq(t, 1, h.r.holder.Counts().Owned)
 }
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -105,8 +105,9 @@
 	if !ok {
 		return
 	}
-	s.d.routing.ring.PushWait(packLost{app: app, first: first, version: o.Version}, s.stop)
-	s.d.placement.pushWait(packDeleted{app: app, first: first, version: o.Version})
+	lost := lostPack{app: app, first: first, version: o.Version}
+	s.d.routing.ring.PushWait(packLost{lost}, s.stop)
+	s.d.placement.pushWait(packMissing{lost})
 }
 
 func (s *spreadLoop) adoptLeader(a spread.Adopt) error {
--- a/internal/faulttest/cut_test.go
+++ b/internal/faulttest/cut_test.go
@@ -94,12 +94,7 @@
 func TestCutOffHostReturnsWithNewSession(t *testing.T) {
 	f := newFleet(t)
 	victim := f.hosts[2]
-	var rest []string
-	for _, h := range f.hosts {
-		if h != victim {
-			rest = append(rest, h.name())
-		}
-	}
+	rest := f.namesWithout(victim)
 	old := victim.status().Session
 	tr := f.load(11 * time.Second)
 	tr.waitEnded(requestsPerSecond)
@@ -116,3 +111,14 @@
 	})
 	f.checkInvariants(f.collectInput(tr))
 }
+
+// namesWithout returns the names of all hosts but one.
+func (f *fleet) namesWithout(one *node) []string {
+	var names []string
+	for _, h := range f.hosts {
+		if h != one {
+			names = append(names, h.name())
+		}
+	}
+	return names
+}
--- a/internal/faulttest/departure_test.go
+++ b/internal/faulttest/departure_test.go
@@ -44,12 +44,7 @@
 func TestDepartureHoldsThroughEndOfSession(t *testing.T) {
 	f := newFleet(t)
 	victim := f.hosts[2]
-	var rest []string
-	for _, h := range f.hosts {
-		if h != victim {
-			rest = append(rest, h.name())
-		}
-	}
+	rest := f.namesWithout(victim)
 	victim.announceInstance(t, "i-1")
 	old := victim.status().Session
 	tr := f.load(14 * time.Second)
--- a/placement/core.go
+++ b/placement/core.go
@@ -98,15 +98,8 @@
 		c.tick(now)
 	case AppsChanged:
 		c.setApps(ev.Apps)
-	case SessionObserved:
-		c.fleet.observe(now, ev.Record, ev.Version)
-		if ev.Record.State.Final() {
-			delete(c.slotLimits, ev.Record.Session)
-		}
-	case SessionDeleted:
-		c.fleet.recordDeleted(now, ev.Session)
-	case SessionMissing:
-		c.fleet.endRecordless(now, ev.Session)
+	case SessionObserved, SessionDeleted, SessionMissing:
+		c.sessionChanged(now, ev)
 	case LeaderObserved:
 		c.leaderObserved(now, ev)
 	case ListingComplete:
@@ -132,6 +125,21 @@
 	return c.actions
 }
 
+// sessionChanged handles what was read or heard of a session's record.
+func (c *Core) sessionChanged(now mono.Time, ev Event) {
+	switch ev := ev.(type) {
+	case SessionObserved:
+		c.fleet.observe(now, ev.Record, ev.Version)
+		if ev.Record.State.Final() {
+			delete(c.slotLimits, ev.Record.Session)
+		}
+	case SessionDeleted:
+		c.fleet.recordDeleted(now, ev.Session)
+	case SessionMissing:
+		c.fleet.endRecordless(now, ev.Session)
+	}
+}
+
 // writeAnswered handles the answer to a write.
 func (c *Core) writeAnswered(now mono.Time, ev Event) {
 	switch ev := ev.(type) {
--- a/placement/restored.go
+++ b/placement/restored.go
@@ -1,9 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
@@ -152,79 +149,14 @@
 	return st == statusLive || st == statusDraining
 }
 
-// recordDeleted notes that the store has lost the record of a session that has not
-// ended, since it came back from a copy. The session ends as soon as it knows; it
-// gets no slices until then.
-func (f *fleet) recordDeleted(now mono.Time, s host.Session) {
-	h := f.lookup(s)
-	if h == nil || h.status().ended() {
-		return
-	}
-	h.state = session.Draining
-	f.noteRecordless(now, s)
-	f.generation++
-}
-
-// recordlessSession is a session that packs or the leader object name, and whose
-// record is not known.
-type recordlessSession struct {
-	since  mono.Time
-	readAt mono.Time // When its record was last read.
-}
-
-// noteRecordless notes that a session that packs or the leader object name has no
-// known record, and returns since when.
-func (f *fleet) noteRecordless(now mono.Time, s host.Session) mono.Time {
-	r, ok := f.recordless[s]
-	if !ok {
-		r.since = now
-		f.recordless[s] = r
-	}
-	return r.since
-}
-
-// recordlessWait is how long the record of a session must have been unknown before
-// the session counts as lost: it has noticed that itself by then, and what it held
-// has run out.
-func recordlessWait() time.Duration {
+// holderTimeout is how long after this leader first saw an entry that is not in
+// force, or that a session has no record, nobody holds the slice, or what the session
+// held, any more.
+func holderTimeout() time.Duration {
 	timing := session.DefaultTiming()
 	return restore.UnclaimedWait(timing.Lease, timing.Margin)
 }
 
-// readRecordless reads the records that have been unknown for recordlessWait: only
-// the store can say that they are missing.
-func (c *Core) readRecordless(now mono.Time) {
-	for _, s := range slices.SortedFunc(maps.Keys(c.fleet.recordless), compareSessions) {
-		r := c.fleet.recordless[s]
-		if now.Sub(r.since) < recordlessWait() || r.readAt != 0 && now.Sub(r.readAt) < c.cfg.ReadRetry {
-			continue
-		}
-		r.readAt = now
-		c.fleet.recordless[s] = r
-		c.emit(Read{Kind: session.ObjectKind, Name: session.ObjectName(s)})
-	}
-}
-
-func compareSessions(a, b host.Session) int {
-	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
-// endRecordless counts a session as lost whose record the store does not have.
-func (f *fleet) endRecordless(now mono.Time, s host.Session) {
-	r, ok := f.recordless[s]
-	if !ok || now.Sub(r.since) < recordlessWait() {
-		return
-	}
-	delete(f.recordless, s)
-	d := departure{seenAt: now}
-	if h := f.lookup(s); h != nil {
-		h.state = session.Lost
-		d.checksGrants = h.checksGrants
-	}
-	f.addDeparture(s, d)
-	f.generation++
-}
-
 // unclaimedWait returns how long a slice that nobody claims waits. Where targets
 // don't check grants, a request of a holder that the leader does not know may run
 // until its deadline.
@@ -232,8 +164,7 @@
 	if r.core.disabled.unclaimedWait {
 		return 0
 	}
-	timing := session.DefaultTiming()
-	wait := restore.UnclaimedWait(timing.Lease, timing.Margin)
+	wait := holderTimeout()
 	for _, h := range r.core.fleet.hosts {
 		if h.app == r.app.params.Name && !h.checksGrants {
 			return wait + r.app.params.MaxDeadline
