--- a/internal/daemon/state_bench_test.go
+++ b/internal/daemon/state_bench_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/settings"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/placement"
+	"github.com/rhubarbring/rhubarbring/quarantine"
 	"github.com/rhubarbring/rhubarbring/session"
 	"github.com/rhubarbring/rhubarbring/spread"
 )
@@ -88,6 +89,7 @@
 	feedKind(d, assignment.Kind, benchPacks(b, hosts))
 	feedKind(d, document.Kind, nil)
 	feedKind(d, placement.LeaderKind, nil)
+	feedKind(d, quarantine.ObjectKind, nil)
 	drainLoops(d)
 	must.MapLen(b, hosts, d.fleet.sessions.Load().records)
 	must.Eq(b, uint32(hosts*benchSlicesPerHost), d.routing.owners.Total("catalogue"))
