--- a/placement/round.go
+++ b/placement/round.go
@@ -144,8 +144,8 @@
 }
 
 // mustHandOver reports whether an owner whose session has not ended must hand
-// over its slices. An owner without a record keeps them: its
-// record will be read. After a restore of the store, see fleet.endRecordless.
+// over its slices. An owner without a record keeps them: its record will be read,
+// or the store has lost it, which readRecordless finds out.
 func (r *round) mustHandOver(owner host.Session, st status) bool {
 	return st != statusUnknown && !r.eligible(owner)
 }
