Compute a grant's duration when the call leaves, on the clock of leases

Cause: the core fixed the duration of a grant from the lease's remaining time when it decided. The target counts it from the arrival of the call. What passed between was measured from the start of the goroutine that makes the call only, on Go's steady clock, which stands still while the machine is suspended, and rounded so that the grant was up to a millisecond too long. So a daemon that was paused between decision and call, or suspended while a call waited for a connection, sent a grant that outlasted its lease, or one for a lease that had ended.

Change: a grant carries the instant by which it must have ended (grant.Grant.Until, on the clock of leases). The client computes the duration from it once it has a connection, rounded down (Grant.HoldAt), and sends nothing that has become shorter than MinHold. The core counts a slice as held for one unit of that rounding less.

With the core's unit left out, TestSliceIsNotHeldLongerThanItWasGranted fails.

--- a/grant/core.go
+++ b/grant/core.go
@@ -247,7 +247,7 @@
 	}
 	u.calling = true
 	u.sentAt = now
-	u.grant.Hold = hold
+	u.grant.setHold(hold, c.cfg, c.leaseEnd)
 	out.Grants = append(out.Grants, u.grant)
 }
 
@@ -269,7 +269,7 @@
 	c.heard(a)
 	switch a {
 	case Accepted:
-		u.heldUntil = u.sentAt.Add(u.grant.Hold)
+		u.heldUntil = u.sentAt.Add(u.grant.Hold - HoldResolution)
 		u.grant.Renewal = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = u.sentAt.Add(u.grant.Hold / 2)
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -39,8 +39,12 @@
 	Unit  uint64
 	Range Range
 	Epoch uint64
-	// Hold is the duration of the grant, counted from the arrival of the call.
+	// Hold is the longest duration of the grant, counted from the arrival of the
+	// call. A call that leaves later than it was decided lasts for HoldAt.
 	Hold time.Duration
+	// Until is when the grant must have ended by a target with an exact clock, so
+	// that it ends within the lease under which it was decided by a slow one.
+	Until mono.Time
 	// Renewal is set if the target has accepted an earlier grant of the unit.
 	Renewal bool
 	// Process is the Reply.Process of the first call with the unit's epoch; 0 if
@@ -119,7 +123,7 @@
 		MaxHold:   10 * time.Second,
 		Drift:     0.02,
 		Slack:     20 * time.Millisecond,
-		MinHold:   200 * time.Millisecond,
+		MinHold:   MinHold,
 		Retry:     100 * time.Millisecond,
 		TokenWait: 50 * time.Millisecond,
 
--- /dev/null
+++ b/grant/hold_test.go
@@ -0,0 +1,59 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// decide returns the grant that a core requests at start under a lease.
+func decide(t *testing.T, length time.Duration) Grant {
+	c := New(DefaultConfig())
+	c.SetOwned(start, permit(slice(4), 1))
+	c.SetLease(start.Add(length))
+	var out Actions
+	c.Tick(start, &out)
+	must.Len(t, 1, out.Grants)
+	return out.Grants[0]
+}
+
+// However late a call leaves, no target's clock prolongs it beyond the lease.
+func TestGrantEndsWithinLeaseWheneverItLeaves(t *testing.T) {
+	for _, length := range []time.Duration{300 * time.Millisecond, lease, time.Minute} {
+		g, leaseEnd := decide(t, length), start.Add(length)
+		for at := start; at.Before(leaseEnd.Add(time.Second)); at = at.Add(1700 * time.Microsecond) {
+			hold := g.HoldAt(at)
+			must.Zero(t, hold%HoldResolution)
+			must.LessEq(t, g.Hold, hold)
+			if hold == 0 {
+				continue
+			}
+			must.GreaterEq(t, MinHold, hold)
+			arrived := at.Add(DefaultConfig().Slack)
+			must.False(t, arrived.Add(DefaultConfig().longestHold(hold)).After(leaseEnd))
+		}
+		must.Zero(t, g.HoldAt(leaseEnd))
+	}
+}
+
+// A call that leaves at once has the duration that was decided.
+func TestGrantThatLeavesAtOnceIsNotShortened(t *testing.T) {
+	for _, length := range []time.Duration{300 * time.Millisecond, lease, time.Minute} {
+		g := decide(t, length)
+		must.Eq(t, g.Hold, g.HoldAt(start))
+	}
+}
+
+// The daemon sends a target no request for a slice whose grant may have ended there.
+func TestSliceIsNotHeldLongerThanItWasGranted(t *testing.T) {
+	c := New(DefaultConfig())
+	c.SetOwned(start, permit(slice(4), 1))
+	out := tick(c, start)
+	g := out.Grants[0]
+	for late := range 50 {
+		left := start.Add(time.Duration(late) * 333 * time.Microsecond)
+		c.GrantAnswered(left, g.Unit, Accepted, &out)
+		must.False(t, c.Holds(left.Add(g.HoldAt(left)), slice(4)))
+	}
+}
