Withdraw a grant that left too late to end within its lease

Cause: a pause between the computation of a grant's duration and the end of the write (a daemon that is stopped or suspended right there) makes the call arrive late by the whole pause, and the target counts from the arrival.

Change: after the write the client reads the clock again. If the grant may outlast the lease (Grant.OutlastsLease), a release follows on the same connection, hence after it at the target. The answer is grant.Withdrawn: the range counts as not held, and as possibly held for as long as the grant would last. It is granted again after Config.Retry, with the token of that release, under the lease of then. A refusal of the grant remains a refusal.

Weighed: to accept it and only renew at once. That leaves the target holding keys after a lease that has ended in the pause.

--- a/grant/core.go
+++ b/grant/core.go
@@ -259,6 +259,14 @@
 	}
 }
 
+// TokenReturned records the token of the release that withdrew the grant of a unit.
+// GrantAnswered follows.
+func (c *Core) TokenReturned(number uint64, token string) {
+	if u := c.units[number]; u != nil && token != "" {
+		u.grant.Token = token
+	}
+}
+
 // GrantAnswered handles the answer to the grant of a unit.
 func (c *Core) GrantAnswered(now mono.Time, number uint64, a Answer, out *Actions) {
 	u := c.units[number]
@@ -273,7 +281,10 @@
 		u.grant.Renewal = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = u.sentAt.Add(u.grant.Hold / 2)
-	case Unanswered:
+	case Withdrawn, Unanswered:
+		if a == Withdrawn {
+			u.heldUntil = mono.Never
+		}
 		u.unanswered = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = now.Add(c.cfg.Retry)
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -42,9 +42,11 @@
 	// Hold is the longest duration of the grant, counted from the arrival of the
 	// call. A call that leaves later than it was decided lasts for HoldAt.
 	Hold time.Duration
-	// Until is when the grant must have ended by a target with an exact clock, so
-	// that it ends within the lease under which it was decided by a slow one.
-	Until mono.Time
+	// Until is when the grant must have ended if it arrives as soon as Config.Slack
+	// allows for, and LatestEnd whenever it arrives, by a target with an exact clock.
+	// Then it ends by a slow one within the lease under which it was decided.
+	Until     mono.Time
+	LatestEnd mono.Time
 	// Renewal is set if the target has accepted an earlier grant of the unit.
 	Renewal bool
 	// Process is the Reply.Process of the first call with the unit's epoch; 0 if
@@ -75,6 +77,10 @@
 	Unanswered
 	// Unsent means that the call was not sent.
 	Unsent
+	// Withdrawn means that the call left so late that it may outlast the lease, and
+	// that a release followed it on the same connection. Until the target has handled
+	// both it may hold the range.
+	Withdrawn
 	// OtherProcess means that the call was not sent, since the connections to the
 	// process that had the epoch are gone and the next ones may lead to another.
 	OtherProcess
@@ -91,6 +97,8 @@
 		return "unanswered"
 	case Unsent:
 		return "unsent"
+	case Withdrawn:
+		return "withdrawn"
 	case OtherProcess:
 		return "other_process"
 	}
@@ -210,7 +218,8 @@
 // Reply is a target's reply to a grant or a release.
 type Reply struct {
 	Answer Answer
-	// Token is the token that the target returned with a release; empty if none.
+	// Token is the token that the target returned with a release, also one that
+	// withdrew a grant; empty if none.
 	Token string
 	// Statement is what the answer says of the target itself.
 	Statement targetstatus.Statement
--- a/grant/hold.go
+++ b/grant/hold.go
@@ -13,11 +13,11 @@
 	MinHold = 200 * time.Millisecond
 )
 
-// setHold sets the duration of a call under a lease, and the end that follows.
+// setHold sets the duration of a call under a lease, and the ends that follow.
 func (g *Grant) setHold(hold time.Duration, cfg Config, leaseEnd mono.Time) {
 	g.Hold = hold
-	slow := cfg.longestHold(hold) - hold
-	g.Until = leaseEnd.Add(-cfg.Slack - slow)
+	g.LatestEnd = leaseEnd.Add(hold - cfg.longestHold(hold))
+	g.Until = g.LatestEnd.Add(-cfg.Slack)
 }
 
 // HoldAt returns the duration to ask for in a call that leaves now, in whole units
@@ -30,3 +30,9 @@
 	}
 	return hold
 }
+
+// OutlastsLease reports whether a call for the given duration that has left no later
+// than at the given instant may last longer than the lease.
+func (g Grant) OutlastsLease(left mono.Time, hold time.Duration) bool {
+	return left.Add(hold).After(g.LatestEnd)
+}
--- a/grant/hold_test.go
+++ b/grant/hold_test.go
@@ -31,6 +31,7 @@
 			}
 			must.GreaterEq(t, MinHold, hold)
 			arrived := at.Add(DefaultConfig().Slack)
+			must.False(t, g.OutlastsLease(arrived, hold))
 			must.False(t, arrived.Add(DefaultConfig().longestHold(hold)).After(leaseEnd))
 		}
 		must.Zero(t, g.HoldAt(leaseEnd))
@@ -45,6 +46,14 @@
 	}
 }
 
+// A pause between the computation of the duration and the end of the write shows.
+func TestGrantHeldUpAfterComputationOutlastsLease(t *testing.T) {
+	g := decide(t, lease)
+	hold := g.HoldAt(start)
+	must.False(t, g.OutlastsLease(start.Add(time.Millisecond), hold))
+	must.True(t, g.OutlastsLease(start.Add(DefaultConfig().Slack+2*HoldResolution), hold))
+}
+
 // The daemon sends a target no request for a slice whose grant may have ended there.
 func TestSliceIsNotHeldLongerThanItWasGranted(t *testing.T) {
 	c := New(DefaultConfig())
@@ -57,3 +66,19 @@
 		must.False(t, c.Holds(left.Add(g.HoldAt(left)), slice(4)))
 	}
 }
+
+// What was withdrawn is not held, may be for a while, and is granted again with its token.
+func TestWithdrawnGrantIsNotHeld(t *testing.T) {
+	c := newGrantedCore(t, 1, 4, 5)
+	renewedAt := start.Add(time.Second)
+	out := tick(c, renewedAt)
+	must.Len(t, 1, out.Grants)
+	c.TokenReturned(out.Grants[0].Unit, "ab")
+	c.GrantAnswered(renewedAt, out.Grants[0].Unit, Withdrawn, &out)
+	must.False(t, c.Holds(renewedAt, slice(4)))
+	must.False(t, c.HoldsNothing(renewedAt.Add(out.Grants[0].Hold)))
+	must.SliceEmpty(t, tick(c, renewedAt).Grants)
+	again := tick(c, renewedAt.Add(c.cfg.Retry))
+	must.Len(t, 1, again.Grants)
+	must.Eq(t, "ab", again.Grants[0].Token)
+}
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -169,6 +169,7 @@
 	r.log.Event(id, "app", string(g.Range.App), "instance", r.target.instance, "first", uint32(g.Range.First), "last", uint32(g.Range.Last),
 		"epoch", g.Epoch, "hold_ms", g.Hold.Milliseconds(), "token", g.Token != "", "answer", w.reply.Answer.String())
 	r.callGrants.SentTo(g.Unit, w.reply.Process)
+	r.callGrants.TokenReturned(g.Unit, w.reply.Token)
 	r.callGrants.GrantAnswered(now, g.Unit, w.reply.Answer, &r.grantActions)
 	r.executeGrants(now)
 }
