Let a unit that is split during its call await the answer

Cause: when a slice left a unit whose call was pending, the slices behind it became a unit of their own for which the call counted as unanswered, and as over twice its duration after the decision. With a short rest of the lease that ends before the call does: the core released slices that the call could still grant.

Change: both parts await the answer (unit.call is the number of the call that covers them), and are held or not by what it says.

The test failed before: TestSliceOfPendingCallIsNotReleasedBeforeAnswer, a call under a lease of 300 ms that is answered after 1 s: the slice was reported as released while it was pending.

--- a/grant/core.go
+++ b/grant/core.go
@@ -41,7 +41,9 @@
 	// until mayHoldUntil.
 	heldUntil    mono.Time
 	mayHoldUntil mono.Time
-	calling      bool
+	// call is the number of the unit whose pending call covers this one: its own, or
+	// that of the unit from which it was split during the call; 0 if none is pending.
+	call uint64
 	// unanswered is set once the answer to a grant was lost, and stays set.
 	// Until mayHoldUntil such a grant may still take effect.
 	unanswered bool
@@ -137,7 +139,7 @@
 		return false
 	}
 	for _, u := range c.units {
-		if u.calling || now.Before(u.mayHoldUntil) {
+		if u.call != 0 || now.Before(u.mayHoldUntil) {
 			return false
 		}
 	}
@@ -201,7 +203,7 @@
 // no such call is pending, and the slice need not wait for a token.
 func (c *Core) prepareGrant(now mono.Time, s key.Slice, w *wantedSlice) bool {
 	if old := c.unitOf(s); old != nil {
-		if old.calling {
+		if old.call != 0 {
 			return false
 		}
 		c.dropped[s] = droppedGrant{mayHoldUntil: old.mayHoldUntil, unanswered: old.unanswered}
@@ -238,14 +240,14 @@
 // requestGrant requests a unit's grant if it is due and the lease lasts long
 // enough. It waits while a slice of the unit is to be released.
 func (c *Core) requestGrant(now mono.Time, u *unit, out *Actions) {
-	if u.calling || now.Before(u.due) || c.hasRelease(u.grant.Range) {
+	if u.call != 0 || now.Before(u.due) || c.hasRelease(u.grant.Range) {
 		return
 	}
 	hold := c.cfg.holdTime(now, c.leaseEnd)
 	if hold < c.cfg.MinHold {
 		return
 	}
-	u.calling = true
+	u.call = u.grant.Unit
 	u.sentAt = now
 	u.grant.setHold(hold, c.cfg, c.leaseEnd)
 	out.Grants = append(out.Grants, u.grant)
@@ -254,27 +256,49 @@
 // SentTo records to which process the grant of a unit was sent, 0 if it was not.
 // GrantAnswered follows. The process may have the unit's epoch whatever it answers.
 func (c *Core) SentTo(number, process uint64) {
-	if u := c.units[number]; u != nil && u.grant.Process == 0 {
-		u.grant.Process = process
+	for _, u := range c.unitsOfCall(number) {
+		if u.grant.Process == 0 {
+			u.grant.Process = process
+		}
 	}
 }
 
 // TokenReturned records the token of the release that withdrew the grant of a unit.
 // GrantAnswered follows.
 func (c *Core) TokenReturned(number uint64, token string) {
-	if u := c.units[number]; u != nil && token != "" {
-		u.grant.Token = token
+	for _, u := range c.unitsOfCall(number) {
+		if token != "" {
+			u.grant.Token = token
+		}
 	}
 }
 
 // GrantAnswered handles the answer to the grant of a unit.
 func (c *Core) GrantAnswered(now mono.Time, number uint64, a Answer, out *Actions) {
-	u := c.units[number]
-	if u == nil || !u.calling {
-		return
+	units := c.unitsOfCall(number)
+	if len(units) > 0 {
+		c.heard(a)
+	}
+	for _, u := range units {
+		c.unitAnswered(now, u, a, out)
 	}
-	u.calling = false
-	c.heard(a)
+}
+
+// unitsOfCall returns the units that the pending call of a unit covers, in the order
+// of their numbers.
+func (c *Core) unitsOfCall(number uint64) []*unit {
+	var out []*unit
+	for _, n := range slices.Sorted(maps.Keys(c.units)) {
+		if u := c.units[n]; u.call != 0 && u.call == number {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// unitAnswered handles the answer to the call of a unit.
+func (c *Core) unitAnswered(now mono.Time, u *unit, a Answer, out *Actions) {
+	u.call = 0
 	switch a {
 	case Accepted:
 		u.heldUntil = u.sentAt.Add(u.grant.Hold - HoldResolution)
@@ -326,7 +350,8 @@
 }
 
 // removeSlice takes a slice out of its unit. The slices before it stay in the
-// unit, those after it become another unit; both continue to be renewed.
+// unit, those after it become another unit; both continue to be renewed, and both
+// await the answer to a pending call.
 func (c *Core) removeSlice(u *unit, s key.Slice) {
 	r := u.grant.Range
 	if s.ID < r.Last {
@@ -334,7 +359,6 @@
 		after := *u
 		after.grant.Unit = c.lastUnit
 		after.grant.Range.First = s.ID + 1
-		after.abandonCall()
 		c.units[c.lastUnit] = &after
 	}
 	if s.ID == r.First {
@@ -343,15 +367,3 @@
 	}
 	u.grant.Range.Last = s.ID - 1
 }
-
-// abandonCall ends the wait of a unit that was split off during a call. The answer
-// will be assigned to the original unit, so here the call counts as unanswered
-// and may keep the target holding for twice its duration from when it was sent.
-func (u *unit) abandonCall() {
-	if !u.calling {
-		return
-	}
-	u.calling = false
-	u.unanswered = true
-	u.mayHoldUntil = latest(u.mayHoldUntil, u.sentAt.Add(2*u.grant.Hold))
-}
--- a/grant/hold_test.go
+++ b/grant/hold_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/key"
 )
 
 // decide returns the grant that a core requests at start under a lease.
@@ -82,3 +84,27 @@
 	must.Len(t, 1, again.Grants)
 	must.Eq(t, "ab", again.Grants[0].Token)
 }
+
+// A call goes on for the slices behind one that left their unit meanwhile.
+func TestSliceOfPendingCallIsNotReleasedBeforeAnswer(t *testing.T) {
+	c := New(DefaultConfig())
+	for id := key.SliceID(4); id <= 6; id++ {
+		c.SetOwned(start, permit(slice(id), 1))
+	}
+	c.SetLease(start.Add(300 * time.Millisecond))
+	var out Actions
+	c.Tick(start, &out)
+	must.Len(t, 1, out.Grants)
+	g := out.Grants[0]
+	c.Revoke(slice(5))
+	c.RequestRelease(start, slice(6), 1)
+	answeredAt := start.Add(time.Second)
+	out.Reset()
+	c.Tick(answeredAt, &out)
+	must.SliceEmpty(t, out.Released)
+	c.GrantAnswered(answeredAt, g.Unit, Unanswered, &out)
+	c.Tick(answeredAt.Add(g.Hold), &out)
+	must.SliceEmpty(t, out.Released)
+	c.Tick(answeredAt.Add(DefaultConfig().longestHold(g.Hold)), &out)
+	must.Eq(t, []ReleasedSlice{{Slice: slice(6), Epoch: 1}}, out.Released)
+}
--- a/grant/release.go
+++ b/grant/release.go
@@ -23,7 +23,7 @@
 		u := c.unitOf(d.Slice)
 		until, _ := c.mayHold(d.Slice)
 		switch {
-		case u != nil && u.calling:
+		case u != nil && u.call != 0:
 			// Wait for the answer to the grant.
 		case !now.Before(until):
 			c.finishRelease(d.Slice, c.releasing[d.Slice].token, out)
