Pass multipart bodies on as they were sent

What callers saw: a request with a multipart form (Content-Type multipart/form-data with a boundary, and a Content-Length) reached the server with another body: preamble and epilogue gone, part headers spelled anew and only those that were known, so also another length than the caller's signature or hash covers.

Cause: the HTTP library decodes forms of known length by default while it reads them, long parts into files, and encodes them again when the body is asked for.

Change: the header is read first, then the body without that decoding.

The test failed before: TestMultipartBodyIsUnchanged.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -177,21 +177,29 @@
 	return &result.Error{Code: code, Detail: err.Error()}
 }
 
-// readRequest reads one request with its body. If the headers don't fit the
-// read buffer, it reads again with a buffer for the largest headers.
+// readRequest reads one request with its body, which is not decoded in any way.
 func (c *conn) readRequest(req *fasthttp.Request) error {
-	limit := c.server.options.MaxBodyBytes
-	err := req.ReadLimitBody(c.reader, limit)
+	if err := c.readHeader(req); err != nil {
+		return err
+	}
+	if req.MayContinue() {
+		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	const parseForms = false
+	return req.ContinueReadBody(c.reader, c.server.options.MaxBodyBytes, parseForms)
+}
+
+// readHeader reads the request line and the headers of a request. If they don't fit
+// the read buffer, it reads again with a buffer for the largest headers.
+func (c *conn) readHeader(req *fasthttp.Request) error {
+	err := req.Header.Read(c.reader)
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	if errors.As(err, &smallBuffer) && c.reader.Size() < c.server.options.MaxHeaderBytes {
 		c.growReadBuffer()
 		req.Reset()
-		err = req.ReadLimitBody(c.reader, limit)
-	}
-	if err == nil && req.MayContinue() {
-		if _, err = c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err == nil {
-			err = req.ContinueReadBody(c.reader, limit)
-		}
+		err = req.Header.Read(c.reader)
 	}
 	return err
 }
--- a/internal/entry/conn_test.go
+++ b/internal/entry/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -97,6 +98,20 @@
 	must.NoError(t, conn.Close())
 }
 
+// A form is passed on as it was sent.
+func TestMultipartBodyIsUnchanged(t *testing.T) {
+	router, call := startManual(t)
+	conn := call()
+	(<-router.submitted).Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	body := "preamble\r\n--b\r\ncontent-disposition: form-data; name=a\r\nx-own: 1\r\n\r\n1\r\n--b--\r\nepilogue"
+	_, err := fmt.Fprintf(conn, "POST /app/pay/ HTTP/1.1\r\nHost: x\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	must.NoError(t, err)
+	s := <-router.submitted
+	s.Reply <- &request.Answer{Status: fasthttp.StatusOK}
+	must.Eq(t, body, string(s.Request.Body))
+	must.NoError(t, conn.Close())
+}
+
 // Bytes that are not an HTTP request are refused, and the connection closes.
 func TestMalformedRequestRefusedAndConnectionClosed(t *testing.T) {
 	router, call := startManual(t)
