Refuse a message that is too large before it is encoded

Cause: a message was encoded into a growing buffer before its size was compared with MaxPayloadBytes (8 MiB), and then copied into its frame.

Change: requests and answers say how many bytes of them are encoded as they are (wire.Bulky). Above the limit they are refused at once, and large ones are encoded into the frame itself.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -55,6 +55,9 @@
 	// maxPooledBytes is the largest capacity of a buffer that returns to the
 	// pool, so that one large message does not pin its memory.
 	maxPooledBytes = 64 << 10
+	// maxFieldsBytes is the room for what a bulky message has besides its bulk,
+	// without another allocation.
+	maxFieldsBytes = 4 << 10
 )
 
 const (
@@ -104,25 +107,65 @@
 	bufferPool.Put(buf)
 }
 
+// Bulky is a message that may be large.
+type Bulky interface {
+	// BulkBytes returns how many bytes of the message are encoded as they are. The
+	// encoded message is longer.
+	BulkBytes() int
+}
+
 // Encode returns a complete frame. It returns TooLarge if the encoded message
-// exceeds MaxPayloadBytes, and BadFrame if the message can't be encoded.
+// exceeds MaxPayloadBytes, and BadFrame if the message can't be encoded. A Bulky
+// message that is too large is not encoded, and a large one is copied once.
 func Encode(kind Kind, message any) ([]byte, error) {
+	if m, ok := message.(Bulky); ok && m.BulkBytes() > maxPooledBytes {
+		return encodeBulky(kind, m)
+	}
 	buf := bufferPool.Get().(*bytes.Buffer)
 	defer putBuffer(buf)
 	if err := encoder.MarshalToBuffer(message, buf); err != nil {
 		return nil, &result.Error{Code: result.BadFrame, Detail: "the message does not encode", Cause: err}
 	}
-	size := buf.Len()
-	if size > MaxPayloadBytes {
-		return nil, &result.Error{Code: result.TooLarge, Detail: "a message of " + strconv.Itoa(size) + " bytes"}
+	if err := checkSize(buf.Len()); err != nil {
+		return nil, err
 	}
-	frame := make([]byte, HeaderBytes+size)
+	frame := make([]byte, HeaderBytes+buf.Len())
 	copy(frame[HeaderBytes:], buf.Bytes())
-	binary.BigEndian.PutUint32(frame, uint32(size))
-	frame[lengthBytes] = byte(kind)
+	putHeader(frame, kind)
 	return frame, nil
 }
 
+// encodeBulky is Encode for a large message, which it encodes into the frame itself.
+func encodeBulky(kind Kind, message Bulky) ([]byte, error) {
+	bulk := message.BulkBytes()
+	if err := checkSize(bulk); err != nil {
+		return nil, err
+	}
+	buf := bytes.NewBuffer(make([]byte, HeaderBytes, HeaderBytes+bulk+maxFieldsBytes))
+	if err := encoder.MarshalToBuffer(message, buf); err != nil {
+		return nil, &result.Error{Code: result.BadFrame, Detail: "the message does not encode", Cause: err}
+	}
+	if err := checkSize(buf.Len() - HeaderBytes); err != nil {
+		return nil, err
+	}
+	putHeader(buf.Bytes(), kind)
+	return buf.Bytes(), nil
+}
+
+// checkSize returns TooLarge if a payload exceeds MaxPayloadBytes.
+func checkSize(payload int) error {
+	if payload > MaxPayloadBytes {
+		return &result.Error{Code: result.TooLarge, Detail: "a message of " + strconv.Itoa(payload) + " bytes"}
+	}
+	return nil
+}
+
+// putHeader writes the header of a frame into its first bytes.
+func putHeader(frame []byte, kind Kind) {
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-HeaderBytes))
+	frame[lengthBytes] = byte(kind)
+}
+
 // ParseHeader returns a frame's kind and the length of its payload in bytes. It
 // returns BadFrame if that length exceeds MaxPayloadBytes. The header must have
 // at least HeaderBytes bytes.
--- a/request/request.go
+++ b/request/request.go
@@ -106,6 +106,11 @@
 	LatencyTarget time.Duration
 }
 
+// BulkBytes returns how many bytes the request's body, header and path take.
+func (r *Request) BulkBytes() int {
+	return len(r.Body) + len(r.Header) + len(r.Path)
+}
+
 // Answer is the answer to one attempt of a request.
 type Answer struct {
 	_ struct{} `cbor:",toarray"`
@@ -144,6 +149,11 @@
 	ServiceTime time.Duration
 }
 
+// BulkBytes returns how many bytes the answer's body and header take.
+func (a *Answer) BulkBytes() int {
+	return len(a.Body) + len(a.Header)
+}
+
 // CodeForCaller returns the code that the caller may be given for code c. That
 // this submission did not run says nothing about earlier submissions of the
 // same ID, which the refusing daemon can't know of. A caller that is told "not
