--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,6 +157,14 @@
 	return machine.BootID()
 }
 
+// advertisedPeer returns the address that other daemons connect to.
+func (d *Daemon) advertisedPeer() string {
+	if d.settings.AdvertisedPeer != "" {
+		return d.settings.AdvertisedPeer
+	}
+	return d.settings.PeerAddress
+}
+
 // Start opens the daemon's listeners and starts its loops. If it returns an
 // error, everything that it had opened is closed again.
 func (d *Daemon) Start() error {
@@ -219,7 +227,7 @@
 		Session:             d.self,
 		Place:               d.place(),
 		MachineID:           d.machineID(),
-		PeerAddress:         d.settings.PeerAddress,
+		PeerAddress:         d.advertisedPeer(),
 		ControlAddress:      d.settings.ControlAddress,
 		CallerAddress:       d.settings.CallerAddress,
 		Seed:                seed,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,8 +108,12 @@
 	Zone   host.Zone   `json:"zone"`
 	// Environment is the name of the document that the daemon follows.
 	Environment string `json:"environment"`
-	// PeerAddress is the address that other daemons connect to, "IP:port".
+	// PeerAddress is the address for frames of other daemons, "IP:port".
 	PeerAddress string `json:"peer"`
+	// AdvertisedPeer is the address that other daemons connect to, "IP:port", if
+	// they reach PeerAddress through a proxy. No other daemon may be reached at
+	// it. Default: PeerAddress.
+	AdvertisedPeer string `json:"advertised_peer"`
 	// ControlAddress is the address for operators, the local target and control
 	// calls of other daemons, "IP:port".
 	ControlAddress string `json:"control"`
@@ -219,8 +223,15 @@
 			return err
 		}
 	}
-	if d.MetricsAddress != "" {
-		if err := checkAddress("metrics", d.MetricsAddress); err != nil {
+	optional := []struct{ field, value string }{
+		{"advertised_peer", d.AdvertisedPeer},
+		{"metrics", d.MetricsAddress},
+	}
+	for _, a := range optional {
+		if a.value == "" {
+			continue
+		}
+		if err := checkAddress(a.field, a.value); err != nil {
 			return err
 		}
 	}
