Let a release name the process that got the grant

What callers saw: nothing known. A release went out on any connection, and the answer ended the holding: so the next process of a server, under the same id, could answer for what the one before it holds, and the slice went to another owner while that one's grant lasted.

Cause: a grant was bound to the process that it was sent to, a release was not, nor was what a unit that was given up may leave held.

Change: a release bears the process of its unit, or of the unit that was given up, and is not sent to another one (grant.OtherProcess); the slice is released when the grant's time is over. It is not sent again until then, since no connection leads to an earlier process once the number has risen. Slices of two processes share no release. The next epoch of a slice that a process may still hold is bound to that process as well: it would else be granted to the next one beside it.

--- a/grant/core.go
+++ b/grant/core.go
@@ -175,7 +175,8 @@
 }
 
 // formUnits puts the wanted slices that need not wait into units. A unit is a
-// range of consecutive slices with the same epoch and token.
+// range of consecutive slices with the same epoch and token that the same process may
+// hold.
 func (c *Core) formUnits(now mono.Time) {
 	var ready []SliceEpoch
 	for s, w := range c.wanted {
@@ -187,13 +188,15 @@
 	var current *unit
 	for _, w := range ready {
 		token := c.tokens.take(w)
+		process := c.holder(now, w.Slice)
 		delete(c.wanted, w.Slice)
-		if current != nil && follows(current.grant, w, token) {
+		if current != nil && current.grant.Process == process && follows(current.grant, w, token) {
 			current.grant.Range.Last = w.Slice.ID
 			c.inherit(now, current, w.Slice)
 			continue
 		}
 		current = c.addUnit(now, w, token)
+		current.grant.Process = process
 		c.inherit(now, current, w.Slice)
 	}
 }
@@ -206,7 +209,7 @@
 		if old.call != 0 {
 			return false
 		}
-		c.dropped[s] = droppedGrant{mayHoldUntil: old.mayHoldUntil, unanswered: old.unanswered}
+		c.dropped[s] = old.droppedGrant()
 		c.removeSlice(old, s)
 	}
 	if w.firstOwner || now.Sub(w.since) >= c.cfg.TokenWait {
@@ -328,7 +331,7 @@
 	r := u.grant.Range
 	for id := r.First; id <= r.Last; id++ {
 		s := key.Slice{App: r.App, ID: id}
-		c.dropped[s] = droppedGrant{mayHoldUntil: u.mayHoldUntil, unanswered: u.unanswered}
+		c.dropped[s] = u.droppedGrant()
 		out.Refused = append(out.Refused, SliceEpoch{Slice: s, Epoch: u.grant.Epoch})
 	}
 }
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -49,8 +49,9 @@
 	LatestEnd mono.Time
 	// Renewal is set if the target has accepted an earlier grant of the unit.
 	Renewal bool
-	// Process is the Reply.Process of the first call with the unit's epoch; 0 if
-	// there was none. Only that process may get the epoch.
+	// Process is the Reply.Process of the first call with the unit's epoch, or of the
+	// process that may still hold a slice of the range at an earlier one; 0 if there
+	// was none. Only that process may get the epoch.
 	Process uint64
 	// Token is the token that the previous owner's target returned on its
 	// release; empty if it is not known.
@@ -62,6 +63,9 @@
 type Release struct {
 	Range Range
 	Epoch uint64
+	// Process is the process that got the grant; 0 if none did. Another one's answer
+	// would not say what that process holds.
+	Process uint64
 }
 
 // Answer is the outcome of a call to a target.
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -417,3 +417,74 @@
 	c.RequestRelease(now, slice(0), 1)
 	must.SliceEmpty(t, tick(c, now).Released, must.Sprint("the process may have taken the first call"))
 }
+
+// newSentCore returns a Core that has granted a slice to process 7 until the instant that
+// it returns as well.
+func newSentCore(t *testing.T) (*Core, mono.Time) {
+	c := newGrantedCore(t, 1, 0, 0)
+	now := start.Add(time.Second)
+	out := tick(c, now)
+	sent := out.Grants[0]
+	c.SentTo(sent.Unit, 7)
+	c.GrantAnswered(now, sent.Unit, Accepted, &out)
+	return c, now.Add(c.cfg.longestHold(sent.Hold))
+}
+
+// A release that only another process could answer waits until the grant's time is over.
+func TestSliceOfEarlierProcessIsReleasedWhenItsGrantIsOver(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		c, end := newSentCore(t)
+		now := start.Add(2 * time.Second)
+		if givenUp {
+			out := tick(c, now)
+			c.GrantAnswered(now, out.Grants[0].Unit, OtherProcess, &out)
+			must.Len(t, 1, out.Refused)
+		}
+		c.RequestRelease(now, slice(0), 1)
+		out := tick(c, now)
+		must.Eq(t, []Release{{Range: Range{App: app}, Epoch: 1, Process: 7}}, out.Releases)
+		c.ReleaseAnswered(now, out.Releases[0], "", OtherProcess, &out)
+		must.SliceEmpty(t, out.Released)
+		out = tick(c, end-1)
+		must.SliceEmpty(t, out.Released)
+		must.SliceEmpty(t, out.Releases)
+		must.Len(t, 1, tick(c, end).Released)
+	}
+}
+
+// The next epoch of a slice goes to the process that may hold the slice, and to no other.
+func TestNextEpochIsBoundToProcessThatMayHoldSlice(t *testing.T) {
+	c, _ := newSentCore(t)
+	now := start.Add(2 * time.Second)
+	c.SetOwned(now, permit(slice(0), 2))
+	c.SetOwned(now, permit(slice(1), 2))
+	now = now.Add(c.cfg.TokenWait)
+	out := tick(c, now)
+	must.Len(t, 2, out.Grants)
+	must.Eq(t, 7, out.Grants[0].Process)
+	must.Zero(t, out.Grants[1].Process)
+
+	c, end := newSentCore(t)
+	c.SetOwned(end, permit(slice(0), 2))
+	must.Zero(t, tick(c, end.Add(c.cfg.TokenWait)).Grants[0].Process, must.Sprint("it holds nothing any more"))
+}
+
+// Neighbouring slices of two processes are not released by one call.
+func TestReleaseIsMeantForOneProcess(t *testing.T) {
+	c, _ := newSentCore(t)
+	now := start.Add(2 * time.Second)
+	c.SetOwned(start, permit(slice(1), 1))
+	out := tick(c, now)
+	for _, g := range out.Grants {
+		if g.Range.Has(slice(1)) {
+			c.SentTo(g.Unit, 8)
+		}
+		c.GrantAnswered(now, g.Unit, Accepted, &out)
+	}
+	c.RequestRelease(now, slice(0), 1)
+	c.RequestRelease(now, slice(1), 1)
+	releases := tick(c, now).Releases
+	must.Len(t, 2, releases)
+	must.Eq(t, 7, releases[0].Process)
+	must.Eq(t, 8, releases[1].Process)
+}
--- a/grant/may_hold.go
+++ b/grant/may_hold.go
@@ -9,6 +9,22 @@
 type droppedGrant struct {
 	mayHoldUntil mono.Time
 	unanswered   bool
+	process      uint64
+}
+
+// droppedGrant returns what the target may still hold of a unit that is given up.
+func (u *unit) droppedGrant() droppedGrant {
+	return droppedGrant{mayHoldUntil: u.mayHoldUntil, unanswered: u.unanswered, process: u.grant.Process}
+}
+
+// holder returns the process that may hold a slice of a unit that was given up, 0 if
+// there is none.
+func (c *Core) holder(now mono.Time, s key.Slice) uint64 {
+	d := c.dropped[s]
+	if !now.Before(d.mayHoldUntil) {
+		return 0
+	}
+	return d.process
 }
 
 // NewForRunningTarget returns a Core for a target that may have run before this
--- a/grant/release.go
+++ b/grant/release.go
@@ -28,10 +28,10 @@
 		case !now.Before(until):
 			c.finishRelease(d.Slice, c.releasing[d.Slice].token, out)
 		case u == nil:
-			c.addRelease(d.Slice, d.Epoch, out)
+			c.addRelease(d.Slice, d.Epoch, c.dropped[d.Slice].process, out)
 		default:
 			c.detach(u, d.Slice)
-			c.addRelease(d.Slice, u.grant.Epoch, out)
+			c.addRelease(d.Slice, u.grant.Epoch, u.grant.Process, out)
 		}
 	}
 }
@@ -51,17 +51,17 @@
 }
 
 // addRelease adds a slice to the last requested release if it follows that
-// release's range at the same epoch, else it adds another release.
-func (c *Core) addRelease(s key.Slice, epoch uint64, out *Actions) {
+// release's range at the same epoch and process, else it adds another release.
+func (c *Core) addRelease(s key.Slice, epoch, process uint64, out *Actions) {
 	c.markCalling(s, epoch)
 	if n := len(out.Releases); n > 0 {
 		last := &out.Releases[n-1]
-		if last.Epoch == epoch && last.Range.App == s.App && last.Range.Last+1 == s.ID {
+		if last.Epoch == epoch && last.Process == process && last.Range.App == s.App && last.Range.Last+1 == s.ID {
 			last.Range.Last = s.ID
 			return
 		}
 	}
-	out.Releases = append(out.Releases, Release{Range: Range{App: s.App, First: s.ID, Last: s.ID}, Epoch: epoch})
+	out.Releases = append(out.Releases, Release{Range: Range{App: s.App, First: s.ID, Last: s.ID}, Epoch: epoch, Process: process})
 }
 
 func (c *Core) markCalling(s key.Slice, epoch uint64) {
@@ -74,7 +74,8 @@
 // ReleaseAnswered handles the answer to a release. A grant whose answer was lost
 // may still arrive after the release, so its slices count as held until that
 // grant would have expired. That holds also for grants of an earlier daemon, unless
-// the target has accepted a higher epoch since, at which it refuses them.
+// the target has accepted a higher epoch since, at which it refuses them. No call
+// reaches a process again to which no connection leads any more.
 func (c *Core) ReleaseAnswered(now mono.Time, r Release, token string, a Answer, out *Actions) {
 	c.heard(a)
 	for id := r.Range.First; id <= r.Range.Last; id++ {
@@ -91,8 +92,11 @@
 		}
 		p.calling = false
 		p.due = now.Add(c.cfg.Retry)
-		if a == Accepted {
+		switch a {
+		case Accepted:
 			p.due, p.token = until, token
+		case OtherProcess:
+			p.due = until
 		}
 		c.releasing[s] = p
 	}
