Let a replaced instance hold its slices until its process has surely ended

What callers saw: two targets held the same keys for up to 2.4 s. Played with real daemons and stand-in servers of three keyed targets, where the listener of one closes while its process runs on and the next one listens at the address: 48,384 and 49,536 keys held twice for over half a second, in two plays of two overlaps each (same id and another id).

Cause: an announcement of another instance at the address counted as the end of the process before. Its client was closed, its core dropped and its slices released to the leader after an answer of the next process. The process before held its grants on.

Ruled out: a grant or release that reached the wrong process. The holds in the plays began before, and ended after, the grants of the next owners, without a release in between.

Change: the core and the client of a replaced instance are kept (grant.Previous). It gets no grants and requests, and its client opens no connections. A slice that it may hold goes to the leader once it has answered a release on a connection that was open to it, once the time of its grants is over, or once its process has surely ended: every connection, for requests and for grants, was closed by the server, at least one unannounced (platform.connWitness). The same holds for an instance at another address, in place of the plain wait of a lease. A planned stop waits for replaced instances. Runs of a replaced instance that takes no grants, and that were not lost, keep their slices until they end.

Tests of a replaced target say now whether its process has ended, which its connections show; they assumed it. TestSliceIsNotReleasedWhileInstanceAtOtherAddressMayHoldIt expects the release at the end of the wait, no longer with the next repeat. The model's bound of 100 ms for releases holds where the end of the process is seen, else the one of 5 s, which it now applies to moved instances as well; refused connections end lost runs only, as the loop does.

Not covered: a daemon that is superseded while an instance runs on beside the next one. Nor a process that closes all of its connections unannounced and runs on.

--- a/internal/daemon/grant_host_test.go
+++ b/internal/daemon/grant_host_test.go
@@ -77,6 +77,11 @@
 	h.announceAt("held", instance)
 }
 
+// endProcess ends the process of the target, which closes its connections.
+func (h *grantHost) endProcess() {
+	h.r.target.client.(*blockedTarget).ended = true
+}
+
 func (h *grantHost) announceAt(address string, instance uint64) {
 	targetAnnounced{control.Announcement{App: "katalog", Address: address, Slots: 12, ChecksGrants: true, State: control.StateWarm, Instance: instance}}.handle(h.r, h.now)
 }
--- a/internal/daemon/routing_grants.go
+++ b/internal/daemon/routing_grants.go
@@ -87,25 +87,33 @@
 
 // dropSlice stops granting a slice that is assigned elsewhere at a newer epoch.
 func (r *routingLoop) dropSlice(s key.Slice) {
+	r.previous.forgetSlice(s)
 	if r.granter != nil {
 		r.granter.Revoke(s)
 	}
 }
 
-// slicesHeldUnseen reports whether slices may be held of which no core knows: by an
-// earlier target at another address, or by a target that ran before this daemon
-// and for which there is no core before there is a document.
+// slicesHeldUnseen reports whether slices may be held of which no core knows: by a
+// target that ran before this daemon and for which there is no core before there is a
+// document.
 func (r *routingLoop) slicesHeldUnseen(now mono.Time) bool {
 	noCore := r.grantHolder != nil && r.granter == nil
-	return now.Before(r.heldElsewhereUntil) || noCore && now.Before(r.instanceSeenAt.Add(grantConfig().LongestHold()))
+	return noCore && now.Before(r.instanceSeenAt.Add(grantConfig().LongestHold()))
+}
+
+// targetHoldsNothing reports whether neither the target nor an instance that it has
+// replaced may hold a slice.
+func (r *routingLoop) targetHoldsNothing(now mono.Time) bool {
+	coreHoldsNothing := r.granter == nil || r.granter.HoldsNothing(now)
+	return coreHoldsNothing && len(r.previous.list) == 0 && !r.slicesHeldUnseen(now)
 }
 
 // releaseSlice makes the target release a slice before the leader is told that
-// the session released it. While slices may be held unseen, nothing is released:
-// the holder repeats the release. A target holds no slice of an app that it does
-// not serve.
+// the session released it; instances that it has replaced come first. While slices
+// may be held unseen, nothing is released: the holder repeats the release. A target
+// holds no slice of an app that it does not serve.
 func (r *routingLoop) releaseSlice(now mono.Time, release handover.Release) {
-	if r.slicesHeldUnseen(now) {
+	if r.slicesHeldUnseen(now) || r.awaitPrevious(now, release) {
 		return
 	}
 	s := key.Slice{App: release.App, ID: release.ID}
@@ -119,6 +127,7 @@
 
 // tickGrants requests the grants and releases that are due.
 func (r *routingLoop) tickGrants(now mono.Time) {
+	r.tickPrevious(now)
 	if r.granter == nil {
 		return
 	}
@@ -159,6 +168,7 @@
 func (w grantAnswered) handle(r *routingLoop, now mono.Time) {
 	g := w.grant
 	if w.core != r.callGrants {
+		r.previousGrantAnswered(now, w)
 		return
 	}
 	r.heardTarget(now, w.sentAt, r.target.instance, w.reply.Statement)
@@ -175,6 +185,7 @@
 
 func (w releaseAnswered) handle(r *routingLoop, now mono.Time) {
 	if w.core != r.callGrants {
+		r.previousReleaseAnswered(now, w)
 		return
 	}
 	r.heardTarget(now, w.sentAt, r.target.instance, w.reply.Statement)
@@ -198,6 +209,7 @@
 // finishReleases reports to the leader the slices that the target has released.
 // Before that it sends the release tokens to the next owners.
 func (r *routingLoop) finishReleases(now mono.Time, list []grant.ReleasedSlice) {
+	r.previous.useTokens(list)
 	for _, e := range list {
 		r.releasedEpochs[e.Slice] = e.Epoch
 		r.log.Event(event.SliceReleased, "slice", e.Slice.String(), "epoch", e.Epoch)
--- a/internal/daemon/routing_instance.go
+++ b/internal/daemon/routing_instance.go
@@ -12,20 +12,18 @@
 )
 
 // startTargetInstance starts with a new instance of the target. What an earlier
-// instance held is renounced, since another one may get it only at a higher epoch.
+// instance held is renounced, since another one may get it only at a higher epoch. It
+// is released once the earlier one surely holds it no more.
 func (r *routingLoop) startTargetInstance(now mono.Time, a control.Announcement, earlier *localTarget) {
-	ended := earlier.endedBefore(a)
+	replaced := earlier.isReplacedBy(a)
 	var earlierInstance uint64
 	if earlier != nil {
 		earlierInstance = earlier.instance
-		earlier.client.Close()
 		r.applyHandovers(now)
 		r.epochs.Replace()
-		if !ended && r.grantHolder != nil {
-			r.heldElsewhereUntil = now.Add(grantConfig().LongestHold())
-		}
+		r.keepPrevious(now, earlier)
 	}
-	r.resetGrants(now, ended && a.StartedMs >= earlier.startedMs)
+	r.resetGrants(now, replaced && a.StartedMs >= earlier.startedMs)
 	r.target.setInstance(r.targets(a), a)
 	r.targetStatus.Begin(a.Instance)
 	r.log.Event(event.TargetLife, "app", a.App, "address", a.Address, "target", a.InstanceName, "instance", a.Instance)
@@ -34,8 +32,10 @@
 	if earlier != nil {
 		r.executeHolder(now, r.holder.RenounceAll(now))
 	}
-	if ended {
-		r.endTicketsOf(now, earlierInstance)
+	r.target.replaced = 0
+	if replaced {
+		r.target.replaced = earlierInstance
+		r.endTicketsOfReplaced(now)
 	}
 	r.offerOwned(now)
 }
@@ -112,6 +112,7 @@
 		return
 	}
 	delete(r.nextOwners, s)
+	r.previous.forgetSlice(s)
 	permit, ok := r.epochs.Permit(s, epoch)
 	if !ok {
 		r.log.Event(event.EpochSpent, "slice", s.String(), "epoch", epoch, "instance", r.target.instance)
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -112,9 +112,8 @@
 	// the instances of the target.
 	grantState
 	epochs grant.Epochs
-	// heldElsewhereUntil is until when an earlier instance of the target, at another
-	// address, may hold what this daemon granted to it.
-	heldElsewhereUntil mono.Time
+	// previous has the instances that were replaced and may hold slices.
+	previous previousInstances
 
 	waitingCallers map[request.CallID]waitingCaller
 	sentRequests   map[uint64]sentRequest
@@ -196,6 +195,8 @@
 	slots         int
 	gone          bool
 	probing       bool // A probe of its address is under way.
+	// replaced is the instance that this one has replaced at its address, 0 if none.
+	replaced uint64
 }
 
 func newRoutingLoop(d *Daemon, cfg request.Config, holderConfig handover.Config, registry metrics.Registry) *routingLoop {
@@ -222,6 +223,7 @@
 		mergedAtMs:     make(map[key.Slice]int64),
 		unconfirmed:    make(map[string][]assignment.Change),
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
+		previous:       newPreviousInstances(),
 		crashes:        quarantine.NewDetector(),
 		quarantine:     quarantine.NewLedger(),
 		reporter:       newLoadReporter(d.self, d.settings.Placement.LoadReportInterval.Std(), bootclock.Now()),
@@ -309,8 +311,7 @@
 // Daemon.Stop.
 func (r *routingLoop) publishStopState() {
 	now := bootclock.Now()
-	targetReleased := r.granter == nil || r.granter.HoldsNothing(now)
-	released := r.holder.Stopped() && targetReleased && !r.slicesHeldUnseen(now)
+	released := r.holder.Stopped() && r.targetHoldsNothing(now)
 	r.allReleased.Store(released)
 	r.idle.Store(released && len(r.retiredGates) == 0 && (r.gate == nil || r.gate.Idle()))
 }
--- a/internal/daemon/routing_metrics.go
+++ b/internal/daemon/routing_metrics.go
@@ -34,6 +34,8 @@
 	// leaving 1 while it is about to end.
 	rateLimit metrics.GaugeFloat64
 	leaving   metrics.Gauge
+	// previous is the number of replaced instances of the target that may hold slices.
+	previous metrics.Gauge
 }
 
 // latencySampleSize is the number of samples that a histogram keeps.
@@ -58,6 +60,7 @@
 		quarantined: metrics.GetOrRegisterGauge("requests.quarantined", registry),
 		rateLimit:   metrics.GetOrRegisterGaugeFloat64("target.rate_limit", registry),
 		leaving:     metrics.GetOrRegisterGauge("target.leaving", registry),
+		previous:    metrics.GetOrRegisterGauge("target.previous", registry),
 	}
 	_ = registry.Register("routing.service_us", s.service) // Fails only if the name is in use.
 	_ = registry.Register("routing.queue_us", s.queue)
@@ -102,6 +105,7 @@
 	if said.Leaving {
 		s.leaving.Update(1)
 	}
+	s.previous.Update(int64(len(r.previous.list)))
 	if r.granter != nil {
 		s.grantUnits.Update(int64(r.granter.Units()))
 	}
--- a/internal/daemon/routing_target.go
+++ b/internal/daemon/routing_target.go
@@ -54,9 +54,9 @@
 	t.client, t.instance, t.startedMs = client, a.Instance, a.StartedMs
 }
 
-// endedBefore reports whether the instance has ended if another one announces itself:
-// only one process listens at an address.
-func (t *localTarget) endedBefore(a control.Announcement) bool {
+// isReplacedBy reports whether the sender of an announcement listens in place of the
+// instance: only one process listens at an address. The instance may run on.
+func (t *localTarget) isReplacedBy(a control.Announcement) bool {
 	return t != nil && t.instance != a.Instance && t.client.Address() == a.Address
 }
 
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -165,6 +165,7 @@
 	default:
 		g.TargetLost(now, run, result.AnswerLost, &r.gateActions)
 		r.endAfterDeadline(now, w.run)
+		r.endTicketsOfReplaced(now)
 		return
 	}
 	r.endTicket(now, w.run)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -20,6 +20,8 @@
 	granted       chan bool
 	releaseAsked  chan bool // receives when a release is requested
 	releaseAnswer chan grant.Answer
+	ended         bool // Its connections show that the process has ended.
+	retired       bool
 }
 
 func (h *blockedTarget) Address() string                         { return cmp.Or(h.address, "held") }
@@ -28,6 +30,8 @@
 func (*blockedTarget) IsListening() bool                         { return true }
 func (*blockedTarget) Close()                                    {}
 func (*blockedTarget) Announced()                                {}
+func (h *blockedTarget) Retire()                                 { h.retired = true }
+func (h *blockedTarget) HasEnded() bool                          { return h.ended }
 
 func (h *blockedTarget) Grant(grant.Grant) grant.Reply {
 	h.granted <- true
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -33,6 +33,13 @@
 	Announced()
 	Grant(g grant.Grant) grant.Reply
 	Release(r grant.Release) grant.Reply
+	// Retire opens no more connections: the next one might lead to another process.
+	// Requests and calls go out on open ones only. It does not block.
+	Retire()
+	// HasEnded reports whether the process of the instance has surely ended: it has
+	// closed every connection, at least one of them unannounced. It does not block and
+	// opens no connection.
+	HasEnded() bool
 }
 
 // TargetFactory returns the Target for a target that has announced itself.
--- a/internal/daemon/target_running_test.go
+++ b/internal/daemon/target_running_test.go
@@ -55,7 +55,6 @@
 		must.True(t, h.r.holder.Stopped())
 		must.False(t, h.r.allReleased.Load())
 		h.tick(1)
-		h.tick(releaseResendInterval)
 		must.Eq(t, h.releaseOfSlice(), h.released)
 	}
 }
--- a/internal/ownermodel/daemon_test.go
+++ b/internal/ownermodel/daemon_test.go
@@ -45,6 +45,8 @@
 	tracker   targetinstance.Tracker
 	target    *localTarget // nil until a target has announced itself.
 	grantState
+	previous []*previousInstance
+	heldBack map[key.Slice]handover.Release
 	heldRuns heldRuns
 
 	sessionOver bool
@@ -60,6 +62,7 @@
 type localTarget struct {
 	instance *instance
 	address  string
+	replaced *instance // At the same address.
 }
 
 // grantState is what begins anew with each instance of the target.
@@ -98,6 +101,7 @@
 			StopGrace:        stopGrace,
 		}),
 		owners:     assignment.NewMap(),
+		heldBack:   make(map[key.Slice]handover.Release),
 		heldRuns:   make(heldRuns),
 		replacedAt: make(map[key.Slice]mono.Time),
 		nextTick:   m.now.Add(m.between(0, tickInterval)),
--- a/internal/ownermodel/grants_test.go
+++ b/internal/ownermodel/grants_test.go
@@ -39,27 +39,34 @@
 	now := d.m.now
 	replaced := earlier != nil
 	var earlierInstance *instance
-	ended := false
+	sameAddress := false
+	dropsCore := d.m.opts.drops(newCoreRule)
 	if replaced {
-		earlierInstance, ended = earlier.instance, earlier.address == i.address
+		earlierInstance, sameAddress = earlier.instance, earlier.address == i.address
 		d.applyHandovers()
 		d.epochs.Replace()
+		if !dropsCore && !d.m.opts.drops(previousRule) {
+			d.keepPrevious(earlierInstance)
+		}
+	}
+	d.m.note("%s: %s is announced, replaced %v at its address %v", d.self, i, replaced, sameAddress)
+	d.target.instance, d.target.replaced = i, nil
+	if sameAddress {
+		d.target.replaced = earlierInstance
 	}
-	d.m.note("%s: %s is announced, replaced %v ended %v", d.self, i, replaced, ended)
-	d.target.instance = i
-	empty := ended && i.startedMs >= earlierInstance.startedMs
-	if !replaced || !d.m.opts.drops(newCoreRule) {
+	empty := sameAddress && i.startedMs >= earlierInstance.startedMs
+	if !replaced || !dropsCore {
 		d.grantState = grantState{releasedEpochs: make(map[key.Slice]uint64)}
 		d.startGranting(now, empty)
 	}
-	if ended {
-		d.expectRelease(earlierInstance, empty && now.Sub(d.startedAt) >= longestHold)
+	if replaced {
+		d.expectRelease(earlierInstance, empty && now.Sub(d.startedAt) >= longestHold && d.previousHaveEnded())
 	}
 	if replaced {
 		d.targetReplaced()
 	}
-	if ended && !d.m.opts.drops(ticketsRule) {
-		d.endTicketsOf(earlierInstance)
+	if sameAddress {
+		d.endTicketsOfReplaced()
 	}
 	d.offerOwned()
 	d.m.after(d.m.between(0, newsDelay), func() { d.m.leader.targetRecorded(d.self, i) })
@@ -128,6 +135,7 @@
 	if d.granter == nil {
 		return
 	}
+	delete(d.heldBack, s)
 	epochs := &d.epochs
 	if d.m.opts.drops(permitRule) {
 		epochs = &grant.Epochs{}
@@ -152,6 +160,7 @@
 		d.m.fail("%s moved to epoch %d without a release of epoch %d", a.Slice, a.Newest, a.Epoch)
 	}
 	delete(d.replacedAt, a.Slice)
+	delete(d.heldBack, a.Slice)
 	if d.granter != nil {
 		d.granter.Revoke(a.Slice)
 	}
@@ -159,6 +168,9 @@
 
 func (d *daemon) releaseSlice(r handover.Release) {
 	s := key.Slice{App: r.App, ID: r.ID}
+	if !d.m.opts.drops(targetReleaseRule) && d.awaitPrevious(r) {
+		return
+	}
 	if d.granter == nil || d.releasedEpochs[s] == r.Epoch || d.m.opts.drops(targetReleaseRule) {
 		d.onReleased(r)
 		return
@@ -167,6 +179,7 @@
 }
 
 func (d *daemon) tickGrants() {
+	d.tickPrevious()
 	if d.granter == nil {
 		return
 	}
@@ -197,7 +210,11 @@
 }
 
 func (d *daemon) grantAnswered(core *grant.Core, g grant.Grant, a grant.Answer) {
-	if !d.beginTask() || core != d.callGrants {
+	if !d.beginTask() {
+		return
+	}
+	if core != d.callGrants {
+		d.previousGrantAnswered(core, g, a)
 		return
 	}
 	if a != grant.Accepted {
@@ -208,7 +225,11 @@
 }
 
 func (d *daemon) releaseAnswered(core *grant.Core, r grant.Release, a grant.Answer) {
-	if !d.beginTask() || core != d.callGrants {
+	if !d.beginTask() {
+		return
+	}
+	if core != d.callGrants {
+		d.previousReleaseAnswered(core, r, a)
 		return
 	}
 	d.m.note("%s: release of slices %d to %d at epoch %d: %s", d.self, r.Range.First, r.Range.Last, r.Epoch, a)
--- a/internal/ownermodel/hosts_test.go
+++ b/internal/ownermodel/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -16,6 +17,7 @@
 	stepsPerLeaseLapse  = 1000
 	stepsPerLostRun     = 200
 	stepsPerHigherEpoch = 500
+	stepsPerOverlap     = 600
 	stepsPerRun         = 4
 )
 
@@ -29,6 +31,9 @@
 	daemonGap     = 400 * time.Millisecond
 	longDaemonGap = 1500 * time.Millisecond
 	lapseTime     = 4 * time.Second
+	// overlapTime is how long an instance runs on at most after it has closed its
+	// listener: longer than a grant.
+	overlapTime = 2400 * time.Millisecond
 )
 
 // hostModel is one host with its target and its daemon.
@@ -37,8 +42,11 @@
 	index       int
 	id          host.ID
 	target      *instance
+	lingering   []*instance // They have closed their listener and run on.
 	daemon      *daemon
 	incarnation uint64
+	// supersededAt is when a session last superseded the one before.
+	supersededAt mono.Time
 	// The lease of the daemon's session. It is not renewed until cutUntil.
 	leaseEnd  mono.Time
 	nextRenew mono.Time
@@ -51,6 +59,9 @@
 		if h.target.alive && m.chance(stepsPerTargetCrash) {
 			h.crashTarget()
 		}
+		if h.target.listens() && m.chance(stepsPerOverlap) && h.mayOverlap() {
+			h.closeListener()
+		}
 		if h.daemon.alive && m.chance(stepsPerDaemonCrash) {
 			h.crashDaemon()
 		}
@@ -70,6 +81,9 @@
 	m := h.m
 	h.renew()
 	h.target.step()
+	for _, i := range h.lingering {
+		i.step()
+	}
 	if h.daemon.alive {
 		h.daemon.step()
 	}
@@ -92,10 +106,13 @@
 // same or another name.
 func (h *hostModel) startTarget() {
 	m := h.m
-	if h.target != nil && h.target.alive {
+	if h.target != nil && h.target.listens() {
 		return
 	}
 	earlier := h.target
+	if earlier != nil && earlier.alive {
+		h.lingering = append(h.lingering, earlier)
+	}
 	h.target = newInstance(h)
 	if earlier != nil && !m.chance(3) {
 		h.target.address = earlier.address
@@ -123,6 +140,35 @@
 	m.after(dark, h.startTarget)
 }
 
+// mayOverlap reports whether the instance may run on beside the next one: no session of
+// the host that was superseded lately can have granted slices to it.
+func (h *hostModel) mayOverlap() bool {
+	return h.m.opts.overlapsAcrossDaemons || h.daemon.alive && !h.m.now.Before(h.supersededAt.Add(longestHold))
+}
+
+// overlaps reports whether an instance runs beside the one that listens, or refuses
+// connections while it runs.
+func (h *hostModel) overlaps() bool {
+	return h.target.alive && h.target.listenerClosed || slices.ContainsFunc(h.lingering, func(i *instance) bool { return i.alive })
+}
+
+// closeListener makes the instance refuse connections while it runs on. The next one
+// starts beside it.
+func (h *hostModel) closeListener() {
+	m := h.m
+	m.stats.overlaps++
+	i := h.target
+	i.listenerClosed = true
+	m.note("%s: %s closes its listener", h.id, i)
+	m.after(m.between(0, overlapTime), func() {
+		if i.alive {
+			m.note("%s: %s exits", h.id, i)
+			i.crash()
+		}
+	})
+	m.after(m.between(0, darkTime), h.startTarget)
+}
+
 // startDaemon starts a session. Where it supersedes the earlier one, that is
 // recorded as lost at once.
 func (h *hostModel) startDaemon(supersedes bool) {
@@ -136,8 +182,10 @@
 	h.daemon = newDaemon(h, host.Session{Host: h.id, Incarnation: h.incarnation})
 	h.leaseEnd, h.nextRenew, h.cutUntil = mono.Never, m.now, mono.Never
 	h.renew()
+	supersedes = supersedes && (m.opts.overlapsAcrossDaemons || !h.overlaps())
 	m.note("%s: session %s starts, supersedes %v", h.id, h.daemon.self, supersedes)
 	if supersedes {
+		h.supersededAt = m.now
 		m.leader.recordSuperseded(earlier.self, h.daemon.self)
 	}
 	h.daemon.readPack()
@@ -176,6 +224,9 @@
 // epoch that nobody had count as failures: they end too.
 func (h *hostModel) recover() {
 	h.cutUntil = mono.Never
+	if h.target.listenerClosed {
+		h.target.crash()
+	}
 	h.startTarget()
 	h.target.forgetHigherEpochs()
 	if !h.daemon.alive {
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -54,6 +54,7 @@
 	targetReleaseRule  rule = "the target releases before the leader is told"
 	newCoreRule        rule = "a new instance gets a new core"
 	refusalRule        rule = "a refused epoch is renounced"
+	previousRule       rule = "a replaced instance holds until it surely does not"
 )
 
 // options are the kind of a run.
@@ -65,8 +66,11 @@
 	// that late heartbeats of the first count as those of a new instance. The running
 	// one is then adopted only after a silence, and quietBound is not kept.
 	clockJumps bool
-	dropped    []rule
-	traced     bool
+	// overlapsAcrossDaemons lets instances run on beside the next one while a session
+	// that granted slices to them is superseded: the next session can't tell.
+	overlapsAcrossDaemons bool
+	dropped               []rule
+	traced                bool
 }
 
 func (o options) drops(r rule) bool {
@@ -98,6 +102,7 @@
 	takes      int
 	handovers  int // Releases that the leader answered by a next epoch.
 	refusals   int
+	overlaps   int           // Instances that ran on after they had closed their listener.
 	lateGrants int           // Grants that took effect after their call had ended.
 	released   int           // Slices released because their instance was replaced.
 	sumRelease time.Duration // Their time from the announcement of the new instance.
@@ -111,6 +116,7 @@
 	s.takes += o.takes
 	s.handovers += o.handovers
 	s.refusals += o.refusals
+	s.overlaps += o.overlaps
 	s.lateGrants += o.lateGrants
 	s.released += o.released
 	s.sumRelease += o.sumRelease
--- a/internal/ownermodel/ownermodel_test.go
+++ b/internal/ownermodel/ownermodel_test.go
@@ -10,9 +10,10 @@
 )
 
 var (
-	modelRuns  = flag.Uint64("model.runs", 450, "random runs of the model for each way of granting")
-	modelSeed  = flag.Uint64("model.seed", 0, "first seed of the model")
-	modelJumps = flag.Bool("model.clock-jumps", false, "let wall clocks jump back between two instances of a target")
+	modelRuns     = flag.Uint64("model.runs", 450, "random runs of the model for each way of granting")
+	modelSeed     = flag.Uint64("model.seed", 0, "first seed of the model")
+	modelOverlaps = flag.Bool("model.overlaps-across-daemons", false, "let instances run on beside the next one while their daemon restarts")
+	modelJumps    = flag.Bool("model.clock-jumps", false, "let wall clocks jump back between two instances of a target")
 )
 
 // traceLines is how many lines of the trace of a violation are printed.
@@ -36,6 +37,8 @@
 	return options{
 		byHeartbeats: byHeartbeats,
 		clockJumps:   *modelJumps,
+
+		overlapsAcrossDaemons: *modelOverlaps,
 	}
 }
 
@@ -92,6 +95,7 @@
 		{[]rule{targetReleaseRule}, "holds it at", both},
 		{[]rule{newCoreRule}, "after its instance was replaced", heartbeats},
 		{[]rule{refusalRule}, "are not served", both},
+		{[]rule{previousRule}, "holds it at", both},
 	}
 	for _, c := range cases {
 		for _, byHeartbeats := range c.ways {
--- a/internal/ownermodel/runs_test.go
+++ b/internal/ownermodel/runs_test.go
@@ -30,6 +30,8 @@
 	ticket   handover.Ticket
 	deadline mono.Time
 	lost     bool // Its connection is lost.
+	// lossKnown is set once the daemon knows that.
+	lossKnown bool
 }
 
 // heldRuns holds the runs whose tickets keep their slices from being released.
@@ -75,7 +77,7 @@
 
 // listens reports whether a process listens at the address of an instance.
 func (d *daemon) listens(i *instance) bool {
-	return i.alive || d.host.target.alive && d.host.target.address == i.address
+	return i.listens() || d.host.target.listens() && d.host.target.address == i.address
 }
 
 // runEnded handles the answer to a run.
@@ -92,6 +94,8 @@
 	if !d.beginTask() {
 		return
 	}
+	r.lossKnown = true
+	d.endTicketsOfReplaced()
 	m.after(max(r.deadline.Sub(m.now), 0), func() { d.runEnded(r) })
 	if m.chance(3) {
 		return
@@ -103,10 +107,19 @@
 	})
 }
 
-// instanceEnded handles the proof that an instance has ended.
+// instanceEnded handles that an instance refuses connections.
 func (d *daemon) instanceEnded(i *instance) {
 	if d.beginTask() && !d.m.opts.drops(ticketsRule) {
-		d.endTicketsOf(i)
+		d.endTickets(func(r *run) bool { return r.instance == i && r.lossKnown })
+	}
+}
+
+// endTicketsOfReplaced ends the tickets of the lost runs of the instance that the
+// present one has replaced at its address, unless it may hold slices.
+func (d *daemon) endTicketsOfReplaced() {
+	i := d.target.replaced
+	if i != nil && !d.isPrevious(i) && !d.m.opts.drops(ticketsRule) {
+		d.endTickets(func(r *run) bool { return r.instance == i && r.lossKnown })
 	}
 }
 
@@ -119,9 +132,13 @@
 }
 
 func (d *daemon) endTicketsOf(i *instance) {
+	d.endTickets(func(r *run) bool { return r.instance == i })
+}
+
+func (d *daemon) endTickets(matches func(*run) bool) {
 	runs := slices.SortedFunc(maps.Keys(d.heldRuns), func(a, b *run) int { return cmp.Compare(a.number, b.number) })
 	for _, r := range runs {
-		if r.instance == i {
+		if matches(r) {
 			d.endTicket(r)
 		}
 	}
--- a/internal/ownermodel/target_test.go
+++ b/internal/ownermodel/target_test.go
@@ -22,6 +22,10 @@
 	startedMs int64
 	address   string
 	alive     bool
+	// listenerClosed is set if the instance refuses connections while it may run on.
+	listenerClosed bool
+	// seenToEnd is set once the connections of the daemons show that it has ended.
+	seenToEnd bool
 	drift     float64
 	holds     [sliceCount]hold
 	seen      [sliceCount]uint64 // Highest epoch seen of each slice.
@@ -72,9 +76,22 @@
 	return i
 }
 
-// crash ends the instance. The connections of its runs are lost soon after.
+// listens reports whether the instance accepts connections.
+func (i *instance) listens() bool {
+	return i.alive && !i.listenerClosed
+}
+
+// crash ends the instance. The connections of its runs are lost soon after. Mostly a
+// daemon has another connection, which shows the end at once or a little later.
 func (i *instance) crash() {
 	i.alive = false
+	switch {
+	case i.m.chance(4):
+	case i.m.chance(4):
+		i.m.after(i.m.between(0, 100*time.Millisecond), func() { i.seenToEnd = true })
+	default:
+		i.seenToEnd = true
+	}
 	for _, w := range i.work {
 		i.lose(w.run)
 	}
@@ -225,13 +242,8 @@
 		}
 	}
 	for _, h := range m.hosts {
-		other := h.target
-		switch {
-		case other == i:
-		case other.holdsSlice(id):
-			m.fail("%s takes slice %d at epoch %d, %s holds it at %d", i, id, epoch, other, other.holds[id].epoch)
-		case other.worksOn(id):
-			m.fail("%s takes slice %d at epoch %d, %s works on it at %d", i, id, epoch, other, other.holds[id].epoch)
+		for _, other := range append(slices.Clone(h.lingering), h.target) {
+			m.checkAlone(i, id, epoch, other)
 		}
 	}
 	if m.had[id][i.number] < epoch {
@@ -239,3 +251,15 @@
 		m.had[id][i.number] = epoch
 	}
 }
+
+// checkAlone checks that another instance neither holds a slice that an instance takes,
+// nor works on it.
+func (m *model) checkAlone(i *instance, id key.SliceID, epoch uint64, other *instance) {
+	switch {
+	case other == i:
+	case other.holdsSlice(id):
+		m.fail("%s takes slice %d at epoch %d, %s holds it at %d", i, id, epoch, other, other.holds[id].epoch)
+	case other.worksOn(id):
+		m.fail("%s takes slice %d at epoch %d, %s works on it at %d", i, id, epoch, other, other.holds[id].epoch)
+	}
+}
