Bound the request bodies in memory as a sum, and refuse by length

Cause: the limit for bodies was 64 MiB, although a message between daemons carries 8 MiB; the body was read and cloned first, and refused last. No sum was bounded.

Change: the header is read first. A body above what a message carries (8,306,688 bytes) is refused by its length with 413, not run. The bodies that are being read or are not answered yet take at most a twelfth of the new setting memory_mb (the platform's limits.memoryMb); above it a request is refused with 503, bodies_full and Retry-After before its body is read. Long bodies leave a quarter of the sum to short ones; one that never fits gets 413. Chunked bodies reserve as they are read. A body is read into a buffer of its own: no clone. A refusal names the request's id now, and so does not say "not run" of a repeat.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -56,6 +56,7 @@
 	retryAfter time.Duration
 	isHead     bool // for HEAD: the answer has no body
 	closeAfter bool // the connection closes after the answer
+	bodyBytes  int  // reserved in the budget until the answer
 }
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
@@ -104,6 +105,7 @@
 		return false
 	}
 	if !c.submit(x) {
+		c.server.bodies.release(x.bodyBytes)
 		return c.discardInput()
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
@@ -144,53 +146,55 @@
 }
 
 // readExchange reads one request. It returns an error if the connection failed.
-// Bytes that are not an HTTP request and requests that are too large result in
-// a refused exchange.
+// Bytes that are not an HTTP request, and requests that are too large or find no
+// room, result in a refused exchange, after which the connection closes.
 func (c *conn) readExchange(req *fasthttp.Request) (*exchange, error) {
-	x := &exchange{submission: Submission{Call: request.CallID(c.server.lastCallID.Add(1)), Request: &request.Request{}}}
-	if err := c.readRequest(req); err != nil {
-		var netErr net.Error
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
-			return nil, err
-		}
+	call := request.CallID(c.server.lastCallID.Add(1))
+	if err := c.readHeader(req); err != nil {
+		x := &exchange{submission: Submission{Call: call, Request: &request.Request{}}, closeAfter: true}
 		x.refusal = refusalForReadError(err)
-		x.closeAfter = true
-		return x, nil
+		return x, connectionError(err)
+	}
+	x := &exchange{isHead: req.Header.IsHead(), closeAfter: req.Header.ConnectionClose()}
+	var bodyErr error
+	x.bodyBytes, bodyErr = c.readBody(req)
+	if err := connectionError(bodyErr); err != nil {
+		return nil, err
 	}
-	x.isHead = req.Header.IsHead()
-	x.closeAfter = req.Header.ConnectionClose()
-	call := x.submission.Call
 	x.submission, x.refusal = c.server.protocol.Parse(req, c.server.router)
 	x.submission.Call = call
 	x.submission.Reply = make(chan *request.Answer, 1)
+	if bodyErr != nil {
+		x.closeAfter = true
+		x.refusal = refusalForReadError(bodyErr)
+	}
 	return x, nil
 }
 
-// refusalForReadError returns TooLarge if the headers or the body exceed their
-// limit, else BadRequest.
+// connectionError returns the error of a connection that failed, and nil for others.
+func connectionError(err error) error {
+	var netErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
+		return err
+	}
+	return nil
+}
+
+// refusalForReadError returns TooLarge if the headers exceed their limit, the error
+// itself if it is a refusal, else BadRequest.
 func refusalForReadError(err error) *result.Error {
+	var refusal *result.Error
+	if errors.As(err, &refusal) {
+		return refusal
+	}
 	code := result.BadRequest
 	var smallBuffer *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &smallBuffer) {
+	if errors.As(err, &smallBuffer) {
 		code = result.TooLarge
 	}
 	return &result.Error{Code: code, Detail: err.Error()}
 }
 
-// readRequest reads one request with its body, which is not decoded in any way.
-func (c *conn) readRequest(req *fasthttp.Request) error {
-	if err := c.readHeader(req); err != nil {
-		return err
-	}
-	if req.MayContinue() {
-		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return err
-		}
-	}
-	const parseForms = false
-	return req.ContinueReadBody(c.reader, c.server.options.MaxBodyBytes, parseForms)
-}
-
 // readHeader reads the request line and the headers of a request. If they don't fit
 // the read buffer, it reads again with a buffer for the largest headers.
 func (c *conn) readHeader(req *fasthttp.Request) error {
@@ -220,6 +224,7 @@
 	for x := range c.exchanges {
 		resp.Reset()
 		c.fillResponse(resp, x)
+		c.server.bodies.release(x.bodyBytes)
 		closes := c.markAnswered(x)
 		resp.SkipBody = x.isHead
 		if closes {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,7 +40,8 @@
 	// Options returns the limits of the HTTP server.
 	Options() Options
 	// Parse reads a request. It fills in the submission's Request and Deadline.
-	// If it returns an error, the Request holds what was read before.
+	// If it returns an error, the Request holds what was read before. The request
+	// may keep the body.
 	Parse(req *fasthttp.Request, router Router) (Submission, *result.Error)
 	// WriteAnswer writes the router's answer into the response.
 	WriteAnswer(resp *fasthttp.Response, answer *request.Answer)
@@ -56,6 +57,9 @@
 	// headers.
 	MaxBodyBytes   int
 	MaxHeaderBytes int
+	// BodyBudgetBytes bounds the sum of the bodies of the requests that are being
+	// read or not answered yet; 0 is no bound. It also bounds MaxBodyBytes.
+	BodyBudgetBytes int
 	// ReadTimeout bounds the time to read a request from its first byte,
 	// IdleTimeout the time between two requests on a connection.
 	ReadTimeout time.Duration
@@ -108,6 +112,7 @@
 	lastCallID atomic.Uint64
 	draining   atomic.Bool
 	listener   net.Listener
+	bodies     *bodyBudget
 	// closed is closed to end all connections at once.
 	closed chan struct{}
 	wg     sync.WaitGroup
@@ -119,10 +124,14 @@
 // New returns a server that reads requests with the protocol and submits them
 // to the router.
 func New(router Router, protocol Protocol) *Server {
+	options := protocol.Options()
+	bodies := &bodyBudget{limit: options.BodyBudgetBytes}
+	options.MaxBodyBytes = bodies.longest(options.MaxBodyBytes)
 	return &Server{
 		router:   router,
 		protocol: protocol,
-		options:  protocol.Options(),
+		options:  options,
+		bodies:   bodies,
 		closed:   make(chan struct{}),
 		conns:    make(map[*conn]bool),
 	}
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -37,7 +36,7 @@
 	r.Path = path
 	r.Method = string(req.Header.Method())
 	r.ContentType = string(req.Header.ContentType())
-	r.Body = bytes.Clone(req.Body())
+	r.Body = req.Body()
 	if err := p.parseID(req, r); err != nil {
 		return sub, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,6 +151,10 @@
 	// Requests with large answers are refused while it is full. Default: 0, not
 	// limited.
 	HostLinkMbps float64 `json:"host_link_mbps"`
+	// MemoryMB is the memory that the process may take, in units of 1,000,000
+	// bytes. Requests whose bodies find no room in the part that is set aside for
+	// them are refused. Default: 0, no bound.
+	MemoryMB float64 `json:"memory_mb"`
 	// Seed is the seed of the daemon's random number generators. Some of them
 	// also use the time of the start. Default: 0.
 	Seed uint64 `json:"seed"`
@@ -232,6 +236,9 @@
 	if d.HostLinkMbps < 0 {
 		return newError("host_link_mbps", "the capacity is below 0", "write the megabits per second, or leave the field out")
 	}
+	if d.MemoryMB < 0 {
+		return newError("memory_mb", "the memory is below 0", "write the millions of bytes, or leave the field out")
+	}
 	if d.DebugAddress == "" {
 		return nil
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,7 @@
 		{"empty host", `"h1"`, `""`, "host"},
 		{"peer without a port", `"seed":1`, `"peers":["127.0.0.1:5","127.0.0.1"]`, "peers[1]"},
 		{"a link below nothing", `"seed":1`, `"host_link_mbps":-1`, "host_link_mbps"},
+		{"memory below nothing", `"seed":1`, `"memory_mb":-1`, "memory_mb"},
 		{"profiles for other hosts", `"seed":1`, `"debug_address":"192.0.2.1:6060"`, "debug_address"},
 		{"trailing text", `"seed":1}`, `"seed":1} {}`, "one document"},
 	}
--- a/result/codes.go
+++ b/result/codes.go
@@ -32,6 +32,7 @@
 	DuplicateInFlight  Code = 213
 	LinkShareExhausted Code = 214
 	Quarantined        Code = 215
+	BodiesFull         Code = 216
 
 	OutcomeUnknown   Code = 300
 	AnswerLate       Code = 301
@@ -89,6 +90,7 @@
 	{DuplicateInFlight, "duplicate_in_flight", Unknown, 409, "Wait for the first attempt with this id; this repeat was not run."},
 	{LinkShareExhausted, "link_share_exhausted", NotRun, 503, "Ask again later: the link between regions has no share left."},
 	{Quarantined, "quarantined", NotRun, 503, "Don't send it again before the time in Retry-After: targets that ran a request of this content ended."},
+	{BodiesFull, "bodies_full", NotRun, 503, "Ask again after the time in Retry-After: the memory for request bodies is in use."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, 504, "Repeat it with the same id and a higher Rhubarb-Attempt to learn the outcome; under a new id it may run twice."},
 	{AnswerLate, "answer_late", Late, 504, "The request ran, and its answer came after the deadline; repeat it with the same id to get the answer."},
 	{AnswerLost, "answer_lost", Unknown, 504, "Repeat it with the same id and a higher Rhubarb-Attempt to learn the outcome; under a new id it may run twice."},
