Count running requests in the bound on bodies at a gate

Cause: a gate bounded the bodies of queued requests only. A target has slots for many, and a running request's body stays until its answer: daemons that send long bodies to one target could together take its daemon above its memory.

Change: when a request with a body of 64 KiB or more comes, the bodies of all queued and running requests are summed, and it is refused as queue_full if it would take them above the same part of memory_mb as at the entry. Shorter ones go on, and a single one of any length is admitted.

The test failed before: TestLongBodiesAreBoundedAlsoWhileTheyRun.

--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -31,9 +31,34 @@
 	if q.len() >= g.cfg.MaxQueued || q.bodyBytes+len(r.Body) > g.cfg.MaxQueuedBytes {
 		return result.QueueFull, max(wait, g.cfg.RetryAfter)
 	}
+	if g.lacksMemory(r) {
+		return result.QueueFull, max(wait, g.cfg.RetryAfter)
+	}
 	return result.OK, 0
 }
 
+// longBodyBytes is the size from which a body counts as long.
+const longBodyBytes = 64 << 10
+
+// lacksMemory reports whether a request's long body would exceed MaxBodyBytes with
+// the bodies that are here. Alone, any body is admitted.
+func (g *Gate) lacksMemory(r *request.Request) bool {
+	if g.cfg.MaxBodyBytes == 0 || len(r.Body) < longBodyBytes {
+		return false
+	}
+	here := g.bodyBytes()
+	return here > 0 && here+len(r.Body) > g.cfg.MaxBodyBytes
+}
+
+// bodyBytes returns the total size of the bodies of the queued and running requests.
+func (g *Gate) bodyBytes() int {
+	sum := g.urgent.bodyBytes + g.normal.bodyBytes
+	for _, j := range g.runs {
+		sum += len(j.req.Body)
+	}
+	return sum
+}
+
 // queueFullUntried reports whether as many requests wait as there are slots while no
 // run has ended yet. Until one has, no wait can be estimated, and a gate that has
 // just started would queue more than its target serves before their deadlines.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -69,6 +69,9 @@
 	// MaxQueuedBytes bounds the bytes of the bodies of the queued requests of
 	// each class.
 	MaxQueuedBytes int
+	// MaxBodyBytes bounds the bytes of the bodies of all requests, queued or running,
+	// when one with a long body comes; 0 is no bound.
+	MaxBodyBytes int
 	// UrgentBurst is the largest number of urgent requests that are started in
 	// a row while a normal one is queued.
 	UrgentBurst int
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -239,3 +239,31 @@
 	must.True(t, f.gate.Idle())
 	must.LessEq(t, maxStaleTimers+2, f.gate.timers.Len())
 }
+
+// Long bodies that run count as well: a target has slots for many of them.
+func TestLongBodiesAreBoundedAlsoWhileTheyRun(t *testing.T) {
+	f := newWarmFixture(12)
+	f.gate.cfg.MaxBodyBytes = 3 * longBodyBytes
+	long := func(r *request.Request) { r.Body = make([]byte, longBodyBytes) }
+	for range 3 {
+		f.arrive(startTime, request.Normal, long)
+		must.SliceLen(t, 1, f.out.Starts)
+	}
+	first := f.out.Starts[0].Run
+	f.arrive(startTime, request.Normal, long)
+	must.Eq(t, result.QueueFull, f.code(t))
+	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Body = make([]byte, longBodyBytes-1) })
+	must.SliceLen(t, 1, f.out.Starts, must.Sprint("short bodies go on"))
+	f.out.Reset()
+	f.gate.TargetAnswered(startTime, first, TargetAnswer{}, &f.out)
+	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Body = make([]byte, 4*longBodyBytes) })
+	must.Eq(t, result.QueueFull, f.code(t))
+}
+
+// A body above the bound is admitted if it is alone.
+func TestLongestBodyIsAdmittedAlone(t *testing.T) {
+	f := newWarmFixture(12)
+	f.gate.cfg.MaxBodyBytes = longBodyBytes
+	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Body = make([]byte, 2*longBodyBytes) })
+	must.SliceLen(t, 1, f.out.Starts)
+}
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -87,6 +87,8 @@
 	sliceWaiters *gate.SliceWaiters
 	// hostLink limits large answers; nil if the settings name no link.
 	hostLink *gate.HostLink
+	// bodyBudget bounds the bytes of the bodies at a gate; 0 is no bound.
+	bodyBudget int
 	// retiredGates are the gates of earlier targets that still have runs.
 	retiredGates []*gate.Gate
 	// onReleased is called for each release; it goes to the placement leader.
@@ -227,6 +229,7 @@
 		reporter:       newLoadReporter(d.self, d.settings.Placement.LoadReportInterval.Std(), bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
+	r.bodyBudget = d.settings.BodyBudgetBytes()
 	if mbps := d.settings.HostLinkMbps; mbps > 0 {
 		r.hostLink = gate.NewHostLink(mbps * hostLinkShare * bitsPerMegabit / bitsPerByte)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -165,6 +165,20 @@
 	DebugAddress string `json:"debug_address"`
 }
 
+const (
+	bytesPerMB = 1_000_000
+	// memoryPerBodyByte is how much memory is set aside for a byte of a request's
+	// body: the body, its frame and the buffers of its connections, on the way in and
+	// out, each with as much again that is not collected yet.
+	memoryPerBodyByte = 12
+)
+
+// BodyBudgetBytes returns how many bytes of request bodies may be held at a time; 0
+// if they are not bounded.
+func (d *Daemon) BodyBudgetBytes() int {
+	return int(d.MemoryMB * bytesPerMB / memoryPerBodyByte)
+}
+
 // Load reads and validates the settings in a file. Its errors have the code
 // BadSettings and name the field if one is at fault.
 func Load(path string) (*Daemon, error) {
