Keep slices from an instance while the one before it may hold them from an earlier daemon

What callers would see: two targets of a host hold the same keys for up to 2.04 s, if the daemon restarts while a target that closed its listener runs on.

Cause: the slices of a superseded session went to the next one at once, whatever instance it named, since only one process listens at the address. What the instance before holds the next daemon did not ask for.

Ruled out: each of the two rules alone.

Change: the leader gives a superseded session's slices to the next one at once only if it names the instance that the superseded one had had for 2.2 s; otherwise they wait for that time. A daemon offers a slice to the present instance only once no replaced one may hold it.

The model plays such overlaps always; the option that allowed them is gone. TestSupersededSlicesGoToSuccessorWhateverItsInstance required the fault; in its place stand two tests, for the same instance and for another one.

--- a/internal/daemon/previous_instance_test.go
+++ b/internal/daemon/previous_instance_test.go
@@ -128,3 +128,29 @@
 	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 2})
 	must.Eq(t, []uint64{2}, h.grantEpochs())
 }
+
+// The earlier daemon may have granted the slice to instance 1, which runs on.
+func TestNextInstanceIsNotGrantedWhatTheOneBeforeMayHoldOfAnEarlierDaemon(t *testing.T) {
+	for _, delivery := range bothDeliveries {
+		h := newHostWithoutDocument(t)
+		h.adoptDocument(delivery)
+		h.announce(1)
+		h.announce(2)
+		h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 2})
+		must.SliceEmpty(t, h.offeredEpochs(), must.Sprint(delivery))
+		h.tick(earlierGrantsLast)
+		must.Eq(t, []uint64{2}, h.offeredEpochs(), must.Sprint(delivery))
+	}
+}
+
+// offeredEpochs returns the epochs that the target is granted within a second.
+func (h *grantHost) offeredEpochs() []uint64 {
+	if h.r.callGrants != nil {
+		return h.grantEpochs()
+	}
+	var epochs []uint64
+	for _, row := range h.heartbeat(time.Second, grant.Report{}).Rows {
+		epochs = append(epochs, row.Epoch)
+	}
+	return epochs
+}
--- a/internal/daemon/routing_previous.go
+++ b/internal/daemon/routing_previous.go
@@ -18,9 +18,12 @@
 type previousInstances struct {
 	list []*previousInstance
 	// heldBack holds the releases that wait until no previous instance may hold the
-	// slice, and tokens what such an instance returned with its release.
-	heldBack map[key.Slice]handover.Release
-	tokens   map[key.Slice]grant.ReleasedSlice
+	// slice, and ownedLater the epochs of slices that the session owns and that the
+	// present instance is offered then.
+	heldBack   map[key.Slice]handover.Release
+	ownedLater map[key.Slice]uint64
+	// tokens holds what previous instances returned with their releases.
+	tokens map[key.Slice]grant.ReleasedSlice
 }
 
 // previousInstance is an instance of the target that another one has replaced.
@@ -35,8 +38,9 @@
 
 func newPreviousInstances() previousInstances {
 	return previousInstances{
-		heldBack: make(map[key.Slice]handover.Release),
-		tokens:   make(map[key.Slice]grant.ReleasedSlice),
+		heldBack:   make(map[key.Slice]handover.Release),
+		ownedLater: make(map[key.Slice]uint64),
+		tokens:     make(map[key.Slice]grant.ReleasedSlice),
 	}
 }
 
@@ -68,19 +72,37 @@
 // not hold its slice, and makes them release it.
 func (r *routingLoop) awaitPrevious(now mono.Time, release handover.Release) bool {
 	s := key.Slice{App: release.App, ID: release.ID}
-	waits := false
-	for _, p := range r.previous.list {
-		if p.grants.MayHold(now, s) {
-			p.grants.RequestRelease(now, s, release.Epoch)
-			waits = true
-		}
-	}
+	waits := r.previous.release(now, s, release.Epoch)
 	if waits {
 		r.previous.heldBack[s] = release
 	}
 	return waits
 }
 
+// offerLater reports whether a slice that the session owns is offered to the present
+// instance only once the previous ones surely do not hold it at an earlier epoch, and
+// makes them release it.
+func (r *routingLoop) offerLater(now mono.Time, s key.Slice, epoch uint64) bool {
+	waits := r.previous.release(now, s, epoch-1)
+	if waits {
+		r.previous.ownedLater[s] = epoch
+	}
+	return waits
+}
+
+// release makes the instances release a slice that may hold it, and reports whether
+// there is one.
+func (p *previousInstances) release(now mono.Time, s key.Slice, epoch uint64) bool {
+	held := false
+	for _, i := range p.list {
+		if i.grants.MayHold(now, s) {
+			i.grants.RequestRelease(now, s, epoch)
+			held = true
+		}
+	}
+	return held
+}
+
 // tickPrevious requests the releases of the previous instances that are due, and
 // forgets the instances that surely hold nothing.
 func (r *routingLoop) tickPrevious(now mono.Time) {
@@ -108,6 +130,7 @@
 	}
 	if end != grant.StillHeld || len(out.Released) > 0 {
 		r.sendHeldBack(now)
+		r.offerHeldBack(now)
 	}
 }
 
@@ -136,6 +159,21 @@
 	}
 }
 
+// offerHeldBack offers the slices that have waited for previous instances, as far as
+// the session still owns them.
+func (r *routingLoop) offerHeldBack(now mono.Time) {
+	waiting := r.previous.ownedLater
+	if len(waiting) == 0 {
+		return
+	}
+	r.previous.ownedLater = make(map[key.Slice]uint64)
+	for _, h := range r.holder.Owned() {
+		if waiting[h.Slice] == h.Epoch {
+			r.ownSlice(now, h.Slice, h.Epoch)
+		}
+	}
+}
+
 func compareSlices(a, b key.Slice) int {
 	return cmp.Or(cmp.Compare(a.App, b.App), cmp.Compare(a.ID, b.ID))
 }
--- a/internal/ownermodel/daemon_test.go
+++ b/internal/ownermodel/daemon_test.go
@@ -45,9 +45,10 @@
 	tracker   targetinstance.Tracker
 	target    *localTarget // nil until a target has announced itself.
 	grantState
-	previous []*previousInstance
-	heldBack map[key.Slice]handover.Release
-	heldRuns heldRuns
+	previous   []*previousInstance
+	heldBack   map[key.Slice]handover.Release
+	ownedLater map[key.Slice]uint64
+	heldRuns   heldRuns
 
 	sessionOver bool
 	nextTick    mono.Time
@@ -102,6 +103,7 @@
 		}),
 		owners:     assignment.NewMap(),
 		heldBack:   make(map[key.Slice]handover.Release),
+		ownedLater: make(map[key.Slice]uint64),
 		heldRuns:   make(heldRuns),
 		replacedAt: make(map[key.Slice]mono.Time),
 		nextTick:   m.now.Add(m.between(0, tickInterval)),
--- a/internal/ownermodel/grants_test.go
+++ b/internal/ownermodel/grants_test.go
@@ -135,6 +135,9 @@
 	if d.granter == nil {
 		return
 	}
+	if d.offerLater(s, epoch) {
+		return
+	}
 	delete(d.heldBack, s)
 	epochs := &d.epochs
 	if d.m.opts.drops(permitRule) {
--- a/internal/ownermodel/hosts_test.go
+++ b/internal/ownermodel/hosts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/host"
@@ -45,8 +44,6 @@
 	lingering   []*instance // They have closed their listener and run on.
 	daemon      *daemon
 	incarnation uint64
-	// supersededAt is when a session last superseded the one before.
-	supersededAt mono.Time
 	// The lease of the daemon's session. It is not renewed until cutUntil.
 	leaseEnd  mono.Time
 	nextRenew mono.Time
@@ -59,7 +56,7 @@
 		if h.target.alive && m.chance(stepsPerTargetCrash) {
 			h.crashTarget()
 		}
-		if h.target.listens() && m.chance(stepsPerOverlap) && h.mayOverlap() {
+		if h.target.listens() && m.chance(stepsPerOverlap) {
 			h.closeListener()
 		}
 		if h.daemon.alive && m.chance(stepsPerDaemonCrash) {
@@ -140,18 +137,6 @@
 	m.after(dark, h.startTarget)
 }
 
-// mayOverlap reports whether the instance may run on beside the next one: no session of
-// the host that was superseded lately can have granted slices to it.
-func (h *hostModel) mayOverlap() bool {
-	return h.m.opts.overlapsAcrossDaemons || h.daemon.alive && !h.m.now.Before(h.supersededAt.Add(longestHold))
-}
-
-// overlaps reports whether an instance runs beside the one that listens, or refuses
-// connections while it runs.
-func (h *hostModel) overlaps() bool {
-	return h.target.alive && h.target.listenerClosed || slices.ContainsFunc(h.lingering, func(i *instance) bool { return i.alive })
-}
-
 // closeListener makes the instance refuse connections while it runs on. The next one
 // starts beside it.
 func (h *hostModel) closeListener() {
@@ -182,10 +167,8 @@
 	h.daemon = newDaemon(h, host.Session{Host: h.id, Incarnation: h.incarnation})
 	h.leaseEnd, h.nextRenew, h.cutUntil = mono.Never, m.now, mono.Never
 	h.renew()
-	supersedes = supersedes && (m.opts.overlapsAcrossDaemons || !h.overlaps())
 	m.note("%s: session %s starts, supersedes %v", h.id, h.daemon.self, supersedes)
 	if supersedes {
-		h.supersededAt = m.now
 		m.leader.recordSuperseded(earlier.self, h.daemon.self)
 	}
 	h.daemon.readPack()
--- a/internal/ownermodel/leader_test.go
+++ b/internal/ownermodel/leader_test.go
@@ -30,6 +30,8 @@
 	version  uint64
 	sessions []host.Session // That have a target and have not ended.
 	targets  map[host.Session]*instance
+	// replacedAt holds when the target of a session last replaced another instance.
+	replacedAt map[host.Session]mono.Time
 	// ended holds the sessions that are recorded as lost.
 	ended map[host.Session]endedSession
 	// watched are sessions whose daemon has crashed.
@@ -50,7 +52,7 @@
 }
 
 func newLeader(m *model) *leader {
-	return &leader{m: m, pack: assignment.NewPack(app, sliceCount, 0), ended: make(map[host.Session]endedSession), targets: make(map[host.Session]*instance)}
+	return &leader{m: m, pack: assignment.NewPack(app, sliceCount, 0), ended: make(map[host.Session]endedSession), targets: make(map[host.Session]*instance), replacedAt: make(map[host.Session]mono.Time)}
 }
 
 // targetRecorded learns which instance of a target a session has. Only sessions
@@ -59,6 +61,9 @@
 	if _, known := l.targets[s]; !known && !l.hasEnded(s) {
 		l.sessions = append(l.sessions, s)
 	}
+	if earlier := l.targets[s]; earlier != nil && earlier != i {
+		l.replacedAt[s] = l.m.now
+	}
 	l.targets[s] = i
 }
 
@@ -151,12 +156,17 @@
 }
 
 // heir returns the next owner of a slice whose owner's session has ended, nobody
-// if it must wait. As long as the target may hold it, that is the successor.
+// if it must wait. As long as the target may hold it, that is the successor, if its
+// target is the instance that the ended session had granted all of its slices.
 func (l *leader) heir(ended endedSession) host.Session {
 	if !l.m.now.Before(ended.successorOnly) {
 		return l.anySession()
 	}
-	if _, known := l.targets[ended.successor]; !known {
+	if i, known := l.targets[ended.successor]; !known || i != l.targets[ended.session] {
+		return host.NoSession
+	}
+	lostAt := ended.successorOnly.Add(-timing.Lease - timing.Margin)
+	if at, replaced := l.replacedAt[ended.session]; replaced && lostAt.Sub(at) < timing.Lease+timing.Margin {
 		return host.NoSession
 	}
 	return ended.successor
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -66,11 +66,8 @@
 	// that late heartbeats of the first count as those of a new instance. The running
 	// one is then adopted only after a silence, and quietBound is not kept.
 	clockJumps bool
-	// overlapsAcrossDaemons lets instances run on beside the next one while a session
-	// that granted slices to them is superseded: the next session can't tell.
-	overlapsAcrossDaemons bool
-	dropped               []rule
-	traced                bool
+	dropped    []rule
+	traced     bool
 }
 
 func (o options) drops(r rule) bool {
--- a/internal/ownermodel/ownermodel_test.go
+++ b/internal/ownermodel/ownermodel_test.go
@@ -10,10 +10,9 @@
 )
 
 var (
-	modelRuns     = flag.Uint64("model.runs", 450, "random runs of the model for each way of granting")
-	modelSeed     = flag.Uint64("model.seed", 0, "first seed of the model")
-	modelOverlaps = flag.Bool("model.overlaps-across-daemons", false, "let instances run on beside the next one while their daemon restarts")
-	modelJumps    = flag.Bool("model.clock-jumps", false, "let wall clocks jump back between two instances of a target")
+	modelRuns  = flag.Uint64("model.runs", 450, "random runs of the model for each way of granting")
+	modelSeed  = flag.Uint64("model.seed", 0, "first seed of the model")
+	modelJumps = flag.Bool("model.clock-jumps", false, "let wall clocks jump back between two instances of a target")
 )
 
 // traceLines is how many lines of the trace of a violation are printed.
@@ -37,8 +36,6 @@
 	return options{
 		byHeartbeats: byHeartbeats,
 		clockJumps:   *modelJumps,
-
-		overlapsAcrossDaemons: *modelOverlaps,
 	}
 }
 
--- a/internal/ownermodel/previous_test.go
+++ b/internal/ownermodel/previous_test.go
@@ -32,19 +32,32 @@
 
 func (d *daemon) awaitPrevious(r handover.Release) bool {
 	s := key.Slice{App: r.App, ID: r.ID}
-	waits := false
-	for _, p := range d.previous {
-		if p.grants.MayHold(d.m.now, s) {
-			p.grants.RequestRelease(d.m.now, s, r.Epoch)
-			waits = true
-		}
-	}
+	waits := d.releaseByPrevious(s, r.Epoch)
 	if waits {
 		d.heldBack[s] = r
 	}
 	return waits
 }
 
+func (d *daemon) offerLater(s key.Slice, epoch uint64) bool {
+	waits := d.releaseByPrevious(s, epoch-1)
+	if waits {
+		d.ownedLater[s] = epoch
+	}
+	return waits
+}
+
+func (d *daemon) releaseByPrevious(s key.Slice, epoch uint64) bool {
+	held := false
+	for _, p := range d.previous {
+		if p.grants.MayHold(d.m.now, s) {
+			p.grants.RequestRelease(d.m.now, s, epoch)
+			held = true
+		}
+	}
+	return held
+}
+
 func (d *daemon) tickPrevious() {
 	for _, p := range slices.Clone(d.previous) {
 		var out grant.Actions
@@ -66,6 +79,7 @@
 	}
 	if end != grant.StillHeld || len(out.Released) > 0 {
 		d.sendHeldBack()
+		d.offerHeldBack()
 	}
 }
 
@@ -89,6 +103,19 @@
 	}
 }
 
+func (d *daemon) offerHeldBack() {
+	waiting := d.ownedLater
+	if len(waiting) == 0 {
+		return
+	}
+	d.ownedLater = make(map[key.Slice]uint64)
+	for _, o := range d.holder.Owned() {
+		if waiting[o.Slice] == o.Epoch {
+			d.ownSlice(o.Slice, o.Epoch)
+		}
+	}
+}
+
 // previousHaveEnded reports whether the instances that were replaced are seen to have
 // ended.
 func (d *daemon) previousHaveEnded() bool {
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -40,8 +40,10 @@
 	slots        int
 	checksGrants bool
 	// instance identifies the run of the session's target; 0 if the target does
-	// not report one.
+	// not report one. It last replaced another one at replacedAt; mono.Never if that is
+	// not known.
 	instance    uint64
+	replacedAt  mono.Time
 	version     uint64
 	firstSeenAt mono.Time // When the session was first seen; mono.Never if before the first ListingComplete.
 }
@@ -58,6 +60,15 @@
 	return statusLost
 }
 
+// instanceReplacedAt returns when the session's target last replaced another instance,
+// if a newer record names the given one.
+func (h *hostInfo) instanceReplacedAt(now mono.Time, instance uint64) mono.Time {
+	if h.instance != 0 && h.instance != instance {
+		return now
+	}
+	return h.replacedAt
+}
+
 // departure holds what is kept of a session that has ended, because packs may
 // still name it.
 type departure struct {
@@ -68,7 +79,10 @@
 	// without waiting; the target of that instance may still hold slices that
 	// this session granted.
 	superseded bool
+	// instance is the session's last one, which replaced another one at replacedAt;
+	// mono.Never if it replaced none.
 	instance   uint64
+	replacedAt mono.Time
 }
 
 // fleet holds the known sessions, by their records.
@@ -103,9 +117,10 @@
 	updated := f.newHostInfo(now, r, version)
 	if old != nil {
 		updated.firstSeenAt = old.firstSeenAt
+		updated.replacedAt = old.instanceReplacedAt(now, updated.instance)
 	}
 	if updated.status().ended() {
-		f.addDeparture(updated.session, departure{seenAt: now, left: updated.state == session.Left, checksGrants: updated.checksGrants, superseded: r.Superseded, instance: updated.instance})
+		f.addDeparture(updated.session, departure{seenAt: now, left: updated.state == session.Left, checksGrants: updated.checksGrants, superseded: r.Superseded, instance: updated.instance, replacedAt: updated.replacedAt})
 	}
 	switch {
 	case newest == nil || r.Session.Incarnation >= newest.session.Incarnation:
@@ -121,7 +136,7 @@
 }
 
 func (f *fleet) newHostInfo(now mono.Time, r session.Record, version uint64) *hostInfo {
-	h := &hostInfo{session: r.Session, state: r.State, place: r.Place, version: version, firstSeenAt: now}
+	h := &hostInfo{session: r.Session, state: r.State, place: r.Place, version: version, firstSeenAt: now, replacedAt: mono.Never}
 	if !f.listed {
 		h.firstSeenAt = mono.Never
 	}
@@ -196,10 +211,10 @@
 
 // successor returns the session that must get the slices of a superseded
 // session. The target may hold them until grantTTL has passed; during that time
-// only the host's next session may own them. Its target has the same address, so
-// that no two hold them, whether it is the same instance or not: records and
-// announcements may be late and prove neither. It returns host.NoSession if any
-// host may own them, and false if that is not known yet.
+// only the host's next session may own them, and only if its target is the instance
+// that the superseded one had and had granted all of them: another instance may run
+// beside the one that holds them. It returns host.NoSession if any host may own
+// them, and false if that is not known yet.
 func (f *fleet) successor(now mono.Time, s host.Session, app key.App, grantTTL time.Duration) (host.Session, bool) {
 	d := f.departures[s]
 	if !d.superseded || now.Sub(d.seenAt) >= grantTTL {
@@ -209,7 +224,10 @@
 	if next == nil || next.session == s || next.state != session.Live || next.slots == 0 || f.isLeaving(next) {
 		return host.NoSession, false
 	}
-	if next.app != app || next.instance == 0 || d.instance == 0 {
+	if next.app != app || next.instance == 0 || next.instance != d.instance {
+		return host.NoSession, false
+	}
+	if d.seenAt.Sub(d.replacedAt) < grantTTL {
 		return host.NoSession, false
 	}
 	return next.session, true
--- a/placement/successor_test.go
+++ b/placement/successor_test.go
@@ -54,19 +54,49 @@
 	must.Zero(t, f.ownedSlices(superseded))
 }
 
-// The record of a superseded session may be older than its last grants, and the
-// next session may have heard a late announcement. So another instance is no proof
-// that the target holds nothing: the slices go to the next session and nowhere else.
-func TestSupersededSlicesGoToSuccessorWhateverItsInstance(t *testing.T) {
+func TestSupersededSlicesGoToSuccessorWithTheSameInstance(t *testing.T) {
 	f, superseded, successor := newSupersededFleet(t)
 	count := f.ownedSlices(superseded)
 	f.slots = 1 // The successor would be the last choice by load.
-	f.recordSession(successor, session.Live, secondInstance, false)
+	f.recordSession(successor, session.Live, firstInstance, false)
 	f.tickUntilIdle()
 	must.Eq(t, count, f.ownedSlices(successor))
 	must.Zero(t, f.ownedSlices(superseded))
 }
 
+// The instance before may run on beside the next one and hold the slices, or the
+// announcement of the other one was a late one: they go nowhere while it may.
+func TestSupersededSlicesWaitIfTheSuccessorHasAnotherInstance(t *testing.T) {
+	f, superseded, successor := newSupersededFleet(t)
+	count := f.ownedSlices(superseded)
+	f.recordSession(successor, session.Live, secondInstance, false)
+	f.now = f.now.Add(DefaultSupersededGrantTTL - time.Millisecond)
+	f.tickUntilIdle()
+	must.Eq(t, count, f.ownedSlices(superseded))
+	f.now = f.now.Add(2 * time.Millisecond)
+	f.tickUntilIdle()
+	must.Zero(t, f.ownedSlices(superseded))
+}
+
+// The instance that was replaced shortly before the session ended may run on.
+func TestSupersededSlicesWaitIfTheInstanceWasReplacedBefore(t *testing.T) {
+	for _, earlier := range []time.Duration{DefaultSupersededGrantTTL / 2, DefaultSupersededGrantTTL} {
+		f := newSimFleet(4, 12, rayuelaApp(), &Balanced{})
+		superseded := simHost(1)
+		successor := host.Session{Host: superseded.Host, Incarnation: superseded.Incarnation + 1}
+		f.recordSession(superseded, session.Live, firstInstance, false)
+		f.tickUntilIdle()
+		count := f.ownedSlices(superseded)
+		f.recordSession(superseded, session.Live, secondInstance, false)
+		f.now = f.now.Add(earlier)
+		f.recordSession(successor, session.Live, secondInstance, false)
+		f.recordSession(superseded, session.Lost, secondInstance, true)
+		f.tickUntilIdle()
+		waits := earlier < DefaultSupersededGrantTTL
+		must.Eq(t, waits, f.ownedSlices(superseded) == count, must.Sprint(earlier))
+	}
+}
+
 // Slices do not wait for a successor without a target for longer than the old
 // target may hold them.
 func TestSupersededSlicesMoveAfterGrantTTL(t *testing.T) {
