Give each process of the tests of whole daemons a loopback address of its own

Two processes of these tests that run at the same time drew ports from one range. A daemon that restarted found its port taken by the other process: in one of three such pairs both ended with a panic, as a daemon that had not started was closed. Now they share no port.

--- a/internal/faulttest/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -111,8 +111,17 @@
 
 var ports = struct {
 	mu   sync.Mutex
+	ip   string
 	next int
-}{next: firstPort + os.Getpid()*64%(lastPort-firstPort)}
+}{ip: ownLoopbackIP(), next: firstPort}
+
+// ownLoopbackIP returns a loopback address that other running processes of these
+// tests do not use. A daemon that restarts must find its port free.
+func ownLoopbackIP() string {
+	const bytesUsed, lowest = 250, 2
+	pid := os.Getpid()
+	return net.IPv4(127, byte(lowest+pid/bytesUsed/bytesUsed%bytesUsed), byte(pid/bytesUsed%bytesUsed), byte(lowest+pid%bytesUsed)).String()
+}
 
 // freeAddress returns a loopback address with a free port from the range that
 // tests use.
@@ -120,7 +129,7 @@
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	for range lastPort - firstPort {
-		a := "127.0.0.1:" + strconv.Itoa(ports.next)
+		a := net.JoinHostPort(ports.ip, strconv.Itoa(ports.next))
 		ports.next++
 		if ports.next > lastPort {
 			ports.next = firstPort
