Do not wait for a replaced instance that was never heard

Cause: an instance that has replaced another counts as one that may hold anything until it has answered a call, since its announcement may be a late one. That wait was taken over when it was replaced itself. It is for the sake of the instance before, which is followed on its own now.

TestReplacedInstanceThatWasNeverHeardHoldsNoMoreThanEarlierDaemonsGranted failed before the change.

--- a/grant/previous.go
+++ b/grant/previous.go
@@ -154,9 +154,12 @@
 	return HoldsExpired
 }
 
-// retire ends the grants of a core whose instance was replaced.
+// retire ends the grants of a core whose instance was replaced. If that one had itself
+// replaced another, which its announcement does not prove to have ended, then the other
+// one has a Previous of its own: there is no need to hear from this one any more.
 func (c *Core) retire() {
 	c.leaseEnd = mono.Never
+	c.unknownUntil = min(c.unknownUntil, c.unknownOnceHeard)
 	clear(c.wanted)
 }
 
--- a/grant/previous_test.go
+++ b/grant/previous_test.go
@@ -217,6 +217,16 @@
 	must.Eq(t, NothingHeld, p.End(now))
 }
 
+func TestReplacedInstanceThatWasNeverHeardHoldsNoMoreThanEarlierDaemonsGranted(t *testing.T) {
+	started := mono.Time(time.Hour)
+	cfg := DefaultConfig()
+	seen := started.Add(cfg.LongestHold() - time.Millisecond)
+	must.Eq(t, StillHeld, NewPrevious(seen, NewForReplacingTarget(started, seen, cfg)).End(seen))
+	seen = started.Add(cfg.LongestHold())
+	must.Eq(t, NothingHeld, NewPrevious(seen, NewForReplacingTarget(started, seen, cfg)).End(seen))
+	must.Eq(t, StillHeld, NewPrevious(seen, NewForRunningTarget(seen, cfg)).End(seen))
+}
+
 func TestReplacedInstanceByHeartbeatsHoldsUntilItsTimeIsOver(t *testing.T) {
 	now := mono.Time(time.Hour)
 	cfg := DefaultConfig()
