--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,6 +27,7 @@
 		{"port 0", `127.0.0.1:3`, `127.0.0.1:0`, "caller"},
 		{"empty host", `"h1"`, `""`, "host"},
 		{"peer without a port", `"seed":1`, `"peers":["127.0.0.1:5","127.0.0.1"]`, "peers[1]"},
+		{"advertised peer without a port", `"seed":1`, `"advertised_peer":"127.0.0.1"`, "advertised_peer"},
 		{"a link below nothing", `"seed":1`, `"host_link_mbps":-1`, "host_link_mbps"},
 		{"profiles for other hosts", `"seed":1`, `"debug_address":"192.0.2.1:6060"`, "debug_address"},
 		{"trailing text", `"seed":1}`, `"seed":1} {}`, "one document"},
