--- a/grant/core.go
+++ b/grant/core.go
@@ -41,7 +41,9 @@
 	// until mayHoldUntil.
 	heldUntil    mono.Time
 	mayHoldUntil mono.Time
-	calling      bool
+	// call is the number of the unit whose pending call covers this one: its own, or
+	// that of the unit from which it was split during the call; 0 if none is pending.
+	call uint64
 	// unanswered is set once the answer to a grant was lost, and stays set.
 	// Until mayHoldUntil such a grant may still take effect.
 	unanswered bool
@@ -137,7 +139,7 @@
 		return false
 	}
 	for _, u := range c.units {
-		if u.calling || now.Before(u.mayHoldUntil) {
+		if u.call != 0 || now.Before(u.mayHoldUntil) {
 			return false
 		}
 	}
@@ -173,7 +175,8 @@
 }
 
 // formUnits puts the wanted slices that need not wait into units. A unit is a
-// range of consecutive slices with the same epoch and token.
+// range of consecutive slices with the same epoch and token that the same process may
+// hold.
 func (c *Core) formUnits(now mono.Time) {
 	var ready []SliceEpoch
 	for s, w := range c.wanted {
@@ -185,13 +188,15 @@
 	var current *unit
 	for _, w := range ready {
 		token := c.tokens.take(w)
+		process := c.holder(now, w.Slice)
 		delete(c.wanted, w.Slice)
-		if current != nil && follows(current.grant, w, token) {
+		if current != nil && current.grant.Process == process && follows(current.grant, w, token) {
 			current.grant.Range.Last = w.Slice.ID
 			c.inherit(now, current, w.Slice)
 			continue
 		}
 		current = c.addUnit(now, w, token)
+		current.grant.Process = process
 		c.inherit(now, current, w.Slice)
 	}
 }
@@ -201,10 +206,10 @@
 // no such call is pending, and the slice need not wait for a token.
 func (c *Core) prepareGrant(now mono.Time, s key.Slice, w *wantedSlice) bool {
 	if old := c.unitOf(s); old != nil {
-		if old.calling {
+		if old.call != 0 {
 			return false
 		}
-		c.dropped[s] = droppedGrant{mayHoldUntil: old.mayHoldUntil, unanswered: old.unanswered}
+		c.dropped[s] = old.droppedGrant()
 		c.removeSlice(old, s)
 	}
 	if w.firstOwner || now.Sub(w.since) >= c.cfg.TokenWait {
@@ -238,42 +243,75 @@
 // requestGrant requests a unit's grant if it is due and the lease lasts long
 // enough. It waits while a slice of the unit is to be released.
 func (c *Core) requestGrant(now mono.Time, u *unit, out *Actions) {
-	if u.calling || now.Before(u.due) || c.hasRelease(u.grant.Range) {
+	if u.call != 0 || now.Before(u.due) || c.hasRelease(u.grant.Range) {
 		return
 	}
 	hold := c.cfg.holdTime(now, c.leaseEnd)
 	if hold < c.cfg.MinHold {
 		return
 	}
-	u.calling = true
+	u.call = u.grant.Unit
 	u.sentAt = now
-	u.grant.Hold = hold
+	u.grant.setHold(hold, c.cfg, c.leaseEnd)
 	out.Grants = append(out.Grants, u.grant)
 }
 
 // SentTo records to which process the grant of a unit was sent, 0 if it was not.
 // GrantAnswered follows. The process may have the unit's epoch whatever it answers.
 func (c *Core) SentTo(number, process uint64) {
-	if u := c.units[number]; u != nil && u.grant.Process == 0 {
-		u.grant.Process = process
+	for _, u := range c.unitsOfCall(number) {
+		if u.grant.Process == 0 {
+			u.grant.Process = process
+		}
+	}
+}
+
+// TokenReturned records the token of the release that withdrew the grant of a unit.
+// GrantAnswered follows.
+func (c *Core) TokenReturned(number uint64, token string) {
+	for _, u := range c.unitsOfCall(number) {
+		if token != "" {
+			u.grant.Token = token
+		}
 	}
 }
 
 // GrantAnswered handles the answer to the grant of a unit.
 func (c *Core) GrantAnswered(now mono.Time, number uint64, a Answer, out *Actions) {
-	u := c.units[number]
-	if u == nil || !u.calling {
-		return
+	units := c.unitsOfCall(number)
+	if len(units) > 0 {
+		c.heard(a)
+	}
+	for _, u := range units {
+		c.unitAnswered(now, u, a, out)
 	}
-	u.calling = false
-	c.heard(a)
+}
+
+// unitsOfCall returns the units that the pending call of a unit covers, in the order
+// of their numbers.
+func (c *Core) unitsOfCall(number uint64) []*unit {
+	var out []*unit
+	for _, n := range slices.Sorted(maps.Keys(c.units)) {
+		if u := c.units[n]; u.call != 0 && u.call == number {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// unitAnswered handles the answer to the call of a unit.
+func (c *Core) unitAnswered(now mono.Time, u *unit, a Answer, out *Actions) {
+	u.call = 0
 	switch a {
 	case Accepted:
-		u.heldUntil = u.sentAt.Add(u.grant.Hold)
+		u.heldUntil = u.sentAt.Add(u.grant.Hold - HoldResolution)
 		u.grant.Renewal = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = u.sentAt.Add(u.grant.Hold / 2)
-	case Unanswered:
+	case Withdrawn, Unanswered:
+		if a == Withdrawn {
+			u.heldUntil = mono.Never
+		}
 		u.unanswered = true
 		u.mayHoldUntil = latest(u.mayHoldUntil, c.latestHoldEnd(now, u))
 		u.due = now.Add(c.cfg.Retry)
@@ -293,7 +331,7 @@
 	r := u.grant.Range
 	for id := r.First; id <= r.Last; id++ {
 		s := key.Slice{App: r.App, ID: id}
-		c.dropped[s] = droppedGrant{mayHoldUntil: u.mayHoldUntil, unanswered: u.unanswered}
+		c.dropped[s] = u.droppedGrant()
 		out.Refused = append(out.Refused, SliceEpoch{Slice: s, Epoch: u.grant.Epoch})
 	}
 }
@@ -315,7 +353,8 @@
 }
 
 // removeSlice takes a slice out of its unit. The slices before it stay in the
-// unit, those after it become another unit; both continue to be renewed.
+// unit, those after it become another unit; both continue to be renewed, and both
+// await the answer to a pending call.
 func (c *Core) removeSlice(u *unit, s key.Slice) {
 	r := u.grant.Range
 	if s.ID < r.Last {
@@ -323,7 +362,6 @@
 		after := *u
 		after.grant.Unit = c.lastUnit
 		after.grant.Range.First = s.ID + 1
-		after.abandonCall()
 		c.units[c.lastUnit] = &after
 	}
 	if s.ID == r.First {
@@ -332,15 +370,3 @@
 	}
 	u.grant.Range.Last = s.ID - 1
 }
-
-// abandonCall ends the wait of a unit that was split off during a call. The answer
-// will be assigned to the original unit, so here the call counts as unanswered
-// and may keep the target holding for twice its duration from when it was sent.
-func (u *unit) abandonCall() {
-	if !u.calling {
-		return
-	}
-	u.calling = false
-	u.unanswered = true
-	u.mayHoldUntil = latest(u.mayHoldUntil, u.sentAt.Add(2*u.grant.Hold))
-}
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -39,12 +39,19 @@
 	Unit  uint64
 	Range Range
 	Epoch uint64
-	// Hold is the duration of the grant, counted from the arrival of the call.
+	// Hold is the longest duration of the grant, counted from the arrival of the
+	// call. A call that leaves later than it was decided lasts for HoldAt.
 	Hold time.Duration
+	// Until is when the grant must have ended if it arrives as soon as Config.Slack
+	// allows for, and LatestEnd whenever it arrives, by a target with an exact clock.
+	// Then it ends by a slow one within the lease under which it was decided.
+	Until     mono.Time
+	LatestEnd mono.Time
 	// Renewal is set if the target has accepted an earlier grant of the unit.
 	Renewal bool
-	// Process is the Reply.Process of the first call with the unit's epoch; 0 if
-	// there was none. Only that process may get the epoch.
+	// Process is the Reply.Process of the first call with the unit's epoch, or of the
+	// process that may still hold a slice of the range at an earlier one; 0 if there
+	// was none. Only that process may get the epoch.
 	Process uint64
 	// Token is the token that the previous owner's target returned on its
 	// release; empty if it is not known.
@@ -56,6 +63,9 @@
 type Release struct {
 	Range Range
 	Epoch uint64
+	// Process is the process that got the grant; 0 if none did. Another one's answer
+	// would not say what that process holds.
+	Process uint64
 }
 
 // Answer is the outcome of a call to a target.
@@ -71,6 +81,10 @@
 	Unanswered
 	// Unsent means that the call was not sent.
 	Unsent
+	// Withdrawn means that the call left so late that it may outlast the lease, and
+	// that a release followed it on the same connection. Until the target has handled
+	// both it may hold the range.
+	Withdrawn
 	// OtherProcess means that the call was not sent, since the connections to the
 	// process that had the epoch are gone and the next ones may lead to another.
 	OtherProcess
@@ -87,6 +101,8 @@
 		return "unanswered"
 	case Unsent:
 		return "unsent"
+	case Withdrawn:
+		return "withdrawn"
 	case OtherProcess:
 		return "other_process"
 	}
@@ -119,7 +135,7 @@
 		MaxHold:   10 * time.Second,
 		Drift:     0.02,
 		Slack:     20 * time.Millisecond,
-		MinHold:   200 * time.Millisecond,
+		MinHold:   MinHold,
 		Retry:     100 * time.Millisecond,
 		TokenWait: 50 * time.Millisecond,
 
@@ -206,7 +222,8 @@
 // Reply is a target's reply to a grant or a release.
 type Reply struct {
 	Answer Answer
-	// Token is the token that the target returned with a release; empty if none.
+	// Token is the token that the target returned with a release, also one that
+	// withdrew a grant; empty if none.
 	Token string
 	// Statement is what the answer says of the target itself.
 	Statement targetstatus.Statement
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -87,6 +87,8 @@
 	sliceWaiters *gate.SliceWaiters
 	// hostLink limits large answers; nil if the settings name no link.
 	hostLink *gate.HostLink
+	// bodyBudget bounds the bytes of the bodies at a gate; 0 is no bound.
+	bodyBudget int
 	// retiredGates are the gates of earlier targets that still have runs.
 	retiredGates []*gate.Gate
 	// onReleased is called for each release; it goes to the placement leader.
@@ -112,9 +114,8 @@
 	// the instances of the target.
 	grantState
 	epochs grant.Epochs
-	// heldElsewhereUntil is until when an earlier instance of the target, at another
-	// address, may hold what this daemon granted to it.
-	heldElsewhereUntil mono.Time
+	// previous has the instances that were replaced and may hold slices.
+	previous previousInstances
 
 	waitingCallers map[request.CallID]waitingCaller
 	sentRequests   map[uint64]sentRequest
@@ -196,6 +197,8 @@
 	slots         int
 	gone          bool
 	probing       bool // A probe of its address is under way.
+	// replaced is the instance that this one has replaced at its address, 0 if none.
+	replaced uint64
 }
 
 func newRoutingLoop(d *Daemon, cfg request.Config, holderConfig handover.Config, registry metrics.Registry) *routingLoop {
@@ -222,11 +225,13 @@
 		mergedAtMs:     make(map[key.Slice]int64),
 		unconfirmed:    make(map[string][]assignment.Change),
 		sliceWaiters:   gate.NewSliceWaiters(maxSliceWaiters),
+		previous:       newPreviousInstances(),
 		crashes:        quarantine.NewDetector(),
 		quarantine:     quarantine.NewLedger(),
 		reporter:       newLoadReporter(d.self, d.settings.Placement.LoadReportInterval.Std(), bootclock.Now()),
 		stop:           make(chan struct{}),
 	}
+	r.bodyBudget = d.settings.BodyBudgetBytes()
 	if mbps := d.settings.HostLinkMbps; mbps > 0 {
 		r.hostLink = gate.NewHostLink(mbps * hostLinkShare * bitsPerMegabit / bitsPerByte)
 	}
@@ -309,8 +314,7 @@
 // Daemon.Stop.
 func (r *routingLoop) publishStopState() {
 	now := bootclock.Now()
-	targetReleased := r.granter == nil || r.granter.HoldsNothing(now)
-	released := r.holder.Stopped() && targetReleased && !r.slicesHeldUnseen(now)
+	released := r.holder.Stopped() && r.targetHoldsNothing(now)
 	r.allReleased.Store(released)
 	r.idle.Store(released && len(r.retiredGates) == 0 && (r.gate == nil || r.gate.Idle()))
 }
--- a/internal/ownermodel/daemon_test.go
+++ b/internal/ownermodel/daemon_test.go
@@ -45,7 +45,10 @@
 	tracker   targetinstance.Tracker
 	target    *localTarget // nil until a target has announced itself.
 	grantState
-	heldRuns heldRuns
+	previous   []*previousInstance
+	heldBack   map[key.Slice]handover.Release
+	ownedLater map[key.Slice]uint64
+	heldRuns   heldRuns
 
 	sessionOver bool
 	nextTick    mono.Time
@@ -60,6 +63,7 @@
 type localTarget struct {
 	instance *instance
 	address  string
+	replaced *instance // At the same address.
 }
 
 // grantState is what begins anew with each instance of the target.
@@ -98,6 +102,8 @@
 			StopGrace:        stopGrace,
 		}),
 		owners:     assignment.NewMap(),
+		heldBack:   make(map[key.Slice]handover.Release),
+		ownedLater: make(map[key.Slice]uint64),
 		heldRuns:   make(heldRuns),
 		replacedAt: make(map[key.Slice]mono.Time),
 		nextTick:   m.now.Add(m.between(0, tickInterval)),
--- a/internal/ownermodel/hosts_test.go
+++ b/internal/ownermodel/hosts_test.go
@@ -16,6 +16,7 @@
 	stepsPerLeaseLapse  = 1000
 	stepsPerLostRun     = 200
 	stepsPerHigherEpoch = 500
+	stepsPerOverlap     = 600
 	stepsPerRun         = 4
 )
 
@@ -29,6 +30,9 @@
 	daemonGap     = 400 * time.Millisecond
 	longDaemonGap = 1500 * time.Millisecond
 	lapseTime     = 4 * time.Second
+	// overlapTime is how long an instance runs on at most after it has closed its
+	// listener: longer than a grant.
+	overlapTime = 2400 * time.Millisecond
 )
 
 // hostModel is one host with its target and its daemon.
@@ -37,6 +41,7 @@
 	index       int
 	id          host.ID
 	target      *instance
+	lingering   []*instance // They have closed their listener and run on.
 	daemon      *daemon
 	incarnation uint64
 	// The lease of the daemon's session. It is not renewed until cutUntil.
@@ -51,6 +56,9 @@
 		if h.target.alive && m.chance(stepsPerTargetCrash) {
 			h.crashTarget()
 		}
+		if h.target.listens() && m.chance(stepsPerOverlap) {
+			h.closeListener()
+		}
 		if h.daemon.alive && m.chance(stepsPerDaemonCrash) {
 			h.crashDaemon()
 		}
@@ -70,6 +78,9 @@
 	m := h.m
 	h.renew()
 	h.target.step()
+	for _, i := range h.lingering {
+		i.step()
+	}
 	if h.daemon.alive {
 		h.daemon.step()
 	}
@@ -92,10 +103,13 @@
 // same or another name.
 func (h *hostModel) startTarget() {
 	m := h.m
-	if h.target != nil && h.target.alive {
+	if h.target != nil && h.target.listens() {
 		return
 	}
 	earlier := h.target
+	if earlier != nil && earlier.alive {
+		h.lingering = append(h.lingering, earlier)
+	}
 	h.target = newInstance(h)
 	if earlier != nil && !m.chance(3) {
 		h.target.address = earlier.address
@@ -123,6 +137,23 @@
 	m.after(dark, h.startTarget)
 }
 
+// closeListener makes the instance refuse connections while it runs on. The next one
+// starts beside it.
+func (h *hostModel) closeListener() {
+	m := h.m
+	m.stats.overlaps++
+	i := h.target
+	i.listenerClosed = true
+	m.note("%s: %s closes its listener", h.id, i)
+	m.after(m.between(0, overlapTime), func() {
+		if i.alive {
+			m.note("%s: %s exits", h.id, i)
+			i.crash()
+		}
+	})
+	m.after(m.between(0, darkTime), h.startTarget)
+}
+
 // startDaemon starts a session. Where it supersedes the earlier one, that is
 // recorded as lost at once.
 func (h *hostModel) startDaemon(supersedes bool) {
@@ -176,6 +207,9 @@
 // epoch that nobody had count as failures: they end too.
 func (h *hostModel) recover() {
 	h.cutUntil = mono.Never
+	if h.target.listenerClosed {
+		h.target.crash()
+	}
 	h.startTarget()
 	h.target.forgetHigherEpochs()
 	if !h.daemon.alive {
--- a/internal/ownermodel/ownermodel_test.go
+++ b/internal/ownermodel/ownermodel_test.go
@@ -92,6 +92,7 @@
 		{[]rule{targetReleaseRule}, "holds it at", both},
 		{[]rule{newCoreRule}, "after its instance was replaced", heartbeats},
 		{[]rule{refusalRule}, "are not served", both},
+		{[]rule{previousRule}, "holds it at", both},
 	}
 	for _, c := range cases {
 		for _, byHeartbeats := range c.ways {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,6 +155,10 @@
 	// Requests with large answers are refused while it is full. Default: 0, not
 	// limited.
 	HostLinkMbps float64 `json:"host_link_mbps"`
+	// MemoryMB is the memory that the process may take, in units of 1,000,000
+	// bytes. Requests whose bodies find no room in the part that is set aside for
+	// them are refused. Default: 0, no bound.
+	MemoryMB float64 `json:"memory_mb"`
 	// Seed is the seed of the daemon's random number generators. Some of them
 	// also use the time of the start. Default: 0.
 	Seed uint64 `json:"seed"`
@@ -165,6 +169,20 @@
 	DebugAddress string `json:"debug_address"`
 }
 
+const (
+	bytesPerMB = 1_000_000
+	// memoryPerBodyByte is how much memory is set aside for a byte of a request's
+	// body: the body, its frame and the buffers of its connections, on the way in and
+	// out, each with as much again that is not collected yet.
+	memoryPerBodyByte = 12
+)
+
+// BodyBudgetBytes returns how many bytes of request bodies may be held at a time; 0
+// if they are not bounded.
+func (d *Daemon) BodyBudgetBytes() int {
+	return int(d.MemoryMB * bytesPerMB / memoryPerBodyByte)
+}
+
 // Load reads and validates the settings in a file. Its errors have the code
 // BadSettings and name the field if one is at fault.
 func Load(path string) (*Daemon, error) {
@@ -243,6 +261,9 @@
 	if d.HostLinkMbps < 0 {
 		return newError("host_link_mbps", "the capacity is below 0", "write the megabits per second, or leave the field out")
 	}
+	if d.MemoryMB < 0 {
+		return newError("memory_mb", "the memory is below 0", "write the millions of bytes, or leave the field out")
+	}
 	if d.DebugAddress == "" {
 		return nil
 	}
