Set the targets of a stop test on the routing loop

The race detector found a write of routingLoop.targets beside the loop in TestStopWaitsForTargetToReleaseSlices and TestSessionDoesNotLeaveWhileTargetMayHoldSlices, in two of two runs (go test -race ./internal/daemon). The test wrote the field while the loop read it. It now does so on the loop. After: no race in 5 runs of both.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/targetclient"
+	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 // blockedTarget accepts every grant, and answers a release only when the test
@@ -48,12 +49,15 @@
 func beginStop(t *testing.T) (*routingPair, *blockedTarget) {
 	target := &blockedTarget{granted: make(chan bool, 100), releaseAsked: make(chan bool), releaseAnswer: make(chan grant.Answer)}
 	p := newRoutingPair(t, event.Info)
-	r := p.owner.routing
-	r.targets = func(control.Announcement) Target { return target }
+	_, err := queryRouting(p.owner, func(r *routingLoop, _ mono.Time) bool {
+		r.targets = func(control.Announcement) Target { return target }
+		return true
+	})
+	must.NoError(t, err)
 	p.announceTarget("held")
 	<-target.granted
 	p.keepsReleases.Store(true)
-	r.ring.Push(stopRequested{})
+	p.owner.routing.ring.Push(stopRequested{})
 	return p, target
 }
 
