Close the connections to targets with the session

What callers saw: nothing known. Found by review. A process whose session ends goes on with the next one, which opens connections of its own. Those of the session before, to the target and to instances that it had replaced, stayed open until they were collected as garbage: a server counts them against its limit. Change: the routing loop closes the clients when it has ended; pending calls keep theirs until they end. TestConnectionsToTargetsAreClosedWithTheSession failed before the change.

--- a/internal/daemon/previous_instance_test.go
+++ b/internal/daemon/previous_instance_test.go
@@ -128,3 +128,15 @@
 	h.observe(assignment.Ownership{Owner: h.r.self, Epoch: 2})
 	must.Eq(t, []uint64{2}, h.grantEpochs())
 }
+
+// The next session of the process opens connections of its own.
+func TestConnectionsToTargetsAreClosedWithTheSession(t *testing.T) {
+	h := newGrantHost(t, document.GrantsByCall)
+	h.holdSlice()
+	earlier := h.r.target.client.(*blockedTarget)
+	h.announce(2)
+	h.r.start()
+	h.r.close()
+	must.True(t, earlier.closed)
+	must.True(t, h.r.target.client.(*blockedTarget).closed)
+}
--- a/internal/daemon/routing_loop.go
+++ b/internal/daemon/routing_loop.go
@@ -256,6 +256,7 @@
 func (r *routingLoop) close() {
 	close(r.stop)
 	r.done.Wait()
+	r.closeTargets()
 }
 
 func (r *routingLoop) run() {
--- a/internal/daemon/routing_previous.go
+++ b/internal/daemon/routing_previous.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// closeTargets releases the connections to the target and to those that it has
+// replaced. Calls that are pending keep theirs until they end.
+func (r *routingLoop) closeTargets() {
+	for _, p := range r.previous.list {
+		p.client.Close()
+	}
+	if r.target != nil && r.target.client != nil {
+		r.target.client.Close()
+	}
+}
+
 // sendHeldBack continues the releases that have waited for previous instances.
 func (r *routingLoop) sendHeldBack(now mono.Time) {
 	waiting := r.previous.heldBack
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -23,13 +23,14 @@
 	releaseAnswer chan grant.Answer
 	ended         bool // Its connections show that the process has ended.
 	retired       bool
+	closed        bool
 }
 
 func (h *blockedTarget) Address() string                         { return cmp.Or(h.address, "held") }
 func (*blockedTarget) Do(targetclient.Call) targetclient.Reply   { return targetclient.Reply{} }
 func (*blockedTarget) Cancel(string, uint64, time.Duration) bool { return false }
 func (*blockedTarget) IsListening() bool                         { return true }
-func (*blockedTarget) Close()                                    {}
+func (h *blockedTarget) Close()                                  { h.closed = true }
 func (*blockedTarget) Announced()                                {}
 func (h *blockedTarget) Retire()                                 { h.retired = true }
 func (h *blockedTarget) HasEnded() bool                          { return h.ended }
