--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbring/rhubarbring/grant"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/targetclient"
+	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 // blockedTarget accepts every grant, and answers a release only when the test
@@ -22,13 +23,14 @@
 	releaseAnswer chan grant.Answer
 	ended         bool // Its connections show that the process has ended.
 	retired       bool
+	closed        bool
 }
 
 func (h *blockedTarget) Address() string                         { return cmp.Or(h.address, "held") }
 func (*blockedTarget) Do(targetclient.Call) targetclient.Reply   { return targetclient.Reply{} }
 func (*blockedTarget) Cancel(string, uint64, time.Duration) bool { return false }
 func (*blockedTarget) IsListening() bool                         { return true }
-func (*blockedTarget) Close()                                    {}
+func (h *blockedTarget) Close()                                  { h.closed = true }
 func (*blockedTarget) Announced()                                {}
 func (h *blockedTarget) Retire()                                 { h.retired = true }
 func (h *blockedTarget) HasEnded() bool                          { return h.ended }
@@ -48,12 +50,15 @@
 func beginStop(t *testing.T) (*routingPair, *blockedTarget) {
 	target := &blockedTarget{granted: make(chan bool, 100), releaseAsked: make(chan bool), releaseAnswer: make(chan grant.Answer)}
 	p := newRoutingPair(t, event.Info)
-	r := p.owner.routing
-	r.targets = func(control.Announcement) Target { return target }
+	_, err := queryRouting(p.owner, func(r *routingLoop, _ mono.Time) bool {
+		r.targets = func(control.Announcement) Target { return target }
+		return true
+	})
+	must.NoError(t, err)
 	p.announceTarget("held")
 	<-target.granted
 	p.keepsReleases.Store(true)
-	r.ring.Push(stopRequested{})
+	p.owner.routing.ring.Push(stopRequested{})
 	return p, target
 }
 
