Play late announcements of ended targets in the model of owners

The model's daemons had called the instance that they meant, always. Now the connections of a client lead to a process, and once that has ended, or has closed its listener, a late announcement may let the client of the present instance connect to the next process under the same name, before that has announced itself.

--- a/internal/ownermodel/daemon_test.go
+++ b/internal/ownermodel/daemon_test.go
@@ -48,6 +48,7 @@
 	previous []*previousInstance
 	heldBack map[key.Slice]handover.Release
 	heldRuns heldRuns
+	clients  map[*grant.Core]*client
 
 	sessionOver bool
 	nextTick    mono.Time
@@ -103,6 +104,7 @@
 		owners:     assignment.NewMap(),
 		heldBack:   make(map[key.Slice]handover.Release),
 		heldRuns:   make(heldRuns),
+		clients:    make(map[*grant.Core]*client),
 		replacedAt: make(map[key.Slice]mono.Time),
 		nextTick:   m.now.Add(m.between(0, tickInterval)),
 	}
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -54,6 +54,8 @@
 	targetReleaseRule  rule = "the target releases before the leader is told"
 	newCoreRule        rule = "a new instance gets a new core"
 	refusalRule        rule = "a refused epoch is renounced"
+	processRule        rule = "the next process under a name has another number"
+	releaseProcessRule rule = "a process answers only its own releases"
 	previousRule       rule = "a replaced instance holds until it surely does not"
 )
 
--- a/internal/ownermodel/ownermodel_test.go
+++ b/internal/ownermodel/ownermodel_test.go
@@ -81,7 +81,7 @@
 // own, since the permit is only the second guard: with the holder's rules in
 // force, nothing depends on it. So it is dropped together with each of them.
 func TestDroppedRulesAreFound(t *testing.T) {
-	both, heartbeats := []bool{false, true}, []bool{true}
+	both, heartbeats, calls := []bool{false, true}, []bool{true}, []bool{false}
 	cases := []struct {
 		dropped []rule
 		finds   string
@@ -96,6 +96,8 @@
 		{[]rule{newCoreRule}, "after its instance was replaced", heartbeats},
 		{[]rule{refusalRule}, "are not served", both},
 		{[]rule{previousRule}, "holds it at", both},
+		{[]rule{processRule}, "had it at", calls},
+		{[]rule{releaseProcessRule}, "holds it at", calls},
 	}
 	for _, c := range cases {
 		for _, byHeartbeats := range c.ways {
--- a/internal/ownermodel/previous_test.go
+++ b/internal/ownermodel/previous_test.go
@@ -48,7 +48,7 @@
 func (d *daemon) tickPrevious() {
 	for _, p := range slices.Clone(d.previous) {
 		var out grant.Actions
-		p.grants.Tick(d.m.now, p.instance.seenToEnd, &out)
+		p.grants.Tick(d.m.now, d.seesEnd(p), &out)
 		d.executePrevious(p, &out)
 	}
 }
@@ -89,10 +89,16 @@
 	}
 }
 
+// seesEnd reports whether the connections of an instance's client, which have led to no
+// other, show that its process has ended.
+func (d *daemon) seesEnd(p *previousInstance) bool {
+	return p.instance.seenToEnd && (p.calls == nil || d.clientOf(p.calls, p.instance).reached == p.instance)
+}
+
 // previousHaveEnded reports whether the instances that were replaced are seen to have
 // ended.
 func (d *daemon) previousHaveEnded() bool {
-	return !slices.ContainsFunc(d.previous, func(p *previousInstance) bool { return !p.instance.seenToEnd })
+	return !slices.ContainsFunc(d.previous, func(p *previousInstance) bool { return !d.seesEnd(p) })
 }
 
 func (d *daemon) isPrevious(i *instance) bool {
