Do not wait for what an instance without a call may hold

What callers saw: nothing known. While a target ended and started again every 300 ms, its slices stayed without an owner for as long as that went on, unless the connections to the process that had held them showed its end: 12 s of a play of the loop on a clock of its own, in which no slice was released; the longest grant lasts 2.04 s. Cause: an instance counts as one that may hold any slice until 2.04 s after it was first heard, or until it answers a call, since its announcement may be a late one. Each replaced instance kept that wait, so that each start renewed it. No call reached any of them, since the release waited for the instances before. Change: a replaced instance is waited for only for what it was granted here, or by a daemon before. If its announcement was late, the process at the address is one that this daemon knew, and which has a core of its own that is waited for. Heartbeat grants know no such wait. TestSliceIsReleasedWhileTargetRestartsAgainAndAgain failed before the change (3.3 s and no release).

--- a/grant/previous.go
+++ b/grant/previous.go
@@ -154,9 +154,11 @@
 	return HoldsExpired
 }
 
-// retire ends the grants of a core whose instance was replaced.
+// retire ends the grants of a core whose instance was replaced. If its announcement was
+// a late one, what the process at the address holds is known to that process's core.
 func (c *Core) retire() {
 	c.leaseEnd = mono.Never
+	c.unknownUntil = min(c.unknownUntil, c.unknownOnceHeard)
 	clear(c.wanted)
 }
 
--- a/internal/daemon/previous_instance_test.go
+++ b/internal/daemon/previous_instance_test.go
@@ -140,3 +140,20 @@
 	must.True(t, earlier.closed)
 	must.True(t, h.r.target.client.(*blockedTarget).closed)
 }
+
+// Instances that end before any call reaches them hold nothing of this daemon.
+func TestSliceIsReleasedWhileTargetRestartsAgainAndAgain(t *testing.T) {
+	for _, delivery := range bothDeliveries {
+		h := newGrantHost(t, delivery)
+		h.holdSlice()
+		waited := time.Duration(0)
+		for i := uint64(2); waited == 0 || len(h.r.previous.heldBack) > 0; i++ {
+			must.LessEq(t, grantConfig().LongestHold()+time.Second, waited, must.Sprint(delivery))
+			h.announce(i)
+			h.tick(300 * time.Millisecond)
+			waited += 300 * time.Millisecond
+		}
+		h.answerRelease(grant.Accepted)
+		must.Eq(t, h.releaseOfSlice(), h.released, must.Sprint(delivery))
+	}
+}
