--- a/internal/daemon/previous_instance_test.go
+++ b/internal/daemon/previous_instance_test.go
@@ -154,3 +154,15 @@
 	}
 	return epochs
 }
+
+// The next session of the process opens connections of its own.
+func TestConnectionsToTargetsAreClosedWithTheSession(t *testing.T) {
+	h := newGrantHost(t, document.GrantsByCall)
+	h.holdSlice()
+	earlier := h.r.target.client.(*blockedTarget)
+	h.announce(2)
+	h.r.start()
+	h.r.close()
+	must.True(t, earlier.closed)
+	must.True(t, h.r.target.client.(*blockedTarget).closed)
+}
--- a/internal/ownermodel/daemon_test.go
+++ b/internal/ownermodel/daemon_test.go
@@ -49,6 +49,7 @@
 	heldBack   map[key.Slice]handover.Release
 	ownedLater map[key.Slice]uint64
 	heldRuns   heldRuns
+	clients    map[*grant.Core]*client
 
 	sessionOver bool
 	nextTick    mono.Time
@@ -105,6 +106,7 @@
 		heldBack:   make(map[key.Slice]handover.Release),
 		ownedLater: make(map[key.Slice]uint64),
 		heldRuns:   make(heldRuns),
+		clients:    make(map[*grant.Core]*client),
 		replacedAt: make(map[key.Slice]mono.Time),
 		nextTick:   m.now.Add(m.between(0, tickInterval)),
 	}
