Continue only the releases that a replaced instance's answer has freed

What callers saw: while a target started again and again, its host served little and answered announcements with ring_full.

Cause: each answer of a replaced instance, and each tick, looked at all slices that wait for it again, and each look walked over all of its units: the routing loop was busy for seconds. A dump of goroutines had it in sendHeldBack.

Change: an answer continues the slices that it freed; the end of the instance continues all. A core finds the unit of a slice by an index, and whether a range has a release by its slices.

--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -37,3 +37,44 @@
 		})
 	}
 }
+
+// BenchmarkReleaseOfAll measures the release of all slices of a target that was
+// replaced, each a unit of its own: a tick, and a tick after each answer.
+func BenchmarkReleaseOfAll(b *testing.B) {
+	for _, units := range []int{16, 128, 512} {
+		b.Run(fmt.Sprint(units), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := newCoreWithUnits(units)
+				p := NewPrevious(start, c)
+				for i := range units {
+					p.RequestRelease(start, slice(key.SliceID(2*i)), 1)
+				}
+				b.StartTimer()
+				var out Actions
+				p.Tick(start, false, &out)
+				calls := out.Releases
+				for _, r := range calls {
+					out = Actions{}
+					p.ReleaseAnswered(start, r, "", Accepted, &out)
+					p.Tick(start, false, &out)
+				}
+			}
+		})
+	}
+}
+
+// newCoreWithUnits returns a core whose target holds a number of units.
+func newCoreWithUnits(units int) *Core {
+	c := New(DefaultConfig())
+	c.SetLease(start.Add(lease))
+	for i := range units {
+		c.SetOwned(start.Add(-c.cfg.TokenWait), permit(slice(key.SliceID(2*i)), 1))
+	}
+	var out Actions
+	c.Tick(start, &out)
+	for _, g := range out.Grants {
+		c.GrantAnswered(start, g.Unit, Accepted, &out)
+	}
+	return c
+}
--- a/grant/core.go
+++ b/grant/core.go
@@ -15,6 +15,7 @@
 	leaseEnd  mono.Time
 	wanted    map[key.Slice]*wantedSlice
 	units     map[uint64]*unit
+	unitBy    map[key.Slice]*unit // The units by their slices.
 	lastUnit  uint64
 	tokens    tokens
 	releasing map[key.Slice]pendingRelease
@@ -70,6 +71,7 @@
 		leaseEnd:  mono.Never,
 		wanted:    make(map[key.Slice]*wantedSlice),
 		units:     make(map[uint64]*unit),
+		unitBy:    make(map[key.Slice]*unit),
 		tokens:    make(tokens),
 		releasing: make(map[key.Slice]pendingRelease),
 		dropped:   make(map[key.Slice]droppedGrant),
@@ -157,12 +159,7 @@
 }
 
 func (c *Core) unitOf(s key.Slice) *unit {
-	for _, u := range c.units {
-		if u.grant.Range.Has(s) {
-			return u
-		}
-	}
-	return nil
+	return c.unitBy[s]
 }
 
 // Tick adds the grants and releases that are due to out.
@@ -192,6 +189,7 @@
 		delete(c.wanted, w.Slice)
 		if current != nil && current.grant.Process == process && follows(current.grant, w, token) {
 			current.grant.Range.Last = w.Slice.ID
+			c.unitBy[w.Slice] = current
 			c.inherit(now, current, w.Slice)
 			continue
 		}
@@ -237,6 +235,7 @@
 		due:          now,
 	}
 	c.units[c.lastUnit] = u
+	c.unitBy[s.Slice] = u
 	return u
 }
 
@@ -331,6 +330,7 @@
 	r := u.grant.Range
 	for id := r.First; id <= r.Last; id++ {
 		s := key.Slice{App: r.App, ID: id}
+		delete(c.unitBy, s)
 		c.dropped[s] = u.droppedGrant()
 		out.Refused = append(out.Refused, SliceEpoch{Slice: s, Epoch: u.grant.Epoch})
 	}
@@ -344,8 +344,11 @@
 
 // hasRelease reports whether a slice of the range is to be released.
 func (c *Core) hasRelease(r Range) bool {
-	for s := range c.releasing {
-		if r.Has(s) {
+	if len(c.releasing) == 0 {
+		return false
+	}
+	for id := r.First; id <= r.Last; id++ {
+		if _, ok := c.releasing[key.Slice{App: r.App, ID: id}]; ok {
 			return true
 		}
 	}
@@ -357,12 +360,16 @@
 // await the answer to a pending call.
 func (c *Core) removeSlice(u *unit, s key.Slice) {
 	r := u.grant.Range
+	delete(c.unitBy, s)
 	if s.ID < r.Last {
 		c.lastUnit++
 		after := *u
 		after.grant.Unit = c.lastUnit
 		after.grant.Range.First = s.ID + 1
 		c.units[c.lastUnit] = &after
+		for id := s.ID + 1; id <= r.Last; id++ {
+			c.unitBy[key.Slice{App: r.App, ID: id}] = &after
+		}
 	}
 	if s.ID == r.First {
 		delete(c.units, u.grant.Unit)
--- a/grant/release.go
+++ b/grant/release.go
@@ -48,6 +48,7 @@
 	own.grant.Unit = c.lastUnit
 	own.grant.Range.First, own.grant.Range.Last = s.ID, s.ID
 	c.units[c.lastUnit] = &own
+	c.unitBy[s] = &own
 }
 
 // addRelease adds a slice to the last requested release if it follows that
--- a/internal/daemon/routing_previous.go
+++ b/internal/daemon/routing_previous.go
@@ -127,11 +127,21 @@
 	end := p.grants.End(now)
 	if end != grant.StillHeld {
 		r.forgetPrevious(now, p, end)
+		r.sendHeldBack(now, slices.Collect(maps.Keys(r.previous.heldBack)))
+		r.offerHeldBack(now, slices.Collect(maps.Keys(r.previous.ownedLater)))
+		return
 	}
-	if end != grant.StillHeld || len(out.Released) > 0 {
-		r.sendHeldBack(now)
-		r.offerHeldBack(now)
+	released := slicesOf(out.Released)
+	r.sendHeldBack(now, released)
+	r.offerHeldBack(now, released)
+}
+
+func slicesOf(list []grant.ReleasedSlice) []key.Slice {
+	out := make([]key.Slice, len(list))
+	for i, e := range list {
+		out[i] = e.Slice
 	}
+	return out
 }
 
 // forgetPrevious ends the watch over a previous instance. None of its runs goes on:
@@ -161,23 +171,32 @@
 	}
 }
 
-// sendHeldBack continues the releases that have waited for previous instances.
-func (r *routingLoop) sendHeldBack(now mono.Time) {
-	waiting := r.previous.heldBack
-	r.previous.heldBack = make(map[key.Slice]handover.Release)
-	for _, s := range slices.SortedFunc(maps.Keys(waiting), compareSlices) {
-		r.releaseSlice(now, waiting[s])
+// sendHeldBack continues the releases of the given slices that have waited for previous
+// instances.
+func (r *routingLoop) sendHeldBack(now mono.Time, list []key.Slice) {
+	slices.SortFunc(list, compareSlices)
+	for _, s := range list {
+		release, waits := r.previous.heldBack[s]
+		delete(r.previous.heldBack, s)
+		if waits {
+			r.releaseSlice(now, release)
+		}
 	}
 }
 
-// offerHeldBack offers the slices that have waited for previous instances, as far as
-// the session still owns them.
-func (r *routingLoop) offerHeldBack(now mono.Time) {
-	waiting := r.previous.ownedLater
+// offerHeldBack offers those of the given slices that have waited for previous
+// instances, as far as the session still owns them.
+func (r *routingLoop) offerHeldBack(now mono.Time, list []key.Slice) {
+	waiting := make(map[key.Slice]uint64)
+	for _, s := range list {
+		if epoch, ok := r.previous.ownedLater[s]; ok {
+			waiting[s] = epoch
+			delete(r.previous.ownedLater, s)
+		}
+	}
 	if len(waiting) == 0 {
 		return
 	}
-	r.previous.ownedLater = make(map[key.Slice]uint64)
 	for _, h := range r.holder.Owned() {
 		if waiting[h.Slice] == h.Epoch {
 			r.ownSlice(now, h.Slice, h.Epoch)
