Count no hold of a server that has ended in the review's check

server.grant recorded a hold after it had let go of the server's lock. The hold is recorded under the lock now, and none after the end. The rule is as strict: a grant that came before the end is recorded as before.

--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -110,7 +110,8 @@
 	seen     map[int]uint64
 	working  map[int]int
 	sequence uint64
-	stopped  bool
+	stopped  bool // It sends no more heartbeats.
+	ended    bool
 	acks     int
 	conns    map[net.Conn]bool
 }
@@ -326,6 +327,10 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
+	if s.ended {
+		s.mu.Unlock()
+		return false
+	}
 	for n := g.First; n <= g.Last; n++ {
 		if s.seen[n] > g.Fence {
 			s.mu.Unlock()
@@ -346,11 +351,12 @@
 		s.seen[n] = g.Fence
 		s.keys[n] = keyHold{fence: g.Fence, until: now.Add(hold), from: from}
 	}
+	// Under the lock, so that no grant counts for a server that has ended.
+	s.owners.granted(s.lifeName(), g.First, g.Last, g.Fence, now, now.Add(hold))
 	s.mu.Unlock()
 	if !renewal {
 		s.rec.line("server %s takes keys %d-%d at epoch %d for %s", s.lifeName(), g.First, g.Last, g.Fence, g.HoldTime)
 	}
-	s.owners.granted(s.lifeName(), g.First, g.Last, g.Fence, now, now.Add(hold))
 	if s.closesAfterGrant != nil && s.closesAfterGrant() {
 		write(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		return false
@@ -477,6 +483,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
+	s.ended = true
 	s.keys = make(map[int]keyHold)
 	for c := range s.conns {
 		_ = c.Close()
