--- a/internal/daemon/routing_instance.go
+++ b/internal/daemon/routing_instance.go
@@ -105,8 +105,9 @@
 }
 
 // ownSlice starts granting a slice that the session now owns to the target, if it
-// serves the slice's app, once no instance before it may hold the slice. The holder renounces what the target replaced, so that
-// the permit is only refused if one of the two is wrong.
+// serves the slice's app, once no instance before it may hold the slice. The holder
+// renounces what the target replaced, so that the permit is only refused if one of the
+// two is wrong.
 func (r *routingLoop) ownSlice(now mono.Time, s key.Slice, epoch uint64) {
 	if r.granter == nil || s.App != r.target.app {
 		return
