review: keys go to a server's next life with the old epochs (case 6)

The connections between a node and its server go silent, the server crashes and starts again under its id, and its last check-ins come 2.4 s late. The late check-in opens the window for connections for grants; the silent connections count as proof that a new one leads to the same process, and the next life is granted all keys with the epochs of the last one.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/standins-2"
 mkdir -p bin
-GOWORK=off GOTOOLCHAIN=local go build -o bin/standins-2 .
+GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o bin/standins-2 .
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -33,6 +33,7 @@
 	"answers-cut":           answersCut,
 	"checkin-crash":         checkinCrash,
 	"left-orders":           leftOrders,
+	"silent-proof":          silentProof,
 }
 
 func main() {
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -26,7 +26,9 @@
 	born   int64
 	server *http.Server
 	// run answers a request that was admitted.
-	run  func(w http.ResponseWriter, r *http.Request)
+	run func(w http.ResponseWriter, r *http.Request)
+	// pre, if set, handles what is no request that may run, and reports whether it has.
+	pre  func(w http.ResponseWriter, r *http.Request) bool
 	done chan struct{}
 
 	mu      sync.Mutex
@@ -38,8 +40,20 @@
 	beganAt map[string]time.Time // By the id of the request; nil if nobody asks.
 }
 
+// startServer starts a server at the address that its node has for it, and its
+// check-ins.
 func (w *world) startServer(n *node, slots int, run func(http.ResponseWriter, *http.Request)) (*server, error) {
-	listener, err := net.Listen("tcp", n.app)
+	s, err := w.listenServer(n, n.app, slots, run)
+	if err != nil {
+		return nil, err
+	}
+	go s.beatForever()
+	return s, nil
+}
+
+// listenServer starts a server that sends no check-ins by itself.
+func (w *world) listenServer(n *node, address string, slots int, run func(http.ResponseWriter, *http.Request)) (*server, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +61,6 @@
 	s := &server{n: n, id: fmt.Sprintf("i-%s-%d", n.name, born), slots: slots, born: born, run: run, done: make(chan struct{}), runs: make(map[string]int), state: "ready"}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
-	go s.beatForever()
 	w.servers = append(w.servers, s)
 	return s, nil
 }
@@ -74,6 +87,9 @@
 		s.refuse(w, r, http.StatusMisdirectedRequest)
 		return
 	}
+	if s.pre != nil && s.pre(w, r) {
+		return
+	}
 	id := r.Header.Get(headerID)
 	s.mu.Lock()
 	if s.running >= s.slots {
