--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -34,6 +34,7 @@
 	"checkin-crash":         checkinCrash,
 	"left-orders":           leftOrders,
 	"silent-proof":          silentProof,
+	"long-grace":            longGraceStop,
 }
 
 func main() {
