--- a/review/standins-2/slow_reader.go
+++ b/review/standins-2/slow_reader.go
@@ -71,6 +71,7 @@
 		}
 	}
 	w.rec.line("%d of %d answers were cut before their route's timeout", broken, slowReaders)
+	fmt.Printf("%d of %d answers were cut before their route's timeout\n", broken, slowReaders)
 	time.Sleep(2 * time.Second)
 	return broken > 0, nil
 }
