Refuse announcements that their target can't have sent

Cause: platform took any number of slots above 0, the routing loop took it for the number of connections, and the gate allocated an entry for each of them.

Slots and connections are at most 65,535, for the built-in protocol as well: a message between daemons has 16 bits for them. The gate adds an entry when a connection is first used, so that no announcement sizes an allocation. The age of a target with a negative start no longer overflows.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -207,7 +207,7 @@
 	concurrency concurrency
 	lastRun     uint64 // number of the last run
 	busySlots   int    // slots taken by runs, also by those that linger
-	connInUse   []bool // by connection number
+	connInUse   []bool // by connection number, of those that were used so far
 	seen        map[host.ID]lastSeen
 	unacked     *unacked
 	pace        pace // of the target's work
--- a/gate/run.go
+++ b/gate/run.go
@@ -65,7 +65,7 @@
 	if j.expectedWait > 0 {
 		g.waitEstimateOf(j.req.Route).add(j.expectedWait, now.Sub(j.arrivedAt))
 	}
-	g.connInUse[j.conn] = true
+	g.takeConnection(j.conn)
 	g.runs[j.run] = j
 	g.runByID[j.req.ID] = j.run
 	g.setTimer(j, j.runDeadline)
@@ -80,10 +80,26 @@
 	})
 }
 
-// freeConnection returns the lowest free connection, or noConnection.
+// freeConnection returns the lowest free connection, or noConnection. It is the
+// next new one if all that were used so far are taken.
 func (g *Gate) freeConnection() int {
-	limit := min(g.target.Connections, len(g.connInUse))
-	return slices.Index(g.connInUse[:limit], false)
+	used := g.connInUse[:min(g.target.Connections, len(g.connInUse))]
+	if free := slices.Index(used, false); free >= 0 {
+		return free
+	}
+	if len(used) < g.target.Connections {
+		return len(used)
+	}
+	return noConnection
+}
+
+// takeConnection marks a connection that freeConnection returned as in use.
+func (g *Gate) takeConnection(number int) {
+	if number == len(g.connInUse) {
+		g.connInUse = append(g.connInUse, true)
+		return
+	}
+	g.connInUse[number] = true
 }
 
 // releaseSlot frees the slot and the connection of a job.
--- a/gate/target.go
+++ b/gate/target.go
@@ -80,9 +80,6 @@
 	g.cold.awaited = max(g.cold.awaited-1, 0)
 	g.noteStart()
 	g.updateCold(now, out)
-	if len(g.connInUse) < a.Connections {
-		g.connInUse = append(g.connInUse, make([]bool, a.Connections-len(g.connInUse))...)
-	}
 	g.setDraining(now, a.State == Draining || t.daemonDraining || t.leaving)
 	g.startQueued(now, out)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,6 +30,10 @@
 	contentTypeJSON = "application/json"
 )
 
+// MaxSlots bounds the slots and the connections of a target: messages between daemons
+// hold no larger number of slots, and one host has no more ports for connections to it.
+const MaxSlots = math.MaxUint16
+
 // Announcement is the state that a target reports to its daemon once a second.
 type Announcement struct {
 	App          string `json:"app"`
@@ -185,8 +191,8 @@
 	if a.App == "" || a.Address == "" {
 		return &result.Error{Code: result.BadRequest, Field: "app, address", Detail: "a target names its app and address"}
 	}
-	if a.Slots < 1 || a.Connections < a.Slots {
-		return &result.Error{Code: result.BadRequest, Field: "slots, connections", Detail: "a target has at least one slot, and a connection for each"}
+	if a.Slots < 1 || a.Connections < a.Slots || a.Connections > MaxSlots {
+		return &result.Error{Code: result.BadRequest, Field: "slots, connections", Detail: "a target has at least one slot, a connection for each, and at most " + strconv.Itoa(MaxSlots) + " of both"}
 	}
 	switch a.State {
 	case StateCold, StateWarm, StateDraining:
--- a/internal/daemon/routing_cold.go
+++ b/internal/daemon/routing_cold.go
@@ -36,7 +36,7 @@
 // ageOf returns the time since the start of the instance that an announcement names, 0
 // if it is not known.
 func ageOf(a control.Announcement, nowMs int64) time.Duration {
-	if a.StartedMs == 0 || nowMs <= a.StartedMs {
+	if a.StartedMs <= 0 || nowMs <= a.StartedMs {
 		return 0
 	}
 	return time.Duration(nowMs-a.StartedMs) * time.Millisecond
