entry: answer every open request before a stop closes its connection

What callers saw: at the end of a planned stop some connections were closed without a byte, and others got the 504 that leaves the outcome open, by chance.

Cause: when Stop reached its timeout it told the writers to answer and closed the sockets in the same moment; whichever was first won. Stop's wait for late requests came before its timeout and was not part of it. closeIdle took a connection whose answer was being written for an idle one, since the request is no longer unanswered.

Change: at the timeout the open requests are answered, and connections still open 100 ms later are closed. The wait for late requests counts. A connection whose answer is being written closes after it. An answer of the router that is there is preferred to the unknown one.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -300,7 +300,7 @@
 		resp.Reset() // It holds the answer's body.
 		c.server.memory.shrink(c, x.answerBytes)
 		c.setWriting(false)
-		if closes {
+		if closes || c.isLastAnswer() {
 			c.closeWriteSide()
 		}
 	}
@@ -315,19 +315,29 @@
 }
 
 // fillResponse writes the refusal of a refused request, which it reports to the
-// router, or waits for the answer and writes that. If the server closes all
-// connections first, the outcome is unknown.
+// router, or waits for the answer and writes that.
 func (c *conn) fillResponse(resp *fasthttp.Response, x *exchange) {
 	if x.refusal != nil {
 		c.server.router.RequestRejected(x.submission.Request, x.refusal)
 		c.server.protocol.WriteRefusal(resp, x.submission.Request, x.refusal, x.retryAfter)
 		return
 	}
+	c.server.protocol.WriteAnswer(resp, c.awaitAnswer(x))
+}
+
+// awaitAnswer waits for the router's answer. It returns one that leaves the outcome
+// unknown if there is none when the server ends.
+func (c *conn) awaitAnswer(x *exchange) *request.Answer {
 	select {
 	case answer := <-x.submission.Reply:
-		c.server.protocol.WriteAnswer(resp, answer)
+		return answer
 	case <-c.server.closed:
-		c.server.protocol.WriteAnswer(resp, &request.Answer{ID: x.submission.Request.ID, Code: result.OutcomeUnknown})
+	}
+	select {
+	case answer := <-x.submission.Reply:
+		return answer
+	default:
+		return &request.Answer{ID: x.submission.Request.ID, Code: result.OutcomeUnknown}
 	}
 }
 
@@ -369,13 +379,21 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// closeIdle closes the connection if no request waits for an answer. A request
-// that arrives at the same time is dropped and not run.
+// closeIdle closes the connection if no request waits for an answer and none is being
+// written. A request that arrives at the same time is dropped and not run.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.noMoreRequests = true
-	if len(c.unanswered) == 0 {
+	if len(c.unanswered) == 0 && !c.writing {
 		_ = c.raw.Close()
 	}
 }
+
+// isLastAnswer reports whether the connection is to close after the answer that was
+// just written, since closeIdle was called meanwhile.
+func (c *conn) isLastAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.noMoreRequests && len(c.unanswered) == 0
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,9 @@
 	// lateRequestGrace is how long after the listener is closed requests on
 	// connections that were just opened are still accepted.
 	lateRequestGrace = 300 * time.Millisecond
+	// lastAnswerGrace is how long Stop waits, after its timeout, until the last answers
+	// are written and read.
+	lastAnswerGrace = 100 * time.Millisecond
 	// refusalRetryAfter is the retry delay sent to a caller whose request was
 	// refused before the router for a reason that passes with time: its queue was
 	// full, or the daemon has not the document that the request needs.
@@ -133,7 +136,7 @@
 	draining   atomic.Bool
 	listener   net.Listener
 	memory     *memory
-	// closed is closed to end all connections at once.
+	// closed is closed when requests without an answer are answered as unknown.
 	closed chan struct{}
 	wg     sync.WaitGroup
 
@@ -250,13 +253,15 @@
 	s.draining.Store(true)
 }
 
-// Stop drains the server, closes the listener and idle connections, and returns
-// when every request in flight has been answered. After the timeout, it closes
-// the remaining connections without waiting for their answers.
+// Stop drains the server, closes the listener and idle connections, and returns when
+// every request in flight has been answered. When the timeout has passed, requests
+// that have no answer yet are answered as unknown. Connections that are still open
+// lastAnswerGrace later are closed.
 func (s *Server) Stop(timeout time.Duration) {
+	until := time.Now().Add(timeout)
 	s.Drain()
 	_ = s.listener.Close()
-	time.Sleep(lateRequestGrace)
+	time.Sleep(min(lateRequestGrace, timeout))
 	for _, c := range s.openConns() {
 		c.closeIdle()
 	}
@@ -265,10 +270,23 @@
 		s.wg.Wait()
 		close(allEnded)
 	}()
+	if hasEnded(allEnded, time.Until(until)) {
+		return
+	}
+	close(s.closed)
+	if !hasEnded(allEnded, lastAnswerGrace) {
+		s.closeConns()
+	}
+}
+
+// hasEnded waits until the channel is closed, and returns false if that takes longer
+// than the timeout.
+func hasEnded(ended <-chan struct{}, timeout time.Duration) bool {
 	select {
-	case <-allEnded:
+	case <-ended:
+		return true
 	case <-time.After(timeout):
-		s.closeAll()
+		return false
 	}
 }
 
@@ -276,12 +294,12 @@
 // no answer.
 func (s *Server) Close() {
 	_ = s.listener.Close()
-	s.closeAll()
+	close(s.closed)
+	s.closeConns()
 	s.wg.Wait()
 }
 
-func (s *Server) closeAll() {
-	close(s.closed)
+func (s *Server) closeConns() {
 	for _, c := range s.openConns() {
 		_ = c.raw.Close()
 	}
