daemon: end the parts of a daemon at once, and no session after a stop signal

The transport's engine looks only every 0.5 s whether it has ended, the metrics address waits for its connections, and each waited for the one before. The server for announcements then waited for the connections that targets keep open.

Change: the addresses are closed side by side, the transport returns when its engine has ended, the metrics address waits as long as the control address at most, and the server for announcements ends with the process. By reading: a stop signal that came while a session ended began a new session, whose stop then began late. Both programs now decide that in Daemon.Run, and start no session then.

--- a/cmd/rhubarb-sidecar/main.go
+++ b/cmd/rhubarb-sidecar/main.go
@@ -112,7 +112,7 @@
 }
 
 // runSession runs the daemon for one session. It returns true if the session
-// ended without a stop signal and another one must be started.
+// ended and no stop signal came meanwhile, so that another one must be started.
 func (p *process) runSession() (bool, error) {
 	s := p.settings
 	registry := metrics.NewRegistry()
@@ -133,15 +133,11 @@
 		d.Close()
 		return false, err
 	}
-	defer server.Stop()
-	select {
-	case <-p.stop:
-		d.Stop()
-		return false, nil
-	case <-d.SessionEnded():
-		d.StopAfterSessionEnd()
-		return true, nil
+	restart := d.Run(p.stop)
+	if restart {
+		server.Stop()
 	}
+	return restart, nil // Otherwise the server ends with the process, which has no time to wait for it.
 }
 
 // watchSettings applies changed settings until done is closed. Only the store
--- a/cmd/rhubarbd/main.go
+++ b/cmd/rhubarbd/main.go
@@ -96,7 +96,7 @@
 }
 
 // runSession runs the daemon for one session. It returns true if the session
-// ended without a signal, so that a new session must be started.
+// ended and no signal came meanwhile, so that a new session must be started.
 func runSession(p *daemon.Process, name host.ID, out io.Writer, level event.Level, signals <-chan os.Signal) (bool, error) {
 	registry := metrics.NewRegistry()
 	log := eventlog.New(out, level, name, registry)
@@ -105,14 +105,7 @@
 	if err := d.Start(); err != nil {
 		return false, err
 	}
-	select {
-	case <-signals:
-		d.Stop()
-		return false, nil
-	case <-d.SessionEnded():
-		d.StopAfterSessionEnd()
-		return true, nil
-	}
+	return d.Run(signals), nil
 }
 
 func openLog(path string) (io.WriteCloser, error) {
--- a/internal/control/metrics_server.go
+++ b/internal/control/metrics_server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"net"
 
 	"github.com/rcrowley/go-metrics"
@@ -36,9 +37,12 @@
 	return nil
 }
 
-// Stop shuts the server down after the calls in flight.
+// Stop shuts the server down. It waits for the calls in flight, but no longer than
+// shutdownTimeout.
 func (m *MetricsServer) Stop() {
-	_ = m.http.Shutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = m.http.ShutdownWithContext(ctx)
 	<-m.done
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"sync"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/event"
@@ -145,12 +146,16 @@
 	d.stopAddresses()
 }
 
+// stopAddresses closes the daemon's own addresses. Each of them waits for its calls in
+// flight, so that they are closed side by side.
 func (d *Daemon) stopAddresses() {
+	var all sync.WaitGroup
 	if d.metrics != nil {
-		d.metrics.Stop()
+		all.Go(d.metrics.Stop)
 	}
-	d.control.Stop()
-	d.peers.Close()
+	all.Go(d.control.Stop)
+	all.Go(d.peers.Close)
+	all.Wait()
 }
 
 // answersAcknowledged reports whether the gates have been told that their last
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"sync/atomic"
 
 	"github.com/panjf2000/gnet/v2"
@@ -110,9 +109,3 @@
 	}
 	return true
 }
-
-func stopEngine(engine gnet.Engine) {
-	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
-	defer cancel()
-	_ = engine.Stop(ctx)
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -179,7 +180,19 @@
 // Close stops the event loops and closes all connections.
 func (t *Transport) Close() {
 	_ = t.client.Stop()
-	stopEngine(t.engine)
+	t.stopServer()
+}
+
+// stopServer stops accepting connections and waits until the server has ended. The
+// engine's own wait looks for that only twice a second.
+func (t *Transport) stopServer() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = t.engine.Stop(ended)
+	select {
+	case <-t.runErr:
+	case <-time.After(engineTimeout):
+	}
 }
 
 // Send sends a frame to the peer at address and returns the connection that
