Refuse late requests in a planned stop unless they end in time

Cause: requests were taken until 4.4 s after the signal whatever their deadline. A process that takes a request with a deadline of 4 s then can't wait for it. The times of the stop were fixed shares of 5.8 s, counted by each step for itself.

Change: one plan holds the times of a stop, counted from the signal and from the end of the grace, which is now the setting stop.within: callers are answered until 0.5 s before the end, the process ends 0.15 s before. Up to stop.notice (2.8 s: two readiness checks) requests are taken as before. Later ones are refused as draining, a true "not run", unless their deadline is before callers have to be answered. The router ends what is still open then as if that were its deadline, so that callers and the record of outcomes at risk hear of it in time, and gates get no more time than is left. The same on the other side: a gate that drains refuses what would likely not end before its daemon does. Connections are accepted for stop.listen_for, as before.

Why it works: what is taken after callers could have noticed the stop ends by its own deadline. What was taken before is at work until the last tenth of the grace.

--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -22,7 +22,7 @@
 		return result.QueueFull, g.retryAfterExcess(now, r, excess)
 	}
 	wait := g.likelyWait(now, r, f)
-	if r.Budget <= 0 || g.missesDeadline(r, wait, r.Budget) {
+	if left := g.runEnd(now.Add(r.Budget)).Sub(now); left <= 0 || g.missesDeadline(r, wait, left) {
 		return result.DeadlineTooShort, max(wait, g.cfg.RetryAfter)
 	}
 	if excess := g.excessWait(now, r, wait); excess > 0 && !r.Class.IsCall() {
@@ -90,6 +90,15 @@
 	return wait+g.expectedRunOf(r.Route) > left
 }
 
+// runEnd returns when the run of a request with the deadline has to end: before the
+// daemon does, too.
+func (g *Gate) runEnd(deadline mono.Time) mono.Time {
+	if g.target.stopsAt == 0 {
+		return deadline
+	}
+	return min(deadline, g.target.stopsAt)
+}
+
 // missesSoftDeadline reports whether a request is late: its answer would likely
 // miss the soft deadline even if it started at once.
 func (g *Gate) missesSoftDeadline(r *request.Request) bool {
--- a/gate/run.go
+++ b/gate/run.go
@@ -36,7 +36,7 @@
 		g.refuseJob(now, j, code, adm, out)
 		return
 	}
-	if g.missesDeadline(j.req, 0, j.deadline.Sub(now)) {
+	if g.missesDeadline(j.req, 0, g.runEnd(j.deadline).Sub(now)) {
 		g.refuseJob(now, j, result.DeadlineTooShort, adm, out)
 		return
 	}
--- a/gate/target.go
+++ b/gate/target.go
@@ -55,7 +55,10 @@
 	draining       bool          // the target or the daemon drains
 	drainStarted   mono.Time
 	daemonDraining bool // the daemon drains
-	leaving        bool // this instance said that it is about to end
+	// stopsAt is when this daemon ends, or 0 if that is not known. Runs have to end
+	// before.
+	stopsAt mono.Time
+	leaving bool // this instance said that it is about to end
 }
 
 // TargetAnnounced handles an announcement of the target.
@@ -104,6 +107,13 @@
 	g.refuseQueued(now, result.TargetUnavailable, out)
 }
 
+// DrainBy is Drain for a daemon that ends at stopsAt: requests whose run would likely
+// not have ended by then are refused.
+func (g *Gate) DrainBy(now, stopsAt mono.Time, out *Actions) {
+	g.target.stopsAt = stopsAt
+	g.Drain(now, out)
+}
+
 // Drain starts the drain of the daemon itself: after the grace no request is
 // started, and running ones finish.
 func (g *Gate) Drain(now mono.Time, out *Actions) {
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -58,8 +58,10 @@
 	sessionEnded    struct{ session host.Session }
 	abandonSent     struct{}
 	stopRequested   struct{}
-	// drainGate makes the gate accept no more requests.
-	drainGate struct{}
+	// answerCallersBy bounds the time until all callers are answered.
+	answerCallersBy struct{ stop request.Stop }
+	// drainGate makes the gate accept no more requests. Its runs end by stopsAt.
+	drainGate struct{ stopsAt mono.Time }
 )
 
 // packVersion is a pack with its object version in the store. It is written if it
@@ -307,9 +309,13 @@
 	}
 }
 
-func (drainGate) handle(r *routingLoop, now mono.Time) {
+func (w answerCallersBy) handle(r *routingLoop, _ mono.Time) {
+	r.router.BeginStop(w.stop)
+}
+
+func (w drainGate) handle(r *routingLoop, now mono.Time) {
 	if r.gate != nil {
-		r.gate.Drain(now, &r.gateActions)
+		r.gate.DrainBy(now, w.stopsAt, &r.gateActions)
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/event"
-	"github.com/rhubarbring/rhubarbring/gate"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/mono"
 )
 
@@ -34,20 +34,24 @@
 // Stop performs a planned stop: slices are handed over, requests in flight are
 // completed, and the session is recorded as left. If the settings bound the
 // time of a stop, steps that do not fit into it are skipped, and the session is
-// taken over like a lost one.
+// taken over like a lost one; the process must end after it.
 func (d *Daemon) Stop() {
 	d.log.Event(event.Stopping, "reason", "asked")
-	began := time.Now()
+	began := bootclock.Now()
+	plan := newStopPlan(began, d.settings.Stop)
 	d.stopping.Store(true)
 	d.entry.Drain()
-	d.await(d.settings.Stop.ServeDuration.Std(), never)
+	if plan.limited {
+		d.routing.ring.PushWait(answerCallersBy{plan.request()}, d.routing.stop)
+	}
+	d.await(timeUntil(plan.handOverAt), never)
 	d.lease.pushWait(drainSession{})
 	d.routing.ring.PushWait(stopRequested{}, d.routing.stop)
-	d.finishCalls(began)
-	d.await(d.stepTimeout(began, ackTimeout, 1), d.answersAcknowledged)
-	d.recordLeft(began)
-	d.await(d.stepTimeout(began, saveTimeout, 1), d.risk.allSaved)
-	d.closeLoops()
+	d.finishCalls(&plan)
+	d.await(plan.timeout(plan.recordBy, ackTimeout), d.answersAcknowledged)
+	d.recordLeft(began, &plan)
+	d.await(plan.timeout(plan.recordBy, saveTimeout), d.risk.allSaved)
+	d.closeLoopsBy(&plan)
 	d.log.Event(event.Stopped)
 }
 
@@ -55,61 +59,58 @@
 // remaining slices at once. It does not do so while a target may still hold
 // some of them: the session is then taken over like a lost one, after its lease
 // has ended.
-func (d *Daemon) recordLeft(began time.Time) {
+func (d *Daemon) recordLeft(began mono.Time, plan *stopPlan) {
 	if !d.routing.allReleased.Load() {
-		d.log.Event(event.PlannedStopCut, "owned", d.routing.stopOwned.Load(), "after_ms", time.Since(began).Milliseconds())
+		d.log.Event(event.PlannedStopCut, "owned", d.routing.stopOwned.Load(), "after_ms", bootclock.Now().Sub(began).Milliseconds())
 		return
 	}
 	d.lease.pushWait(leaveSession{})
-	d.await(d.stepTimeout(began, leaveTimeout, 1), d.hasLeft)
+	d.await(plan.timeout(plan.recordBy, leaveTimeout), d.hasLeft)
 	if d.hasLeft() && d.routing.idle.Load() {
 		d.log.Event(event.PlannedStopDone, "released", d.routing.stopOwned.Load())
 	}
 }
 
 // finishCalls hands the slices over and answers the callers. If the time of the
-// stop is bounded, new requests are accepted only until the settings' unready
-// grace (PlannedStop.UnreadyGrace) has passed: callers need that long to notice
-// that the daemon is not ready.
-func (d *Daemon) finishCalls(began time.Time) {
+// stop is bounded, connections are accepted only for a part of it.
+func (d *Daemon) finishCalls(plan *stopPlan) {
 	idle := d.routing.idle.Load
-	unreadyLeft := func() time.Duration { return time.Until(began.Add(d.settings.Stop.UnreadyGrace.Std())) }
-	if d.settings.Stop.Limit == 0 {
+	if !plan.limited {
 		d.await(drainTimeout, idle)
-		d.await(unreadyLeft(), never)
+		d.await(timeUntil(plan.listenUntil), never)
 		d.entry.Stop(entryTimeout)
 		return
 	}
-	// Other daemons may not learn of the stop from the store. Their requests
-	// are refused early enough for the runs under way to end in time.
-	d.await(unreadyLeft()-gate.DefaultConfig().DrainGrace, never)
-	d.routing.ring.PushWait(drainGate{}, d.routing.stop)
-	d.await(unreadyLeft(), never)
-	d.entry.Stop(d.stepTimeout(began, entryTimeout, answerShare))
-	d.await(d.stepTimeout(began, drainTimeout, answerShare), idle)
+	d.await(timeUntil(plan.drainGateAt), never)
+	d.routing.ring.PushWait(drainGate{stopsAt: plan.answerBy}, d.routing.stop)
+	d.await(timeUntil(plan.listenUntil), never)
+	d.entry.Stop(timeUntil(plan.closeBy))
+	d.await(timeUntil(plan.answerBy), idle)
 }
 
-// answerShare is the fraction of a bounded stop's time within which callers must
-// be answered. The rest is for recording the end of the session.
-const answerShare = 0.98
+// closeLoopsBy ends the loops. If that takes longer than the stop may, the rest ends
+// with the process.
+func (d *Daemon) closeLoopsBy(plan *stopPlan) {
+	if !plan.limited {
+		d.closeLoops()
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		d.closeLoops()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(timeUntil(plan.exitBy)):
+	}
+}
 
 // never is a condition for await that is never met.
 func never() bool {
 	return false
 }
 
-// stepTimeout returns the time limit for one step of a stop that began at the
-// given instant: at most the step's own bound, and at most what is left of the
-// given share of the time that the settings allow.
-func (d *Daemon) stepTimeout(began time.Time, bound time.Duration, part float64) time.Duration {
-	within := d.settings.Stop.Limit.Std()
-	if within == 0 {
-		return bound
-	}
-	left := time.Until(began.Add(time.Duration(part * float64(within))))
-	return min(max(left, 0), bound)
-}
-
 // StopAfterSessionEnd ends a daemon whose session is over: it no longer owns
 // slices, and other daemons accept nothing from it. Arriving requests are
 // refused, also those that waited unread while the process was paused. Requests
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/grant"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/control"
 	"github.com/rhubarbring/rhubarbring/internal/targetclient"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -82,7 +83,7 @@
 	p, target := beginStop(t)
 	d := p.owner
 	<-target.releaseAsked
-	d.recordLeft(time.Now())
+	d.recordLeft(bootclock.Now(), &stopPlan{})
 	d.log.Close()
 	must.False(t, d.hasLeft())
 	must.StrContains(t, p.logs[1].String(), "event=3042 name=planned_stop_cut")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,19 +62,38 @@
 	MaxWait document.Duration `json:"max_wait"`
 }
 
-// PlannedStop sets the times of a planned stop.
+// PlannedStop sets the times of a planned stop. Each counts from its begin.
 type PlannedStop struct {
-	// Limit is the time that the stop may take: the time after which the
-	// process is killed, or a little less. Default: no bound.
+	// Limit is the time after which the process is killed. The stop ends a little
+	// earlier. Default: no bound.
 	Limit document.Duration `json:"within"`
 	// ServeDuration is how long the daemon continues to serve its slices and its
-	// target after it was asked to stop, before it hands them over. Default:
-	// 0.
+	// target before it hands them over. Default: 0.
 	ServeDuration document.Duration `json:"serve_for"`
-	// UnreadyGrace is how long requests of callers are still accepted after the
-	// daemon reported that it is not ready, because callers need that long to
-	// notice. Default: 0.
+	// UnreadyGrace is how long requests of callers are accepted whatever their
+	// deadline, because callers need that long to notice that the daemon is not
+	// ready. Under a Limit, later ones are refused unless their deadline is before
+	// the end of the stop. Default: 0.
 	UnreadyGrace document.Duration `json:"notice"`
+	// ListenDuration is how long connections of callers are accepted. Default:
+	// UnreadyGrace.
+	ListenDuration document.Duration `json:"listen_for"`
+}
+
+// validate returns an error if the times contradict each other.
+func (s *PlannedStop) validate() error {
+	for _, t := range []struct {
+		field string
+		value document.Duration
+	}{{"stop.within", s.Limit}, {"stop.serve_for", s.ServeDuration}, {"stop.notice", s.UnreadyGrace}, {"stop.listen_for", s.ListenDuration}} {
+		if t.value < 0 {
+			return newError(t.field, "the time is negative", "give a time from 0 on")
+		}
+	}
+	if s.ListenDuration != 0 && s.ListenDuration < s.UnreadyGrace {
+		return newError("stop.listen_for", "it is shorter than stop.notice", "accept connections for as long as any request is accepted")
+	}
+	return nil
 }
 
 // Spread sets how documents and assignments are distributed to a daemon. All
@@ -332,7 +351,7 @@
 	if d.MaxDescriptors < 0 {
 		return newError("max_descriptors", "the number is below 0", "write how many descriptors the process may use, or leave the field out")
 	}
-	return nil
+	return d.Stop.validate()
 }
 
 func checkLoopback(field, value string) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,6 +33,8 @@
 		{"memory below nothing", `"seed":1`, `"memory_mb":-1`, "memory_mb"},
 		{"evacuation without time to hand over", `"seed":1`, `"evacuation":{"within":"2900ms"}`, "evacuation.within"},
 		{"evacuation in the past", `"seed":1`, `"evacuation":{"within":"-5s"}`, "evacuation.within"},
+		{"a stop in the past", `"seed":1`, `"stop":{"within":"-1s"}`, "stop.within"},
+		{"a listener that closes too early", `"seed":1`, `"stop":{"notice":"3s","listen_for":"2s"}`, "stop.listen_for"},
 		{"profiles for other hosts", `"seed":1`, `"debug_address":"192.0.2.1:6060"`, "debug_address"},
 		{"trailing text", `"seed":1}`, `"seed":1} {}`, "one document"},
 	}
--- a/request/answer.go
+++ b/request/answer.go
@@ -306,6 +306,7 @@
 // are many.
 func (r *Router) setTimer(c *call, at mono.Time) {
 	c.timerID = r.timers.Add(at, c)
+	c.timerAt = at
 	if r.timers.Len() > maxStaleTimers+2*(r.Live()+r.countInState[stateDoubtful]) {
 		r.timers.Compact(func(e timer.Entry[*call]) bool { return e.Item.timerID == e.ID })
 	}
--- a/request/router.go
+++ b/request/router.go
@@ -49,6 +49,7 @@
 	seq            uint64
 	counters       Counters
 	sessionEnded   bool // nothing may be sent any more
+	stop           Stop // of the planned stop that has begun, or zero
 }
 
 // call is one request of one caller.
@@ -63,6 +64,7 @@
 	sentAt        mono.Time
 	attempt       uint32 // the highest number of an attempt
 	timerID       uint64 // the valid timer; 0 for none
+	timerAt       mono.Time
 	// The slice's owner and epoch according to the refusing gate.
 	hintOwner host.Session
 	hintEpoch uint64
@@ -139,9 +141,13 @@
 	c := r.newCall()
 	c.req = req
 	c.caller = caller
-	c.deadline = deadline
+	c.deadline = r.stop.limit(deadline)
 	r.counters.Submitted++
 	r.byCaller[caller] = c
+	if r.stop.refuses(now, deadline) {
+		r.refuse(now, c, result.Draining, out)
+		return
+	}
 	if r.Live() > r.cfg.MaxCalls {
 		r.refuse(now, c, result.QueueFull, out)
 		return
