Take orders of callers who have left out of their gate's queue

Cause: the router cancelled only requests that may be repeated. The gate, which knows whether a request has been started, was not told of the others.

Change: the cancellation is sent for each request whose caller has left. The gate drops a queued one as not run and leaves one that runs alone, as it did before for those that it heard of. At the entry an order stays open until that answer, and its outcome is recorded. The test that demanded that no cancellation is sent is replaced: it now demands the cancellation, that the request stays open, and the outcome that follows, for both answers of the gate; a test of the gate says that a run is not touched.

--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -114,6 +114,24 @@
 	must.SliceLen(t, 1, f.out.Starts)
 }
 
+// Guards against a request that may not be repeated and reaches the target although its
+// caller has left: one that is queued is dropped as not run. One that runs goes on.
+func TestCancelledOrderIsDroppedUnlessItRuns(t *testing.T) {
+	f := newWarmFixture(1)
+	from := host.Session{Host: f.from, Incarnation: 1}
+	f.fill(2)
+	f.out.Reset()
+	f.gate.CancelReceived(startTime, from, request.Cancel{ID: "id2", Attempt: 1, Seq: 2}, &f.out)
+	must.Eq(t, result.Cancelled, f.code(t))
+	f.out.Reset()
+	f.gate.CancelReceived(startTime, from, request.Cancel{ID: "id1", Attempt: 1, Seq: 1}, &f.out)
+	must.SliceEmpty(t, f.out.Cancels)
+	must.SliceEmpty(t, f.out.Answers)
+	f.gate.TargetAnswered(startTime, 1, TargetAnswer{Status: 200}, &f.out)
+	must.Eq(t, result.OK, f.code(t))
+	must.SliceEmpty(t, f.out.Starts)
+}
+
 // Two seconds after the start of a drain nothing is started any more, and
 // running requests finish.
 func TestDrainStartsNothingAfterGrace(t *testing.T) {
--- a/request/router.go
+++ b/request/router.go
@@ -206,8 +206,8 @@
 }
 
 // CallerGone tells the router that a caller disconnected. A request that is
-// idempotent or is not at a gate now is dropped. Any other goes on, and its
-// outcome is recorded.
+// idempotent or is not at a gate now is dropped. Any other goes on unless the gate
+// can still take it out of its queue, and its outcome is recorded.
 func (r *Router) CallerGone(now mono.Time, caller CallID, out *Actions) {
 	c, ok := r.byCaller[caller]
 	if !ok {
@@ -216,6 +216,7 @@
 	c.callerGone = true
 	delete(r.byCaller, caller)
 	if c.state == stateSent && !c.req.Idempotent {
+		out.Cancels = append(out.Cancels, SendCancel{To: c.to, Cancel: cancelOf(c.req)})
 		return
 	}
 	if c.state == stateSent {
--- a/request/router_test.go
+++ b/request/router_test.go
@@ -195,9 +195,10 @@
 	must.Eq(t, result.RetryBudgetSpent, f.replyCode(t))
 }
 
-// When its caller disconnects, an idempotent request is cancelled. Any other
-// goes on, and its outcome is recorded.
-func TestCallerDisconnectCancelsOnlyIdempotentRequests(t *testing.T) {
+// When its caller disconnects, an idempotent request is over. Any other goes on, and
+// its outcome is recorded: the gate is told as well, and drops it if it has not been
+// started. Guards against a request that reaches a target after its caller has left.
+func TestCallerDisconnectEndsOnlyIdempotentRequests(t *testing.T) {
 	f := newFixture(nil)
 	lookup := newRequest(request.RepeatFirst)
 	lookup.Idempotent = true
@@ -207,16 +208,20 @@
 	must.SliceLen(t, 1, f.out.Cancels)
 	must.Zero(t, f.router.Live())
 
-	f.submit(2, newRequest(request.RepeatFirst))
-	sent := f.out.Sends[0]
-	f.router.CallerGone(2, 2, &f.out)
-	must.SliceEmpty(t, f.out.Cancels)
-	must.Eq(t, 1, f.router.Live())
-	f.out.Reset()
-	f.out.Sends = append(f.out.Sends, sent)
-	f.answer(owner, result.OK, nil)
-	must.SliceEmpty(t, f.out.Replies)
-	must.Eq(t, result.Done, f.out.Risks[0].Outcome)
+	for code, outcome := range map[result.Code]result.Outcome{result.OK: result.Done, result.Cancelled: result.NotRun} {
+		f.submit(2, newRequest(request.RepeatFirst))
+		sent := f.out.Sends[0]
+		f.router.CallerGone(2, 2, &f.out)
+		must.Eq(t, []request.SendCancel{{To: owner, Cancel: request.Cancel{ID: sent.Request.ID, Attempt: sent.Request.Attempt, Seq: sent.Request.Seq}}}, f.out.Cancels)
+		must.Eq(t, 1, f.router.Live())
+		f.out.Reset()
+		f.out.Sends = append(f.out.Sends, sent)
+		f.answer(owner, code, nil)
+		must.SliceEmpty(t, f.out.Replies)
+		must.SliceLen(t, 1, f.out.Risks)
+		must.Eq(t, outcome, f.out.Risks[0].Outcome)
+		must.Zero(t, f.router.Live())
+	}
 }
 
 // BenchmarkSubmitToReply measures the router's part of a request: Submit, the
