quarantine: keep what speaks for a request with the report of its crash

Cause: reports of crashes are stored, the answers that clear a request are not. A daemon that starts counts two crashes of two hosts one after the other.

Change: a daemon that sees an answer to a suspect notes it with the crashes of its host's report, and daemons that count the report leave that request out.

--- a/internal/daemon/crash_report.go
+++ b/internal/daemon/crash_report.go
@@ -16,7 +16,7 @@
 	// version is that of the object in the store; 0 if there is none.
 	version uint64
 	// writing is set while a write is under way, and changed if the report has
-	// crashes that no write had.
+	// crashes or answers that no write had.
 	writing bool
 	changed bool
 	// lastCrash is when the last crash was added, or when the report of the daemon
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -178,6 +178,26 @@
 	must.Eq(t, 41, next().ifVersion)
 }
 
+// Guards against a report from which daemons that start later learn of a crash, and not
+// that the request was answered since.
+func TestAnswerToSuspectGoesIntoTheReport(t *testing.T) {
+	d := newRoutingPair(t, event.Info).owner
+	req := &request.Request{App: pairApp, Key: "k", Method: "GET", Path: "/popular"}
+	f := quarantine.Of(req)
+	_, err := queryRouting(d, func(r *routingLoop, now mono.Time) bool {
+		r.publishCrash(now, quarantine.Crash{Instance: 1, Requests: []quarantine.Fingerprint{f}})
+		r.crashReport.changed = false
+		r.requestAnswered(req)
+		must.Eq(t, []quarantine.Fingerprint{f}, r.crashReport.report.Crashes[0].Answered)
+		must.True(t, r.crashReport.changed)
+		r.crashReport.changed = false
+		r.requestAnswered(req)
+		must.False(t, r.crashReport.changed, must.Sprint("it is no suspect any more"))
+		return true
+	})
+	must.NoError(t, err)
+}
+
 func TestCrashesOfLongAgoLeaveTheReport(t *testing.T) {
 	now := bootclock.Now()
 	var c crashReport
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -142,7 +142,7 @@
 	delete(r.waitingCallers, reply.Call)
 	waiting.parent.ended(now, a.Code)
 	if a.Code == result.OK {
-		r.quarantine.Answered(waiting.request)
+		r.requestAnswered(waiting.request)
 	}
 	if waiting.holdAnswer != nil {
 		waiting.holdAnswer(len(a.Body))
--- a/internal/daemon/routing_crash.go
+++ b/internal/daemon/routing_crash.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/targetclient"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/quarantine"
+	"github.com/rhubarbring/rhubarbring/request"
 )
 
 // targetProbed is the result of a probe of the target's address.
@@ -38,7 +39,7 @@
 func (r *routingLoop) observeRun(now mono.Time, run *targetRun, reply targetclient.Reply) {
 	switch reply.Verdict {
 	case targetclient.Answered:
-		r.quarantine.Answered(run.request)
+		r.requestAnswered(run.request)
 	case targetclient.NotSent:
 		if reply.ConnRefused {
 			r.instanceEnded(now, run.instance)
@@ -52,6 +53,19 @@
 	}
 }
 
+// requestAnswered records that a target has answered a request. If it was a suspect,
+// daemons that start later learn of it from this host's report.
+func (r *routingLoop) requestAnswered(req *request.Request) {
+	f, isSuspect := r.quarantine.Suspect(req)
+	if !isSuspect {
+		return
+	}
+	r.quarantine.Answered(req)
+	if r.crashReport.report.Answer(f) {
+		r.crashReport.changed = true
+	}
+}
+
 // runLost handles a run that ended without an answer although nobody ended it.
 func (r *routingLoop) runLost(now mono.Time, run *targetRun) {
 	crash, known := r.crashes.RunLost(now, run.instance, quarantine.Of(run.request))
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -22,6 +22,9 @@
 	Instance uint64 `json:"instance"`
 	// Requests are the requests that were lost with it.
 	Requests []Fingerprint `json:"requests"`
+	// Answered are those of them that a target has answered since then, so that they
+	// are no suspects of this crash any more. Only a Report has them.
+	Answered []Fingerprint `json:"answered,omitempty"`
 }
 
 // Detector observes the runs at one host's target and finds out which of them
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -58,9 +58,9 @@
 	return &Ledger{suspects: make(map[Fingerprint]*suspect), counted: make(map[uint64]countedCrash)}
 }
 
-// Record counts a crash, once for each of its requests, and returns the requests
-// that it puts into quarantine. A crash may be recorded again, also with further
-// requests after the earlier ones.
+// Record counts a crash, once for each of its requests that has not been answered
+// since, and returns the requests that it puts into quarantine. A crash may be
+// recorded again, also with further requests after the earlier ones.
 func (l *Ledger) Record(now mono.Time, c Crash) []Fingerprint {
 	known, ok := l.counted[c.Instance]
 	if ok && known.requests >= len(c.Requests) {
@@ -71,7 +71,9 @@
 	}
 	l.Expire(now)
 	for _, f := range c.Requests[known.requests:] {
-		l.count(now, f)
+		if !slices.Contains(c.Answered, f) {
+			l.count(now, f)
+		}
 	}
 	l.counted[c.Instance] = countedCrash{requests: len(c.Requests), at: known.at}
 	return l.hold(now, c)
@@ -92,13 +94,20 @@
 // its targets, so that it is no suspect any more. One that is in quarantine stays
 // there.
 func (l *Ledger) Answered(r *request.Request) {
+	if f, ok := l.Suspect(r); ok {
+		delete(l.suspects, f)
+	}
+}
+
+// Suspect returns the fingerprint of a request that is a suspect and not in
+// quarantine, and false for any other.
+func (l *Ledger) Suspect(r *request.Request) (Fingerprint, bool) {
 	if len(l.suspects) == 0 {
-		return
+		return Fingerprint{}, false
 	}
 	f := Of(r)
-	if s := l.suspects[f]; s != nil && s.heldUntil == 0 {
-		delete(l.suspects, f)
-	}
+	s := l.suspects[f]
+	return f, s != nil && s.heldUntil == 0
 }
 
 // hold puts the requests of a crash into quarantine that have crashed enough
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -23,6 +23,7 @@
 // oldest one if there are too many.
 func (r *Report) Add(c Crash) {
 	if i := slices.IndexFunc(r.Crashes, func(known Crash) bool { return known.Instance == c.Instance }); i >= 0 {
+		c.Answered = union(r.Crashes[i].Answered, c.Answered)
 		r.Crashes[i] = c
 		return
 	}
@@ -32,6 +33,31 @@
 	}
 }
 
+// Answer records that a target has answered a request after the crashes of the
+// report. It returns false if that says nothing new of any of them.
+func (r *Report) Answer(f Fingerprint) bool {
+	isNew := false
+	for i := range r.Crashes {
+		c := &r.Crashes[i]
+		if slices.Contains(c.Requests, f) && !slices.Contains(c.Answered, f) {
+			c.Answered = append(slices.Clip(c.Answered), f)
+			isNew = true
+		}
+	}
+	return isNew
+}
+
+// union returns the fingerprints of both lists, each once.
+func union(a, b []Fingerprint) []Fingerprint {
+	out := slices.Clip(a)
+	for _, f := range b {
+		if !slices.Contains(out, f) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Merge adds the crashes of an earlier report before those of this one.
 func (r *Report) Merge(earlier Report) {
 	merged := Report{Crashes: slices.Clone(earlier.Crashes)}
