peer: wait for the end of the engine itself

Cause: the linter found that the wait for the engine's end dropped an error, and a parameter of a test that is always the same.

Change: a channel of its own says that the engine has ended. The test of stored crashes has its time as a constant.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -79,6 +79,7 @@
 	engine  gnet.Engine
 	started chan struct{}
 	runErr  chan error
+	ended   chan struct{} // Closed when the engine has ended.
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -105,6 +106,7 @@
 		hello:         frame,
 		started:       make(chan struct{}),
 		runErr:        make(chan error, 1),
+		ended:         make(chan struct{}),
 		links:         make(map[string]*link),
 		bytesIn:       metrics.GetOrRegisterCounter(bytesInName, registry),
 		bytesOut:      metrics.GetOrRegisterCounter(bytesOutName, registry),
@@ -146,6 +148,7 @@
 
 func (t *Transport) startServer(address string) error {
 	go func() {
+		defer close(t.ended)
 		t.runErr <- gnet.Run(t, "tcp://"+address, append(options(), gnet.WithNumEventLoop(serverEventLoops))...)
 	}()
 	timer := time.NewTimer(engineTimeout)
@@ -186,11 +189,11 @@
 // stopServer stops accepting connections and waits until the server has ended. The
 // engine's own wait looks for that only twice a second.
 func (t *Transport) stopServer() {
-	ended, cancel := context.WithCancel(context.Background())
+	noWait, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = t.engine.Stop(ended)
+	_ = t.engine.Stop(noWait)
 	select {
-	case <-t.runErr:
+	case <-t.ended:
 	case <-time.After(engineTimeout):
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -203,26 +203,26 @@
 // that starts counts the stored crashes one after the other, with the answers that came
 // between them.
 func TestAnswersBetweenStoredCrashesCount(t *testing.T) {
-	now := mono.Time(time.Hour)
 	popular := Of(get("/popular"))
 	var reports [2]Report
 	for i := range reports {
 		reports[i].Add(Crash{Instance: uint64(i), Requests: []Fingerprint{popular}})
 	}
-	must.True(t, isHeldAfterRestart(t, now, reports[:]), must.Sprint("nobody has answered it"))
+	must.True(t, isHeldAfterRestart(t, reports[:]), must.Sprint("nobody has answered it"))
 	must.True(t, reports[0].Answer(popular))
 	must.False(t, reports[0].Answer(popular), must.Sprint("it is known"))
 	must.False(t, reports[0].Answer(Of(get("/other"))))
-	must.False(t, isHeldAfterRestart(t, now, reports[:]))
+	must.False(t, isHeldAfterRestart(t, reports[:]))
 	reports[0].Add(Crash{Instance: 0, Requests: []Fingerprint{popular, {1}}})
-	must.False(t, isHeldAfterRestart(t, now, reports[:]), must.Sprint("a run that was found lost later"))
+	must.False(t, isHeldAfterRestart(t, reports[:]), must.Sprint("a run that was found lost later"))
 	reports[0].Add(Crash{Instance: 7, Requests: []Fingerprint{popular}})
-	must.True(t, isHeldAfterRestart(t, now, reports[:]), must.Sprint("two crashes without an answer after them"))
+	must.True(t, isHeldAfterRestart(t, reports[:]), must.Sprint("two crashes without an answer after them"))
 }
 
 // isHeldAfterRestart reports whether a daemon that starts with the stored reports holds
 // the request "/popular".
-func isHeldAfterRestart(t *testing.T, now mono.Time, reports []Report) bool {
+func isHeldAfterRestart(t *testing.T, reports []Report) bool {
+	const now = mono.Time(time.Hour)
 	l := NewLedger()
 	for _, r := range reports {
 		raw, err := r.Encode()
