platform: read answers in a package of their own

Cause: the check of an answer's status stood in `platform/`, so that the clients of the store, of our own targets and of the alarm's receiver could not use it; `platform/target.go` held the client and its connections.

Change: `internal/httpanswer` reads an answer (its head and its body one after the other, so that a caller can be told how the body ended) and `platform/connection.go` holds the connection. No change of behaviour; the test of a status line in pieces moved with the code, further tests pin where a body ends.

`go test ./platform ./internal/httpanswer`: all but the known red test.

--- a/platform/answer_status.go
+++ b/internal/httpanswer/status.go
@@ -1,11 +1,8 @@
-package platform
+package httpanswer
 
 import (
 	"bufio"
 	"bytes"
-	"errors"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -16,42 +13,8 @@
 	// minFinalStatus is the lowest status of an answer that ends an exchange;
 	// informational ones precede it.
 	minFinalStatus = 200
-	// maxInformational is how many informational answers may precede an answer.
-	maxInformational = 8
-)
-
-var (
-	// errNoStatus means that an answer's first line has no status from 100 to 599.
-	errNoStatus = errors.New("the answer has no valid status")
-	// errSwitchingProtocols means that the server switched protocols unasked.
-	errSwitchingProtocols = errors.New("the server switched to another protocol")
-	// errTooManyInformational means that maxInformational informational answers
-	// came without an answer after them.
-	errTooManyInformational = errors.New("too many informational answers")
 )
 
-// readFinalAnswer reads one answer and drops the informational answers before it.
-// An answer without a valid status is an error. The status is checked here because
-// fasthttp reads status 000 as 200, and accepts any other number of three digits.
-func readFinalAnswer(r *bufio.Reader, resp *fasthttp.Response) error {
-	for range maxInformational + 1 {
-		status, err := peekStatus(r)
-		switch {
-		case err != nil:
-			return err
-		case status >= minFinalStatus:
-			return resp.ReadLimitBody(r, maxAnswerBytes)
-		case status == fasthttp.StatusSwitchingProtocols:
-			return errSwitchingProtocols
-		}
-		var informational fasthttp.ResponseHeader
-		if err := informational.Read(r); err != nil {
-			return err
-		}
-	}
-	return errTooManyInformational
-}
-
 // peekStatus waits for the first line of an answer and returns its status. It drops
 // empty lines before the first line, and leaves the line to be read.
 func peekStatus(r *bufio.Reader) (int, error) {
