platform: an answer with a malformed header field is lost

Cause: the HTTP library repairs such heads by a guess. It keeps a blank within a name ("X Foo: 1" was passed on), drops one before the colon ("Content-Length : 1" became the length of the body), and joins a line that begins with a blank to the value before it (a signature became "s X-Foo: 1"). It refuses control bytes in names and values itself.

Change: `internal/httpanswer` checks each line of a head or a trailer, also of informational answers, before the library reads it: a token, a colon, a value without control bytes but tabs, CR LF. It waits for no further line once one is malformed, and leaves nothing to the library's guesses. The answer is lost: it promises nothing, says nothing of the server, and ends the connection.

--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -48,11 +48,19 @@
 		return false, err
 	}
 	if length == lengthChunked {
-		return false, resp.Header.ReadTrailer(r)
+		return false, readTrailer(r, &resp.Header)
 	}
 	return length == lengthUntilEOF, nil
 }
 
+// readTrailer reads the fields after the last chunk.
+func readTrailer(r *bufio.Reader, head *fasthttp.ResponseHeader) error {
+	if err := checkFields(r, 0); err != nil {
+		return err
+	}
+	return head.ReadTrailer(r)
+}
+
 // hasNoBody reports whether answers with a status never have a body, whatever length
 // they state.
 func hasNoBody(status int) bool {
@@ -69,14 +77,24 @@
 		case err != nil:
 			return err
 		case status >= minFinalStatus:
-			return head.Read(r)
+			return readHead(r, head)
 		case status == fasthttp.StatusSwitchingProtocols:
 			return errSwitchingProtocols
 		}
 		var informational fasthttp.ResponseHeader
-		if err := informational.Read(r); err != nil {
+		if err := readHead(r, &informational); err != nil {
 			return err
 		}
 	}
 	return errTooManyInformational
 }
+
+// readHead reads one head. The fields are checked here because fasthttp accepts blanks
+// in and after the names of fields, and joins a line that begins with a blank to the one
+// before it.
+func readHead(r *bufio.Reader, head *fasthttp.ResponseHeader) error {
+	if err := checkHead(r); err != nil {
+		return err
+	}
+	return head.Read(r)
+}
