targetclient: an answer with status 000 or a malformed field is lost

What callers saw: nothing known.

Cause: the client of our own targets reads its answers by the HTTP library alone, which reads status 000 as 200 and repairs malformed header fields. The client's check of the status came after that, and not at all for cancellations: "stopped" was believed of an answer with status 000, and callers would be told "not run".

Change: `httpanswer.Transport` makes a client of the HTTP library read answers as `platform` does. The check of the status moved there. It writes the request before it reads, so that a reset is told to the reader or ends the call, and does not keep a connection on which bytes follow an answer.

Evidence: TestMalformedAnswerIsLostAfterSend and TestMalformedAnswerToCancelConfirmsNothing fail before (an answer with status 000 was "answered", and a cancellation confirmed) and pass now. TestClientRefusesAnswerCutByResetDuringUpload passes with the library's own transport, too.

--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/host"
+	"github.com/rhubarbring/rhubarbring/internal/httpanswer"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
@@ -30,9 +31,6 @@
 	// maxAnswerBytes leaves room for the other fields in a message between
 	// daemons that carries the body.
 	maxAnswerBytes = 3 << 20
-	// minFinalStatus and maxStatus bound the statuses of answers.
-	minFinalStatus = 200
-	maxStatus      = 599
 	refusedHeader  = "Rhubarb-Refused"
 	limitHeader    = "Rhubarb-Rate-Limit"
 	leavingHeader  = "Rhubarb-Leaving"
@@ -121,6 +119,7 @@
 func newHostClient(address string, connections int) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
+		Transport:                 httpanswer.Transport{},
 		MaxConns:                  connections,
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
@@ -172,9 +171,6 @@
 	if !matchesCall(resp, call) {
 		return Reply{Verdict: LostAfterSend, Reason: "the answer is to another request", Statement: said}
 	}
-	if status := resp.StatusCode(); status < minFinalStatus || status > maxStatus {
-		return Reply{Verdict: LostAfterSend, Reason: "status " + strconv.Itoa(status) + " is no status of an answer", Statement: said}
-	}
 	said.Conclusive = true
 	if reason := resp.Header.Peek(refusedHeader); len(reason) > 0 {
 		return Reply{Verdict: Refused, Reason: string(reason), Status: resp.StatusCode(), Statement: said}
