--- a/internal/storeclient/storeclient.go
+++ b/internal/storeclient/storeclient.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/document"
+	"github.com/rhubarbring/rhubarbring/internal/httpanswer"
 	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/result"
 )
@@ -84,6 +85,7 @@
 		timeout:   timeout,
 		callCount: new(atomic.Int64),
 		http: &fasthttp.Client{
+			Transport:                 httpanswer.Transport{},
 			DialTimeout:               dial,
 			MaxConnsPerHost:           maxConnections,
 			MaxIdemponentCallAttempts: 1,
