daemon: an alarm is taken only by an answer that says so

What operators would see: an alarm that nobody gets. Nothing known.

Cause: the same as in the clients of targets and stores: the receiver's answer was read by the HTTP library alone, so that status 000 counted as 200 and the alarm as taken.

Change: the receiver of alarms has a client of its own (`alarmReceiver`) with `httpanswer.Transport`.

Evidence: TestAlarmIsTakenOnlyByAnAnswerThatSaysSo with the library's own transport: no error for status 000; passes now.

--- a/internal/daemon/risk_calls.go
+++ b/internal/daemon/risk_calls.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/rhubarbring/rhubarbring/alarm"
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -19,10 +16,7 @@
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
-const (
-	callTimeout    = 2 * time.Second
-	deliverTimeout = 3 * time.Second
-)
+const callTimeout = 2 * time.Second
 
 // zoneActivity records when a frame from each availability zone last arrived.
 type zoneActivity struct {
@@ -143,23 +137,5 @@
 	if doc == nil {
 		return &result.Error{Code: result.NotConfigured, Detail: "no document is in force"}
 	}
-	body, err := json.Marshal(a)
-	if err != nil {
-		return err
-	}
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(doc.document.Alarm.Receiver)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, deliverTimeout); err != nil {
-		return err
-	}
-	if resp.StatusCode()/100 != 2 {
-		return &result.Error{Code: result.TargetUnavailable, Field: "alarm.receiver", Detail: "status " + http.StatusText(resp.StatusCode())}
-	}
-	return nil
+	return r.receiver.post(doc.document.Alarm.Receiver, a)
 }
--- a/internal/daemon/risk_loop.go
+++ b/internal/daemon/risk_loop.go
@@ -45,6 +45,7 @@
 	records   *alarmrecord.Recorder
 	collector host.Session // as logged last
 	sender    *outcomeSender
+	receiver  *alarmReceiver
 	reported  map[alarm.Condition]bool // conditions reported to the alarm core as begun
 	// lastUnowned holds the slices without an owner as of the last answer of
 	// the routing loop.
@@ -76,6 +77,7 @@
 		alarm:          alarm.New(alarmConfig),
 		records:        alarmrecord.New(recordConfig),
 		sender:         newOutcomeSender(d),
+		receiver:       newAlarmReceiver(),
 		reported:       make(map[alarm.Condition]bool),
 		gauges:         newRiskGauges(registry),
 		lastRefused:    make(map[string]int64),
