operator, load: a malformed answer of a daemon is an error

Cause: the command line and the load tool read answers by the HTTP library alone: `rhubarb` showed an empty status for an answer with status 000, and the load tool counted an answer that no caller should take.

Change: both use `httpanswer.Transport`. Not changed: Twirp calls between daemons go by the standard library, which gives status 000 as it is (Twirp wants 200) and refuses control bytes in names; it keeps blanks in names, of which Twirp reads none.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/faketarget"
+	"github.com/rhubarbring/rhubarbring/internal/httpanswer"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -37,6 +38,7 @@
 
 func newClient(grace time.Duration) *client {
 	return &client{grace: grace, http: &fasthttp.Client{
+		Transport:                httpanswer.Transport{},
 		Dial:                     dial,
 		MaxConnsPerHost:          maxConnsPerDaemon,
 		MaxIdleConnDuration:      maxIdleConnTimeout,
--- a/internal/load/client_test.go
+++ b/internal/load/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/internal/faketarget"
+	"github.com/rhubarbring/rhubarbring/internal/httpanswer/answertest"
 )
 
 // serve runs an HTTP server on a loopback port until the test ends.
@@ -144,3 +145,14 @@
 	must.Eq(t, 0, summary.Foreign)
 	must.Positive(t, records)
 }
+
+// An answer without a status, which the HTTP library reads as 200, must not count as an
+// answer of the daemon.
+func TestMalformedAnswerIsAnError(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Foo: 1\r\n"} {
+		server := answertest.Start(t, head+"Rhubarb-Outcome: done\r\nContent-Length: 0\r\n\r\n", false)
+		w := newClient(time.Second).send(testRequest, server.Address, 1, time.Second).sending
+		must.NotEq(t, "", w.Error, must.Sprintf("%q", head))
+		must.Eq(t, "", w.Outcome)
+	}
+}
--- a/internal/operator/daemon.go
+++ b/internal/operator/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rhubarbring/rhubarbring/internal/explain"
+	"github.com/rhubarbring/rhubarbring/internal/httpanswer"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/result"
 	"github.com/rhubarbring/rhubarbring/status"
@@ -21,7 +22,7 @@
 }
 
 func newHTTPClient(timeout time.Duration) *httpClient {
-	return &httpClient{client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}, timeout: timeout}
+	return &httpClient{client: &fasthttp.Client{Transport: httpanswer.Transport{}, MaxIdemponentCallAttempts: 1}, timeout: timeout}
 }
 
 // Status returns the status of the daemon at a control address.
