An answer without a length needs a connection that took the whole request

Cause: the fix of the cut answer takes the end of the writer as the sign that the request was sent. A body of up to some MiB fits in the buffers of this host, so that the writer ends while the server has not read it. A server that ends its side, or whose end closes with nothing unread at that moment, and is reset later, looks as if it had ended in order.

Change: after such an answer the client waits, until the call's time is over at most, until the other host has acknowledged all that was written (`httpanswer.AwaitTaken`, TIOCOUTQ); if the connection breaks before, the answer is lost. A request that a server has read is acknowledged with its answer, so that the usual case waits for nothing. `httpanswer.Transport` does the same for the other clients.

A server that half-closes, and reads on, is answered from as before (TestEarlyAnswerWithoutLengthIsWhole).

--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -26,6 +26,9 @@
 	// errTooManyInformational means that maxInformational informational answers
 	// came without an answer after them.
 	errTooManyInformational = errors.New("too many informational answers")
+	// errCutOff means that an answer without a length ended with a connection that had
+	// not taken the whole request.
+	errCutOff = errors.New("the answer has no length, and the connection ended before it had taken the request")
 )
 
 // Read reads one answer and drops the informational answers before it. A body may have
@@ -33,8 +36,8 @@
 // resp.SkipBody.
 //
 // Read reports whether the body had no length, so that the end of the connection was
-// its end. Such an answer is whole only if the connection ended in order: a reset that
-// the writer of the request has met shows here as an end in order.
+// its end. Such an answer is whole only if the connection ended in order (AwaitTaken): a
+// reset that the writer of the request was told of shows here as an end in order.
 func Read(r *bufio.Reader, resp *fasthttp.Response, maxBody int) (untilEOF bool, err error) {
 	resp.ResetBody()
 	if err := readFinalHead(r, &resp.Header); err != nil {
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -13,8 +13,8 @@
 // no bytes follow the answer. The zero value is ready to use.
 type Transport struct{}
 
-// RoundTrip implements fasthttp.RoundTripper. The answer is not awaited before the whole
-// request is written, so that only the reader can be told of a reset.
+// RoundTrip implements fasthttp.RoundTripper. The whole request is written before the
+// answer is awaited, so that the writer is not told of a reset in place of the reader.
 func (Transport) RoundTrip(client *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	cc, err := client.AcquireConn(req.GetTimeOut(), req.ConnectionClose())
 	if err != nil {
@@ -32,7 +32,8 @@
 // exchange sends a request, reads the answer, and reports whether the connection may
 // carry another request.
 func exchange(client *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response) (reusable bool, err error) {
-	if err := conn.SetDeadline(deadlineOf(req)); err != nil {
+	deadline := deadlineOf(req)
+	if err := conn.SetDeadline(deadline); err != nil {
 		return false, err
 	}
 	if err := write(client, conn, req); err != nil {
@@ -48,6 +49,9 @@
 	if err != nil {
 		return false, withTimeout(err)
 	}
+	if untilEOF && !requestTaken(conn, deadline) {
+		return false, errCutOff
+	}
 	return !untilEOF && r.Buffered() == 0 && !req.ConnectionClose() && !resp.ConnectionClose(), nil
 }
 
--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// Guards against the same where the request was written, but the server's host has not
+// taken it: it lies in this host's buffers.
+func TestClientRefusesAnswerOfServerThatDoesNotTakeTheRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	called := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		<-called
+		_ = conn.Close()
+	}()
+	_, _, err = call(newClient(listener.Addr().String()), fasthttp.MethodPost, strings.Repeat("x", 1<<20), 300*time.Millisecond)
+	close(called)
+	must.Error(t, err)
+}
+
 func TestClientReadsNoBodyInAnswerToHead(t *testing.T) {
 	server := answertest.Start(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", false)
 	client := newClient(server.Address)
