httpanswer: a status line ends with CR LF and holds no control byte

The check of the fields begins after the first LF, the HTTP library looks for CR LF twice: after a status line that ends with a bare LF they could see the head end at different places, and the library would read lines that were not checked.

Change: such a status line, or one with a control byte, is no status line. The error for an answer that is cut off stands once (`httpanswer.ErrCutOff`).

Evidence: TestMalformedStatusLineIsRefused fails before ("HTTP/1.1 200 OK" and a bare LF was read as an answer) and passes now.

--- a/internal/httpanswer/fields_test.go
+++ b/internal/httpanswer/fields_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// Guards against a head whose end is seen elsewhere than the HTTP library sees it: then
+// lines are read as fields that were not checked.
+func TestMalformedStatusLineIsRefused(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 200 OK\n", "HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 OK\rX Foo: 1\r\n", "HTTP/1.1 200 OK\r\r\n", "HTTP/1.1 200\n", "HTTP/1.1\x0b200 OK\r\n",
+	} {
+		for _, rest := range []string{"Content-Length: 2\r\n\r\nok", "\r\nX Foo: 1\r\n\r\n"} {
+			_, _, err := read(line+rest, &fasthttp.Response{})
+			must.Error(t, err, must.Sprintf("%q", line+rest))
+		}
+	}
+}
+
 // Guards against the same in the fields after the last chunk.
 func TestTrailerWithMalformedFieldIsRefused(t *testing.T) {
 	for _, line := range malformedLines {
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -19,16 +19,17 @@
 )
 
 var (
-	// errNoStatus means that an answer's first line has no status from 100 to 599.
+	// ErrCutOff means that an answer without a length ended with a connection that had
+	// not taken the whole request.
+	ErrCutOff = errors.New("the answer has no length, and the connection ended before it had taken the request")
+	// errNoStatus means that an answer's first line is no status line, or has no status
+	// from 100 to 599.
 	errNoStatus = errors.New("the answer has no valid status")
 	// errSwitchingProtocols means that the server switched protocols unasked.
 	errSwitchingProtocols = errors.New("the server switched to another protocol")
 	// errTooManyInformational means that maxInformational informational answers
 	// came without an answer after them.
 	errTooManyInformational = errors.New("too many informational answers")
-	// errCutOff means that an answer without a length ended with a connection that had
-	// not taken the whole request.
-	errCutOff = errors.New("the answer has no length, and the connection ended before it had taken the request")
 )
 
 // Read reads one answer and drops the informational answers before it. A body may have
--- a/internal/httpanswer/status.go
+++ b/internal/httpanswer/status.go
@@ -29,13 +29,14 @@
 			missing = len(received) + 1
 			continue
 		}
-		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) == 0 {
+		line, ended := bytes.CutSuffix(line, []byte("\r"))
+		if len(line) == 0 {
 			_, _ = r.Discard(bytes.IndexByte(received, '\n') + 1)
 			missing = 1
 			continue
 		}
 		status, ok := lineStatus(line)
-		if !ok {
+		if !ok || !ended || hasControlByte(line) {
 			return 0, errNoStatus
 		}
 		return status, nil
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -50,7 +50,7 @@
 		return false, withTimeout(err)
 	}
 	if untilEOF && !requestTaken(conn, deadline) {
-		return false, errCutOff
+		return false, ErrCutOff
 	}
 	return !untilEOF && r.Buffered() == 0 && !req.ConnectionClose() && !resp.ConnectionClose(), nil
 }
