--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -85,23 +85,12 @@
 // server resets the connection while the request is being written.
 func TestClientRefusesAnswerCutByResetDuringUpload(t *testing.T) {
 	const rounds = 20
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 64))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-			_, _ = io.CopyN(io.Discard, conn, 1<<20)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	client := newClient(listener.Addr().String())
+	client := newClient(answertest.StartFunc(t, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 64))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_, _ = io.CopyN(io.Discard, conn, 1<<20)
+		answertest.Reset(conn)
+	}))
 	long := strings.Repeat("x", 16<<20)
 	for range rounds {
 		_, _, err := call(client, fasthttp.MethodPost, long, callTimeout)
@@ -112,22 +101,15 @@
 // Guards against the same where the request was written, but the server's host has not
 // taken it: it lies in this host's buffers.
 func TestClientRefusesAnswerOfServerThatDoesNotTakeTheRequest(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	called := make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	client := newClient(answertest.StartFunc(t, func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(4 << 10)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.CloseWrite()
 		<-called
 		_ = conn.Close()
-	}()
-	_, _, err = call(newClient(listener.Addr().String()), fasthttp.MethodPost, strings.Repeat("x", 1<<20), 300*time.Millisecond)
+	}))
+	_, _, err := call(client, fasthttp.MethodPost, strings.Repeat("x", 1<<20), 300*time.Millisecond)
 	close(called)
 	must.Error(t, err)
 }
