--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -33,6 +33,7 @@
 	configure  func(*Config)
 	storeless  *node
 	trace      func(*node, string)
+	onSend     func(*node, Send)
 	violations []string
 	// writersTell has half of the session records written by daemons.
 	writersTell bool
@@ -58,9 +59,13 @@
 	cutUntil mono.Time
 	// storeless and peerless cut the node's way to the store and to all others;
 	// lag delays what it sends.
-	storeless  bool
-	peerless   bool
-	lag        time.Duration
+	storeless bool
+	peerless  bool
+	lag       time.Duration
+	// link is the capacity of the host's link in bytes per second, 0 for no bound, and
+	// linkFree the time at which it has carried all that the host has sent.
+	link       float64
+	linkFree   mono.Time
 	caughtUpAt mono.Time
 	calls      map[Kind]int
 	// adopted holds the version of each object in force since the daemon's
@@ -97,7 +102,7 @@
 // and rank, before they start.
 func newFleetOf(seed uint64, zones, perZone int, prepare func(n *node, zone, rank int)) *fleet {
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 7)), sentBy: make(map[host.ID]int)}
-	f.store = &fakeStore{fleet: f, objects: make(map[Key]Object), callsOf: make(map[Kind]int)}
+	f.store = &fakeStore{fleet: f, objects: make(map[Key]Object), callsOf: make(map[Kind]int), contents: make(map[uint64]string)}
 	for z := range zones {
 		f.addZone(z, perZone)
 		for i := range perZone {
@@ -228,7 +233,7 @@
 }
 
 func (f *fleet) adopt(n *node, a Adopt) {
-	if a.Object.Base != 0 || !a.Object.Deleted && string(a.Object.Value) != content(a.Object.Version) {
+	if a.Object.Base != 0 || !a.Object.Deleted && string(a.Object.Value) != f.store.content(a.Key, a.Object.Version) {
 		f.violations = append(f.violations, fmt.Sprintf("%v: %s adopts a wrong value of version %d", f.now, n.session, a.Object.Version))
 	}
 	if a.Object.Version < n.highest[a.Key] {
@@ -242,6 +247,9 @@
 
 func (f *fleet) send(n *node, a Send) {
 	f.messages++
+	if f.onSend != nil {
+		f.onSend(n, a)
+	}
 	if f.encode {
 		raw, err := cbor.Marshal(a.Message)
 		if err != nil {
@@ -260,6 +268,7 @@
 	if to.zone[:2] != n.zone[:2] {
 		delay = 20 * time.Millisecond
 	}
+	delay += f.linkWait(n, a.Message)
 	if f.loss > 0 && f.rand.Float64() < f.loss {
 		delay += time.Duration(f.rand.Int64N(int64(3 * time.Second)))
 	}
@@ -270,6 +279,21 @@
 	})
 }
 
+// linkWait returns how long a message takes to leave the host, behind all that the host
+// has sent before.
+func (f *fleet) linkWait(n *node, m Message) time.Duration {
+	if n.link == 0 {
+		return 0
+	}
+	raw, err := cbor.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	bytes := float64(len(raw) + frameOverhead)
+	n.linkFree = max(n.linkFree, f.now).Add(time.Duration(bytes / n.link * float64(time.Second)))
+	return n.linkFree.Sub(f.now)
+}
+
 // accepted returns a message as the node's build takes it: an empty Digest, which
 // only shows that its sender is alive, for one that an old build drops.
 func (n *node) accepted(m Message) Message {
--- a/spread/store_test.go
+++ b/spread/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -25,6 +26,10 @@
 	muted bool
 	// callsOf counts the calls by kind.
 	callsOf map[Kind]int
+	// documentBytes is the size of documents; 0 is that of all other objects.
+	documentBytes int
+	// contents holds the values of large documents by version.
+	contents map[uint64]string
 }
 
 type loggedChange struct {
@@ -51,11 +56,31 @@
 	return fmt.Sprintf("%s version %d %s", text[:1000], version, text)
 }
 
+// content returns the value of a version of an object. A large document has lines that
+// no other line resembles, as many as its length at the time.
+func (s *fakeStore) content(k Key, version uint64) string {
+	length := s.documentBytes
+	if k.Kind != docs || length == 0 {
+		return content(version)
+	}
+	if known, ok := s.contents[version]; ok {
+		return known
+	}
+	lines := rand.New(rand.NewPCG(1, 1))
+	var text strings.Builder
+	fmt.Fprintln(&text, "version", version)
+	for text.Len() < length {
+		fmt.Fprintf(&text, "%016x%016x%016x%016x\n", lines.Uint64(), lines.Uint64(), lines.Uint64(), lines.Uint64())
+	}
+	s.contents[version] = text.String()
+	return text.String()
+}
+
 func (s *fakeStore) write(k Key, deleted bool) uint64 {
 	s.revision++
 	o := Object{Name: k.Name, Version: s.revision, Deleted: deleted}
 	if !deleted {
-		o.Value = []byte(content(s.revision))
+		o.Value = []byte(s.content(k, s.revision))
 	}
 	s.objects[k] = o
 	s.log = append(s.log, loggedChange{k.Kind, o})
