--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -138,7 +138,7 @@
 	}
 	s := c.states[m.Kind]
 	if m.After < s.forgottenTo {
-		items, last := s.snapshotPage(m.Cursor, c.cfg.MessageBytes)
+		items, last := s.snapshotPage(m, c.cfg.MessageBytes)
 		c.send(from, &Objects{Kind: m.Kind, UpTo: s.revision, Snapshot: true, First: m.Cursor, Last: last, Items: items})
 		return
 	}
@@ -190,7 +190,8 @@
 
 // applySnapshotPart applies a part of a snapshot and asks for the next one. The
 // parts of a snapshot come from one daemon, in the order of names; any other
-// part is ignored.
+// part is ignored. If it refers to a version that is not held here, the snapshot is asked
+// for from the beginning, with full values.
 func (c *Core) applySnapshotPart(now mono.Time, from host.Session, i int, m *Objects) {
 	cur := &c.cursors[i]
 	if m.First == "" {
@@ -202,9 +203,15 @@
 	cur.upTo = min(cur.upTo, m.UpTo)
 	s := c.states[i]
 	deletions := s.missingFrom(m.First, m.Last, m.UpTo, m.Items)
-	c.putAll(now, i, m.Items, false)
+	if !c.putAll(now, i, m.Items, false) {
+		*cur = cursor{}
+		c.needWhole[i] = true
+		c.requestChanges(now, from, i)
+		return
+	}
 	c.putAll(now, i, deletions, false)
 	if m.Last == "" {
+		c.needWhole[i] = false
 		s.revision = max(s.revision, cur.upTo)
 		s.forgottenTo = max(s.forgottenTo, cur.upTo)
 		*cur = cursor{}
--- a/spread/kind_state.go
+++ b/spread/kind_state.go
@@ -72,7 +72,7 @@
 	// putApplied: the version is now held.
 	putApplied
 	// putBaseMismatch: the version is a difference that can't be applied to
-	// the version held.
+	// the version held, or a reference to a version that is not held.
 	putBaseMismatch
 )
 
@@ -87,6 +87,9 @@
 	if held != nil && o.Version <= held.object.Version && !s.allowOlder {
 		return putStale
 	}
+	if o.isReference() {
+		return putBaseMismatch
+	}
 	e := &entry{object: o}
 	if o.Base != 0 {
 		if !s.applyDiff(e, held) {
@@ -220,13 +223,15 @@
 	return len(o.Name) + len(o.Value) + objectOverhead
 }
 
-// snapshotPage returns a part of a snapshot: the objects with names after
-// cursor, up to about limit bytes, and the last name, which is empty if these
-// are the last objects.
-func (s *kindState) snapshotPage(cursor string, limit int) ([]Object, string) {
+// snapshotPage returns a part of a snapshot in answer to a request: the objects with
+// names after its cursor, up to about limit bytes, and the last name, which is empty if
+// these are the last objects. An object that the requester holds, because it knows every
+// change up to the object's version, is there as a reference, unless it asks for full
+// values.
+func (s *kindState) snapshotPage(m *ChangesRequest, limit int) ([]Object, string) {
 	var names []string
 	for name, e := range s.objects {
-		if name > cursor && !e.object.Deleted {
+		if name > m.Cursor && !e.object.Deleted {
 			names = append(names, name)
 		}
 	}
@@ -234,7 +239,7 @@
 	var items []Object
 	size := 0
 	for _, name := range names {
-		o := s.objects[name].object
+		o := s.objects[name].object.snapshotItem(m)
 		if size > 0 && size+o.approxBytes() > limit {
 			return items, items[len(items)-1].Name
 		}
@@ -244,6 +249,14 @@
 	return items, ""
 }
 
+// snapshotItem returns the object as a part of a snapshot in answer to a request.
+func (o Object) snapshotItem(m *ChangesRequest) Object {
+	if !m.Whole && o.Version <= m.After {
+		return o.reference()
+	}
+	return o
+}
+
 // markWatched records that this daemon has every change up to a revision of the
 // store, and moves revision to the last of them. It reports whether revision
 // has risen.
--- a/spread/message.go
+++ b/spread/message.go
@@ -37,11 +37,21 @@
 	// Deleted reports that the write removed the object.
 	Deleted bool
 	// Base is 0 if Value is the full value. Otherwise Value is the difference
-	// from the object's version Base.
+	// from the object's version Base. If Base is Version, the object is a reference:
+	// it names a version that the receiver holds, and has no Value.
 	Base  uint64
 	Value []byte
 }
 
+// reference returns a reference to the version.
+func (o Object) reference() Object {
+	return Object{Name: o.Name, Version: o.Version, Base: o.Version}
+}
+
+func (o Object) isReference() bool {
+	return o.Base != 0 && o.Base == o.Version
+}
+
 // Message is a message between daemons: *Digest, *ChangesRequest or *Objects.
 type Message interface{ message() }
 
