--- a/event/document.go
+++ b/event/document.go
@@ -12,7 +12,7 @@
 )
 
 var documentEvents = []Def{
-	{DocumentInForce, "document_in_force", Info, "environment version hash who", "A document came into force on this daemon."},
+	{DocumentInForce, "document_in_force", Info, "environment version hash who waited_ms took_ms", "A document came into force on this daemon: how long after another daemon had first told of changes (0 if none did), and how long it took to decode it."},
 	{DocumentRefused, "document_refused", Warn, "environment version hash cause", "A stored document does not pass the checks; the one in force stays in force, and requests without a route in it are answered not_configured. Apply documents by the command line."},
 	{DocumentElsewhere, "document_elsewhere", Warn, "environment version names", "A stored document names another environment and trial; the one in force stays in force."},
 	{RelayStarted, "relay_started", Info, "zone", "This daemon watches the store for its availability zone."},
--- a/event/request.go
+++ b/event/request.go
@@ -9,6 +9,7 @@
 	SendFailed      ID = 4005
 	RequestRefused  ID = 4006
 	RequestRejected ID = 4007
+	CallerLeft      ID = 4008
 	OutcomeSettled  ID = 4011
 	TargetCrashed   ID = 4020
 	RequestsHeld    ID = 4021
@@ -42,5 +43,6 @@
 	{RegionRelieved, "region_relieved", Info, "app", "The targets of the app in this region are about as busy as those of the others again. Its requests stay in the region."},
 	{RunsLimited, "runs_limited", Warn, "app runs slots", "The runs of this host's target take longer the more of them there are. The gate starts at most this number at once."},
 	{RunsUnlimited, "runs_unlimited", Info, "app", "The target bears as many runs as it has slots again."},
+	{CallerLeft, "caller_left", Info, "id after_ms", "The caller closed its connection before it had an answer. What has been sent for it is cancelled."},
 	{OutcomeSettled, "outcome_settled", Info, "id app outcome", "An outcome at risk became known."},
 }
--- a/internal/daemon/refused_document_test.go
+++ b/internal/daemon/refused_document_test.go
@@ -19,7 +19,7 @@
 	stored := document.Stored{Version: version, Hash: document.HashOf([]byte(content)), Content: content}
 	raw, err := stored.Encode()
 	must.NoError(t, err)
-	must.NoError(t, d.spread.adoptDocument(spread.Object{Name: "trial", Version: version, Value: raw}))
+	must.NoError(t, d.spread.adoptDocument(spread.Object{Name: "trial", Version: version, Value: raw}, 0))
 }
 
 func TestRouteThatRefusedVersionMayHaveIsNotAnsweredAsUnknown(t *testing.T) {
--- a/internal/daemon/routing_log.go
+++ b/internal/daemon/routing_log.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/rhubarbring/rhubarbring/event"
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/host"
@@ -49,6 +51,13 @@
 		"owner", a.Owner, "epoch", a.Epoch, "attempt", a.Attempt, "retry_after_ms", a.RetryAfter.Milliseconds())
 }
 
+func (r *routingLoop) logCallerLeft(id string, after time.Duration) {
+	if !r.log.Enabled(event.Info) {
+		return
+	}
+	r.log.Routine(event.CallerLeft, "id", id, "after_ms", after.Milliseconds())
+}
+
 // RequestRejected implements entry.Router.
 func (d *Daemon) RequestRejected(req *request.Request, err *result.Error) {
 	d.log.Event(event.RequestRejected, "id", req.ID, "code", uint16(err.Code), "result", err.Code.String(), "cause", err.Error())
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -88,6 +88,7 @@
 	r.router.CallerGone(now, w.call, &r.routerActions)
 	if waiting, ok := r.waitingCallers[w.call]; ok {
 		delete(r.waitingCallers, w.call)
+		r.logCallerLeft(waiting.request.ID, now.Sub(waiting.since))
 		waiting.parent.abandoned(now)
 		waiting.reply <- &request.Answer{Code: result.Cancelled}
 	}
--- a/internal/daemon/spread_adopt.go
+++ b/internal/daemon/spread_adopt.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/rhubarbring/rhubarbring/assignment"
 	"github.com/rhubarbring/rhubarbring/document"
 	"github.com/rhubarbring/rhubarbring/evacuation"
 	"github.com/rhubarbring/rhubarbring/event"
+	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/placement"
 	"github.com/rhubarbring/rhubarbring/quarantine"
@@ -26,7 +28,7 @@
 	var err error
 	switch a.Key.Kind {
 	case document.Kind:
-		err = s.adoptDocument(a.Object)
+		err = s.adoptDocument(a.Object, a.Waited)
 	case session.ObjectKind:
 		err = s.adoptSession(a.Object)
 	case assignment.Kind:
@@ -43,10 +45,13 @@
 	}
 }
 
-func (s *spreadLoop) adoptDocument(o spread.Object) error {
+// adoptDocument puts a document in force if it is newer than the one that is. It was
+// waited for since another daemon first told of it.
+func (s *spreadLoop) adoptDocument(o spread.Object, waited time.Duration) error {
 	if o.Deleted {
 		return nil
 	}
+	begin := bootclock.Now()
 	stored, err := document.DecodeStored(o.Value)
 	if err != nil {
 		return err
@@ -67,7 +72,8 @@
 	if !s.d.fleet.adopt(stored, doc) {
 		return nil
 	}
-	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who)
+	s.d.log.Event(event.DocumentInForce, "environment", s.d.settings.Environment, "version", stored.Version, "hash", stored.Hash.Short(), "who", stored.Who,
+		"waited_ms", waited.Milliseconds(), "took_ms", bootclock.Now().Sub(begin).Milliseconds())
 	s.d.routing.ring.PushWait(documentChanged{document: doc}, s.stop)
 	s.d.placement.pushWait(appsChanged{apps: placementApps(stored, doc)})
 	s.d.applyEvacuations()
--- a/internal/daemon/spread_document.go
+++ b/internal/daemon/spread_document.go
@@ -24,7 +24,7 @@
 
 func (w documentSeen) handle(s *spreadLoop, _ mono.Time) {
 	o := spread.Object{Name: w.object.Name, Version: w.object.Version, Value: w.object.Value}
-	if err := s.adoptDocument(o); err != nil {
+	if err := s.adoptDocument(o, 0); err != nil {
 		s.d.log.Event(event.BadObject, "object", document.Kind+"/"+o.Name, "cause", err.Error())
 	}
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -86,6 +86,9 @@
 	c.transport.held.bytes.Add(int64(len(frame)))
 	c.transport.bytesOut.Inc(int64(len(frame)))
 	c.transport.framesOut.Inc(1)
+	if wire.KindOf(frame) == wire.KindObjects {
+		c.transport.objectsOut.Inc(int64(len(frame)))
+	}
 	c.transport.regionTraffic.count(c, frame)
 	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,7 @@
 	bytesInName       = "peer.bytes_in"
 	bytesOutName      = "peer.bytes_out"
 	framesOutName     = "peer.frames_out"
+	objectsOutName    = "peer.objects_bytes_out"
 )
 
 // Handler receives the transport's events. HandleFrame and ConnectionLost are
@@ -87,6 +88,7 @@
 	bytesIn       metrics.Counter
 	bytesOut      metrics.Counter
 	framesOut     metrics.Counter
+	objectsOut    metrics.Counter // Bytes of frames of wire.KindObjects.
 	regionTraffic *regionTraffic
 	held          held
 }
@@ -111,6 +113,7 @@
 		bytesIn:       metrics.GetOrRegisterCounter(bytesInName, registry),
 		bytesOut:      metrics.GetOrRegisterCounter(bytesOutName, registry),
 		framesOut:     metrics.GetOrRegisterCounter(framesOutName, registry),
+		objectsOut:    metrics.GetOrRegisterCounter(objectsOutName, registry),
 		regionTraffic: newRegionTraffic(hello.Region, registry),
 		held:          held{dropped: metrics.GetOrRegisterCounter(framesDroppedName, registry)},
 	}
--- a/spread/adopt.go
+++ b/spread/adopt.go
@@ -51,11 +51,15 @@
 		c.staged = append(c.staged, stagedObject{object: o, since: now})
 		return
 	}
-	c.adopt(i, o)
+	c.adopt(now, i, o)
 }
 
-func (c *Core) adopt(i int, o Object) {
-	c.emit(Adopt{Key: Key{Kind: c.cfg.Kinds[i], Name: o.Name}, Object: o})
+func (c *Core) adopt(now mono.Time, i int, o Object) {
+	a := Adopt{Key: Key{Kind: c.cfg.Kinds[i], Name: o.Name}, Object: o}
+	if i == 0 && c.awaitedFrom != mono.Never {
+		a.Waited = now.Sub(c.awaitedFrom)
+	}
+	c.emit(a)
 }
 
 // adoptWritten adopts a newly stored version that came from its writer.
@@ -76,7 +80,7 @@
 			continue
 		}
 		if c.states[0].objects[s.object.Name].object.Version == s.object.Version {
-			c.adopt(0, s.object)
+			c.adopt(now, 0, s.object)
 		}
 	}
 	c.staged = kept
@@ -106,7 +110,7 @@
 	c.caughtUp = true
 	for i, s := range c.states {
 		for _, name := range s.names() {
-			c.adopt(i, s.objects[name].object)
+			c.adopt(now, i, s.objects[name].object)
 		}
 	}
 	c.emit(CaughtUp{})
--- a/spread/core.go
+++ b/spread/core.go
@@ -127,6 +127,10 @@
 	// storeAnswered when the store last answered a watch of this daemon.
 	storeSeen     mono.Time
 	storeAnswered mono.Time
+	// awaited is the revision of the first kind that another daemon told of and that was
+	// not known here, and awaitedFrom when it did, or mono.Never.
+	awaited     uint64
+	awaitedFrom mono.Time
 	// askedAt, askedOf, needWhole and cursors hold for each kind the time and the
 	// receiver of the unanswered ChangesRequest, whether the next ChangesRequest must ask for
 	// full values, and the snapshot in progress.
@@ -198,6 +202,7 @@
 		storeSeen:     mono.Never,
 		storeAnswered: mono.Never,
 		announceUntil: mono.Never,
+		awaitedFrom:   mono.Never,
 		askedAt:       make([]mono.Time, len(cfg.Kinds)),
 		askedOf:       make([]host.Session, len(cfg.Kinds)),
 		needWhole:     make([]bool, len(cfg.Kinds)),
--- a/spread/event.go
+++ b/spread/event.go
@@ -100,6 +100,9 @@
 type Adopt struct {
 	Key    Key
 	Object Object
+	// Waited is how long ago another daemon first told of changes of the first kind that
+	// this one lacked, 0 if none did. It is set for that kind only.
+	Waited time.Duration
 	// Written reports that the version came from its writer, whose write the store
 	// has just taken.
 	Written bool
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -75,6 +75,7 @@
 	}
 	n.hosts = m.Hosts
 	n.inForce = m.InForce
+	c.noteAwaited(now, n)
 	c.noteStoreAge(now, m.StoreAge)
 	c.adoptStaged(now)
 	served := c.compare(now, from, n)
@@ -84,6 +85,18 @@
 	c.finishJoin(now)
 }
 
+// noteAwaited records since when this daemon knows that it lacks changes of the first
+// kind.
+func (c *Core) noteAwaited(now mono.Time, n *neighbor) {
+	known := c.states[0].knownTo()
+	if c.awaited <= known {
+		c.awaitedFrom = mono.Never
+	}
+	if c.awaitedFrom == mono.Never && n.revisions[0] > known {
+		c.awaited, c.awaitedFrom = n.revisions[0], now
+	}
+}
+
 // compare sends changes to a daemon that is behind, and asks one that is ahead
 // for its changes, of the kinds that both have. It reports whether it sent changes.
 func (c *Core) compare(now mono.Time, with host.Session, n *neighbor) bool {
