--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,6 +178,7 @@
 		return err
 	}
 	d.peers = peers
+	d.peers.LimitBulk(d.settings.HostLinkMbps * bulkLinkShare * bitsPerMegabit / bitsPerByte)
 	d.lease.peers = peers
 	d.routing.peers = peers
 	d.placement.peers = peers
--- a/internal/daemon/gates.go
+++ b/internal/daemon/gates.go
@@ -20,6 +20,9 @@
 	// hostLinkShare is the part of the host's link that answers may fill. The rest
 	// is for what the daemon sends as an entry, and for the target's host itself.
 	hostLinkShare = 0.75
+	// bulkLinkShare is the part of the host's link that large messages of replicated
+	// objects may take, beside requests, answers and what the target's host sends.
+	bulkLinkShare = 0.5
 	// linkBurst sizes the burst of the link budget: the bytes of the link share
 	// that accumulate in this time can be sent at once.
 	linkBurst = 500 * time.Millisecond
--- a/internal/daemon/spread_loop.go
+++ b/internal/daemon/spread_loop.go
@@ -220,13 +220,13 @@
 		return
 	}
 	if address := s.d.fleet.peerAddress(a.To); address != "" {
-		_, _ = s.d.peers.Send(address, frame, 0)
+		_ = s.d.peers.SendBulk(address, frame)
 		return
 	}
 	// A daemon that starts while the store is down has no record yet: the
 	// answer goes out on the connection that its message came on.
 	conn, ok := s.unknownPeers[a.To]
-	if ok && conn.Send(frame) != nil {
+	if ok && conn.SendBulk(frame) != nil {
 		delete(s.unknownPeers, a.To)
 	}
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,14 +21,16 @@
 	open      atomic.Bool // until it is true, sent frames wait in the link's queue
 	address   string      // the address that this daemon dialed; empty if the peer opened the connection
 	hello     atomic.Pointer[wire.Hello]
+	features  atomic.Uint64 // wire.Features of the peer
 	outbox    outbox
 	buffered  atomic.Int64 // bytes that gnet holds because the kernel's send buffer is full
-	// The next three are accessed only on the event loop: whether the connection has
-	// closed, the bytes counted for the message that arrives, and the bytes left of
-	// one that is dropped.
+	// The next four are accessed only on the event loop: whether the connection has
+	// closed, the bytes counted for the message that arrives, the bytes left of one
+	// that is dropped, and the parts that have arrived of a frame.
 	closed    bool
 	arriving  int
 	dropping  int
+	parts     partBuffer
 	uncounted uncountedBytes
 }
 
@@ -86,21 +88,46 @@
 	c.transport.held.bytes.Add(int64(len(frame)))
 	c.transport.bytesOut.Inc(int64(len(frame)))
 	c.transport.framesOut.Inc(1)
-	if wire.KindOf(frame) == wire.KindObjects {
+	if kind := wire.KindOf(frame); kind == wire.KindObjects || kind == wire.KindPart {
 		c.transport.objectsOut.Inc(int64(len(frame)))
 	}
 	c.transport.regionTraffic.count(c, frame)
 	return nil
 }
 
-// handleFrame handles one received frame. It answers the hello of a peer that
-// opened the connection with this daemon's own. It returns false if the
-// connection must close.
+// handleFrame handles one received frame. It returns false if the connection must
+// close.
 func (c *Conn) handleFrame(kind wire.Kind, payload []byte) bool {
-	if kind != wire.KindHello {
+	switch kind {
+	case wire.KindHello:
+		return c.handleHello(payload)
+	case wire.KindFeatures:
+		return c.handleFeatures(payload)
+	case wire.KindPart:
+		return c.handlePart(payload)
+	default:
 		c.transport.handler.HandleFrame(c, kind, payload)
 		return true
 	}
+}
+
+func (c *Conn) handleFeatures(payload []byte) bool {
+	features, err := wire.Decode[wire.Features](payload)
+	if err != nil {
+		return false
+	}
+	c.features.Store(features.Bits)
+	return true
+}
+
+// readsParts reports whether the peer has said that it reads parts of frames.
+func (c *Conn) readsParts() bool {
+	return c.features.Load()&wire.FeatureParts != 0
+}
+
+// handleHello answers the hello of a peer that opened the connection with this daemon's
+// own.
+func (c *Conn) handleHello(payload []byte) bool {
 	hello, err := wire.Decode[wire.Hello](payload)
 	if err != nil {
 		return false
@@ -109,6 +136,7 @@
 	c.transport.regionTraffic.flushAll(c)
 	if c.address == "" {
 		_ = c.Send(c.transport.hello)
+		_ = c.Send(c.transport.features)
 	}
 	return true
 }
--- a/internal/peer/held.go
+++ b/internal/peer/held.go
@@ -79,6 +79,8 @@
 func (c *Conn) closes() {
 	c.closed = true
 	c.receives(0)
+	c.transport.held.bytes.Add(-int64(len(c.parts.data)))
+	c.parts = partBuffer{}
 	c.setBuffered(0)
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// readsParts reports whether the connection is open and the peer has said that it reads
+// parts of frames.
+func (l *link) readsParts() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state == stateOpen && l.conn.readsParts()
+}
+
 func (l *link) tryConnect() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,6 +185,7 @@
 		return
 	}
 	_ = conn.write(l.transport.hello)
+	_ = conn.write(l.transport.features)
 	frames := l.queue
 	l.queue = nil
 	for _, q := range frames {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,11 +76,13 @@
 	handler Handler
 	dial    DialFunc
 	hello   []byte
-	client  *gnet.Client
-	engine  gnet.Engine
-	started chan struct{}
-	runErr  chan error
-	ended   chan struct{} // Closed when the engine has ended.
+	// features is sent after the hello.
+	features []byte
+	client   *gnet.Client
+	engine   gnet.Engine
+	started  chan struct{}
+	runErr   chan error
+	ended    chan struct{} // Closed when the engine has ended.
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -91,6 +93,7 @@
 	objectsOut    metrics.Counter // Bytes of frames of wire.KindObjects.
 	regionTraffic *regionTraffic
 	held          held
+	bulk          bulkQueue
 }
 
 // Listen starts a transport that accepts connections on address, "IP:port", and
@@ -102,10 +105,15 @@
 	if err != nil {
 		return nil, err
 	}
+	features, err := wire.Encode(wire.KindFeatures, wire.Features{Bits: wire.FeatureParts})
+	if err != nil {
+		return nil, err
+	}
 	t := &Transport{
 		handler:       handler,
 		dial:          dial,
 		hello:         frame,
+		features:      features,
 		started:       make(chan struct{}),
 		runErr:        make(chan error, 1),
 		ended:         make(chan struct{}),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,6 +1,7 @@
 // Package wire encodes the messages between daemons. A frame is the payload's
 // length (four bytes, big endian), the message kind (one byte) and the payload
-// in CBOR. Messages are Go structs encoded as arrays, so that fields are
+// in CBOR. A large frame may travel compressed, in frames of KindPart, to a receiver that
+// has said that it reads them. Messages are Go structs encoded as arrays, so that fields are
 // identified by their position. The decoder refuses an array whose length
 // differs from the number of fields that it knows: daemons must agree on the
 // fields of every message that they exchange.
@@ -44,6 +45,8 @@
 	KindClaim                            // tells the leader which slices with restored entries the sender holds
 	KindAlarmReport                      // reports alarms to the daemon that writes their records
 	KindAlarmAnswer                      // the answer to KindAlarmReport
+	KindFeatures                         // what the sender reads beyond what all builds do; follows its hello
+	KindPart                             // a part of a compressed frame
 )
 
 // Sizes in bytes.
@@ -76,6 +79,24 @@
 	Region  host.Region
 }
 
+// Features tells what the sender of a Hello reads besides the messages that all builds
+// read. A receiver ignores the bits that it does not know.
+type Features struct {
+	_    struct{} `cbor:",toarray"`
+	Bits uint64
+}
+
+// FeatureParts is the bit of Features for Part.
+const FeatureParts = 1 << 0
+
+// Part is a part of a frame that was compressed with DEFLATE. The parts of a frame
+// follow each other on their connection; frames of other kinds may come between them.
+type Part struct {
+	_           struct{} `cbor:",toarray"`
+	First, Last bool
+	Data        []byte
+}
+
 var (
 	encoder = mustEncoder()
 	decoder = mustDecoder()
