--- a/internal/peer/bulk.go
+++ b/internal/peer/bulk.go
@@ -16,9 +16,11 @@
 const (
 	// minBulkBytes is the size from which a frame waits its turn.
 	minBulkBytes = 4 << 10
-	// maxBulkBytes bounds the frames that wait. Whoever lacks what was dropped asks for
-	// it again.
+	// maxBulkBytes bounds the frames that wait.
 	maxBulkBytes = 2 * wire.MaxPayloadBytes
+	// maxBulkWait is how long large frames may make the next one wait. Beyond it, whoever
+	// asks is served sooner by another peer.
+	maxBulkWait = time.Second
 	// minBulkPause spares wake-ups on fast links.
 	minBulkPause = 10 * time.Millisecond
 )
@@ -54,7 +56,8 @@
 }
 
 // SendBulk sends a frame of replicated objects, in its turn if it is large. Nothing
-// reports whether it has left. It returns PeerUnreachable if it certainly never will.
+// reports whether it has left. It returns PeerUnreachable if it certainly never will,
+// among others since the frames before it would make it wait too long.
 func (t *Transport) SendBulk(address string, frame []byte) error {
 	l := t.linkTo(address)
 	if len(frame) < minBulkBytes {
@@ -84,7 +87,8 @@
 		item.parts = b.pack(frame)
 	}
 	size := int(totalBytes(item.parts))
-	if b.waiting+size > maxBulkBytes {
+	if b.waiting+size > maxBulkBytes || b.timeFor(b.waiting) > maxBulkWait {
+		t.bulkRefused.Inc(1)
 		return &result.Error{Code: result.PeerUnreachable, Detail: "too many large messages wait to be sent"}
 	}
 	b.items = append(b.items, item)
@@ -140,7 +144,7 @@
 			if item.send(part) != nil {
 				break
 			}
-			pause += t.bulk.timeFor(len(part))
+			pause += t.bulk.pauseAfter(len(part))
 			if pause < minBulkPause {
 				continue
 			}
@@ -172,10 +176,15 @@
 	return err
 }
 
-// timeFor returns how long the queue leaves the link to others after so many bytes.
-func (b *bulkQueue) timeFor(size int) time.Duration {
+// pauseAfter returns how long the queue leaves the link to others after so many bytes.
+func (b *bulkQueue) pauseAfter(size int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.timeFor(size)
+}
+
+// timeFor returns the time in which so many bytes may be sent. The lock must be held.
+func (b *bulkQueue) timeFor(size int) time.Duration {
 	if b.bytesPerSecond == 0 {
 		return 0
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,7 @@
 	bytesOutName      = "peer.bytes_out"
 	framesOutName     = "peer.frames_out"
 	objectsOutName    = "peer.objects_bytes_out"
+	bulkRefusedName   = "peer.objects_refused"
 )
 
 // Handler receives the transport's events. HandleFrame and ConnectionLost are
@@ -94,6 +95,7 @@
 	regionTraffic *regionTraffic
 	held          held
 	bulk          bulkQueue
+	bulkRefused   metrics.Counter // Large frames that were not queued.
 }
 
 // Listen starts a transport that accepts connections on address, "IP:port", and
@@ -122,6 +124,7 @@
 		bytesOut:      metrics.GetOrRegisterCounter(bytesOutName, registry),
 		framesOut:     metrics.GetOrRegisterCounter(framesOutName, registry),
 		objectsOut:    metrics.GetOrRegisterCounter(objectsOutName, registry),
+		bulkRefused:   metrics.GetOrRegisterCounter(bulkRefusedName, registry),
 		regionTraffic: newRegionTraffic(hello.Region, registry),
 		held:          held{dropped: metrics.GetOrRegisterCounter(framesDroppedName, registry)},
 	}
