--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -174,7 +174,7 @@
 }
 
 // handleObjects applies received objects. If they raised this daemon's
-// revision, it informs its children and the sender, and requests the changes that the
+// revision, it informs its children and the sender, a reader the whole zone, and requests the changes that the
 // sender has beyond them.
 func (c *Core) handleObjects(now mono.Time, from host.Session, m *Objects) {
 	if int(m.Kind) >= len(c.states) {
@@ -186,7 +186,7 @@
 	}
 	i := int(m.Kind)
 	c.askedAt[i] = mono.Never
-	before := c.states[i].revision
+	before, newest := c.states[i].revision, c.states[i].newest()
 	if m.Snapshot {
 		c.applySnapshotPart(now, from, i, m)
 	} else {
@@ -199,6 +199,9 @@
 		c.requestChanges(now, from, i)
 	}
 	c.pushAll(now, i)
+	if c.states[i].newest() > newest && c.isReader() {
+		c.announce(now, i)
+	}
 	c.sendDigest(now, from, false)
 	c.finishJoin(now)
 }
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"bytes"
+	"compress/flate"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -29,11 +31,13 @@
 	loss  float64
 	// onStart, if set, is called for each core that starts. storeless is a
 	// node that can't reach the store.
-	onStart    func(*Core)
-	configure  func(*Config)
-	storeless  *node
-	trace      func(*node, string)
-	onSend     func(*node, Send)
+	onStart   func(*Core)
+	configure func(*Config)
+	storeless *node
+	trace     func(*node, string)
+	onSend    func(*node, Send)
+	// unpaced has large messages of objects stand in one queue with all others.
+	unpaced    bool
 	violations []string
 	// writersTell has half of the session records written by daemons.
 	writersTell bool
@@ -67,7 +71,9 @@
 	link     float64
 	linkFree mono.Time
 	// linkWait is the longest time that a message has taken to leave the host.
-	linkWait   time.Duration
+	linkWait time.Duration
+	// bulkFree is linkFree for large messages of objects if they are paced.
+	bulkFree   mono.Time
 	caughtUpAt mono.Time
 	calls      map[Kind]int
 	// adopted holds the version of each object in force since the daemon's
@@ -248,18 +254,7 @@
 const frameOverhead = 45 // bytes of frame, IP and TCP headers
 
 func (f *fleet) send(n *node, a Send) {
-	f.messages++
-	if f.onSend != nil {
-		f.onSend(n, a)
-	}
-	if f.encode {
-		raw, err := cbor.Marshal(a.Message)
-		if err != nil {
-			panic(err)
-		}
-		f.bytes += len(raw) + frameOverhead
-		f.sentBy[n.session.Host] += len(raw) + frameOverhead
-	}
+	f.countSent(n, a)
 	to := f.find(a.To)
 	if to == nil || n.peerless || to.peerless || f.isIsolated(n) || f.rand.Float64() < f.loss {
 		return
@@ -270,7 +265,11 @@
 	if to.zone[:2] != n.zone[:2] {
 		delay = 20 * time.Millisecond
 	}
-	delay += f.useLink(n, a.Message)
+	wait, ok := f.useLink(n, a.Message)
+	if !ok {
+		return
+	}
+	delay += wait
 	if f.loss > 0 && f.rand.Float64() < f.loss {
 		delay += time.Duration(f.rand.Int64N(int64(3 * time.Second)))
 	}
@@ -281,20 +280,72 @@
 	})
 }
 
-// useLink returns how long a message takes to leave the host, behind all that the host
-// has sent before.
-func (f *fleet) useLink(n *node, m Message) time.Duration {
+// countSent counts a message, whether or not it arrives.
+func (f *fleet) countSent(n *node, a Send) {
+	f.messages++
+	if f.onSend != nil {
+		f.onSend(n, a)
+	}
+	if f.encode {
+		raw, err := cbor.Marshal(a.Message)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += len(raw) + frameOverhead
+		f.sentBy[n.session.Host] += len(raw) + frameOverhead
+	}
+}
+
+// How the transport between daemons paces large messages of objects, which it compresses.
+const (
+	minBulkBytes  = 4 << 10
+	bulkLinkShare = 0.5
+	maxBulkWait   = time.Second
+)
+
+// useLink returns how long a message takes to leave the host, and false if the transport
+// refuses it.
+func (f *fleet) useLink(n *node, m Message) (time.Duration, bool) {
 	if n.link == 0 {
-		return 0
+		return 0, true
 	}
 	raw, err := cbor.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	bytes := float64(len(raw) + frameOverhead)
-	n.linkFree = max(n.linkFree, f.now).Add(time.Duration(bytes / n.link * float64(time.Second)))
-	n.linkWait = max(n.linkWait, n.linkFree.Sub(f.now))
-	return n.linkFree.Sub(f.now)
+	size := float64(len(raw) + frameOverhead)
+	if _, objects := m.(*Objects); objects && size >= minBulkBytes && !f.unpaced {
+		return f.useLinkForBulk(n, compressedBytes(raw))
+	}
+	n.linkFree = max(n.linkFree, f.now).Add(time.Duration(size / n.link * float64(time.Second)))
+	wait := n.linkFree.Sub(f.now)
+	n.linkWait = max(n.linkWait, wait)
+	return wait, true
+}
+
+// compressedBytes returns the length of a compressed message.
+func compressedBytes(raw []byte) float64 {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := w.Write(raw); err != nil {
+		panic(err)
+	}
+	if err := w.Close(); err != nil {
+		panic(err)
+	}
+	return float64(out.Len())
+}
+
+// useLinkForBulk is useLink for a large message of objects.
+func (f *fleet) useLinkForBulk(n *node, size float64) (time.Duration, bool) {
+	if n.bulkFree.Sub(f.now) > maxBulkWait {
+		return 0, false
+	}
+	n.bulkFree = max(n.bulkFree, f.now).Add(time.Duration(size / (bulkLinkShare * n.link) * float64(time.Second)))
+	return n.bulkFree.Sub(f.now), true
 }
 
 // accepted returns a message as the node's build takes it: an empty Digest, which
--- a/spread/kind_state.go
+++ b/spread/kind_state.go
@@ -53,6 +53,15 @@
 	return max(s.revision, s.watchedTo)
 }
 
+// newest returns the version of the newest change, or 0 if there is none.
+func (s *kindState) newest() uint64 {
+	s.sortChanges()
+	if len(s.changes) == 0 {
+		return 0
+	}
+	return s.changes[len(s.changes)-1].version
+}
+
 // markListed records that this daemon has all objects as of a revision of the
 // store. Deletions before it are not known one by one, so revision and
 // forgottenTo move up to it: a daemon that is behind is sent a snapshot.
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -19,7 +19,7 @@
 	announceFor = 2 * time.Second
 	// askOtherAfter is the time after which a daemon that was asked for documents
 	// without an answer counts as slow, and another reader that has them is asked.
-	askOtherAfter = 800 * time.Millisecond
+	askOtherAfter = 700 * time.Millisecond
 )
 
 // readsDocuments reports whether this daemon watches the first kind although it is
@@ -31,6 +31,13 @@
 	return rank < c.cfg.DocumentReaders || c.hearsNobody(now)
 }
 
+// isReader reports whether this daemon is one of its zone's readers of documents, as far
+// as it knows.
+func (c *Core) isReader() bool {
+	rank, _ := c.tree.rank()
+	return rank < c.cfg.DocumentReaders
+}
+
 // hearsNobody reports whether all other daemons have been silent for
 // Config.SuspectAfter. Nobody passes on documents to this one then.
 func (c *Core) hearsNobody(now mono.Time) bool {
@@ -45,7 +52,8 @@
 	return true
 }
 
-// announce announces what this daemon has read of the first kind.
+// announce announces what this reader has learned of the first kind, from the store or
+// from another daemon.
 func (c *Core) announce(now mono.Time, i int) {
 	if i != 0 || c.cfg.DocumentReaders <= 1 || !c.caughtUp {
 		return
--- a/spread/resend_test.go
+++ b/spread/resend_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/rhubarbring/rhubarbring/mono"
 )
 
 // countDocumentBytes counts the bytes of documents that daemons send to each other from
@@ -94,6 +96,7 @@
 		maxWait = 500 * time.Millisecond
 	)
 	f := newListedFleet(80_000)
+	f.unpaced = true
 	f.store.documentBytes = 320_000
 	for i, n := range f.nodes {
 		n.link = smallLink
@@ -106,14 +109,63 @@
 		if i == 6 {
 			version = f.store.write(testDocument, false)
 		}
-		f.store.write(Key{sessions, "s"}, false)
-		f.startAlone(f.nodes[7+6*i])
-		f.run(200 * time.Millisecond)
-		f.announceMembers()
-		f.run(300 * time.Millisecond)
+		f.startOne(f.nodes[7+6*i])
 	}
 	must.Eq(t, "", f.findBehind(testDocument, version, f.now))
 	for _, n := range f.nodes {
 		must.Less(t, maxWait, n.linkWait, must.Sprintf("wait for the link of %s", n.session.Host))
 	}
 }
+
+// startOne starts a daemon whose session the others learn of a moment later. It takes
+// half a second.
+func (f *fleet) startOne(n *node) {
+	f.store.write(Key{sessions, "s"}, false)
+	f.startAlone(n)
+	f.run(200 * time.Millisecond)
+	f.announceMembers()
+	f.run(300 * time.Millisecond)
+}
+
+// lateOnSmallLinks writes a large document while daemons start, one of them the relay of
+// a zone, and returns which daemons lack it after configApply.
+func lateOnSmallLinks(unpaced bool, smallLink float64) []string {
+	const largeLink = 25e6 // Bytes per second.
+	f := newListedFleet(80_000)
+	f.unpaced = unpaced
+	for i, n := range f.nodes {
+		n.link = smallLink
+		if i%20 == 0 {
+			n.link = largeLink
+		}
+	}
+	const before, after, each = 4, 5, 500 * time.Millisecond
+	starting := func(i int) *node { return f.nodes[(7+13*i)%len(f.nodes)] }
+	for i := range before {
+		f.startOne(starting(i))
+	}
+	f.store.documentBytes = 600_000
+	version := f.store.write(testDocument, false)
+	f.run(configApply - after*each)
+	for i := range after {
+		f.startOne(starting(before + i))
+	}
+	var late []string
+	for _, n := range f.nodes {
+		if n.caughtUpAt != mono.Never && n.adopted[testDocument] < version {
+			late = append(late, string(n.session.Host))
+		}
+	}
+	return late
+}
+
+// A document came too late (CONFIG) at members of a zone whose relay had just started and
+// learned of it from a peer: it did not announce it, and the other reader's small link
+// had to carry all copies.
+func TestDocumentThatRelayLearnsFromPeerArrivesInTime(t *testing.T) {
+	for _, unpaced := range []bool{false, true} {
+		for _, smallLink := range []float64{0.6e6, 1.25e6} {
+			must.SliceEmpty(t, lateOnSmallLinks(unpaced, smallLink))
+		}
+	}
+}
