--- a/internal/daemon/spread_document.go
+++ b/internal/daemon/spread_document.go
@@ -17,6 +17,10 @@
 	documentWait = 25 * time.Second
 	// documentRetry is the pause after a failed watch.
 	documentRetry = time.Second
+	// largeZone is the number of members of a zone above which each watches the document
+	// by itself. In smaller ones two readers bring it in time, and the links between
+	// regions carry it twice for each zone instead of once for each daemon.
+	largeZone = 32
 )
 
 // documentSeen is the document as this daemon read it directly from the store.
@@ -30,7 +34,7 @@
 }
 
 // watchDocument watches the document in the store until the daemon ends, if the
-// settings ask for it and the fleet is large: two readers of each zone
+// settings ask for it and the zone is large: two readers of each zone
 // (spread.Config.DocumentReaders) do not bring it to 75 members within 3 s. The
 // document then arrives both from the store and through the relay, and the first to
 // arrive takes effect: an older version never replaces a newer one.
@@ -38,30 +42,56 @@
 	if !s.d.settings.Spread.WatchDocument {
 		return
 	}
-	revision, known := uint64(0), false
+	var from documentPosition
 	limiter := &watchLimiter{rate: cmp.Or(s.d.settings.Spread.WatchesPerSecond, watchRate)}
 	for !s.stopped() {
-		if !s.d.fleet.isLarge() {
-			known = false
+		if !s.zoneIsLarge() {
+			from = documentPosition{}
 			s.sleep(documentRetry)
 			continue
 		}
 		s.sleep(limiter.reserve(bootclock.Now()))
-		var err error
-		if known {
-			revision, err = s.watchDocumentOnce(revision)
-		} else {
-			revision, err = s.listDocument()
-		}
-		known = err == nil
-		if err != nil && !objectstore.IsRevisionTooOld(err) {
+		if !s.readDocument(&from) {
 			s.sleep(documentRetry)
 		}
 	}
 }
 
+// zoneIsLarge reports whether each member of the zone watches the document by itself.
+func (s *spreadLoop) zoneIsLarge() bool {
+	return s.d.fleet.isLarge() && s.zoneMembers() > largeZone
+}
+
+// documentPosition is where the next watch of the document begins. With revision 0 it
+// is what this daemon has learned from others, and with mustList the document is listed.
+type documentPosition struct {
+	revision uint64
+	mustList bool
+}
+
+// readDocument makes one call for the document, and reports whether the next may follow
+// at once. A list is made only if it has to be: it has the whole document, and when a
+// zone grows large, all its members begin at the same time.
+func (s *spreadLoop) readDocument(from *documentPosition) bool {
+	revision := from.revision
+	if revision == 0 {
+		revision = s.documentRevision.Load()
+	}
+	read := s.watchDocumentOnce
+	if from.mustList || revision == 0 {
+		read = s.listDocument
+	}
+	next, err := read(revision)
+	if err == nil {
+		*from = documentPosition{revision: next}
+		return true
+	}
+	from.mustList = from.mustList || objectstore.IsRevisionTooOld(err)
+	return objectstore.IsRevisionTooOld(err)
+}
+
 // listDocument reads the document and returns the revision from which to watch.
-func (s *spreadLoop) listDocument() (uint64, error) {
+func (s *spreadLoop) listDocument(uint64) (uint64, error) {
 	page, err := s.d.client.List(document.Kind, "", listPage)
 	s.d.store.recordResult("list", document.Kind, err)
 	if err != nil {
--- a/internal/daemon/spread_loop.go
+++ b/internal/daemon/spread_loop.go
@@ -53,11 +53,13 @@
 	adopted      adoptedObjects
 	startedAt    mono.Time
 	lastHeard    atomic.Int64 // mono.Time of the last message of another daemon.
-	rollout      zoneRollout
-	caughtUp     atomic.Bool
-	isRelay      atomic.Bool
-	stop         chan struct{}
-	done         sync.WaitGroup
+	// documentRevision is the revision up to which every change of the document is known.
+	documentRevision atomic.Uint64
+	rollout          zoneRollout
+	caughtUp         atomic.Bool
+	isRelay          atomic.Bool
+	stop             chan struct{}
+	done             sync.WaitGroup
 }
 
 // adoptedObjects collects the objects that one step adopted.
@@ -165,9 +167,10 @@
 	s.distribute(now)
 }
 
-// publish makes available, and logs changes of, whether the daemon is its
-// zone's relay.
+// publish makes available up to where the document is known, and whether the daemon is
+// its zone's relay, of which it logs changes.
 func (s *spreadLoop) publish() {
+	s.documentRevision.Store(s.core.Revision(document.Kind))
 	relay := s.core.IsRelay()
 	if s.isRelay.Swap(relay) == relay {
 		return
--- a/spread/resend_test.go
+++ b/spread/resend_test.go
@@ -29,6 +29,10 @@
 // store no longer has the changes since its beginning: a daemon that starts reads
 // lists.
 func newListedFleet(documentBytes int) *fleet {
+	return newListedFleetOf(20, documentBytes)
+}
+
+func newListedFleetOf(perZone, documentBytes int) *fleet {
 	f := newFleetOf(1, 0, 0, nil)
 	f.configure = func(c *Config) {
 		c.Interval, c.SuspectAfter = 500*time.Millisecond, 1500*time.Millisecond
@@ -36,7 +40,7 @@
 	}
 	f.store.documentBytes = documentBytes
 	for z := range 4 {
-		f.addZone(z, 20)
+		f.addZone(z, perZone)
 	}
 	f.store.write(testDocument, false)
 	for _, n := range f.nodes {
@@ -129,13 +133,13 @@
 
 // lateOnSmallLinks writes a large document while daemons start, one of them the relay of
 // a zone, and returns which daemons lack it after configApply.
-func lateOnSmallLinks(unpaced bool, smallLink float64) []string {
+func lateOnSmallLinks(perZone int, unpaced bool, smallLink float64) []string {
 	const largeLink = 25e6 // Bytes per second.
-	f := newListedFleet(80_000)
+	f := newListedFleetOf(perZone, 80_000)
 	f.unpaced = unpaced
 	for i, n := range f.nodes {
 		n.link = smallLink
-		if i%20 == 0 {
+		if i%perZone == 0 {
 			n.link = largeLink
 		}
 	}
@@ -165,7 +169,15 @@
 func TestDocumentThatRelayLearnsFromPeerArrivesInTime(t *testing.T) {
 	for _, unpaced := range []bool{false, true} {
 		for _, smallLink := range []float64{0.6e6, 1.25e6} {
-			must.SliceEmpty(t, lateOnSmallLinks(unpaced, smallLink))
+			must.SliceEmpty(t, lateOnSmallLinks(20, unpaced, smallLink))
 		}
 	}
 }
+
+// In a zone of 32 members two readers bring a large document in time: package daemon has
+// the members of larger ones watch it themselves.
+func TestTwoReadersServeZoneOf32Members(t *testing.T) {
+	for _, smallLink := range []float64{0.6e6, 1.25e6} {
+		must.SliceEmpty(t, lateOnSmallLinks(32, false, smallLink))
+	}
+}
