--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -83,6 +83,9 @@
 // slice, or because the request is meant for another instance of the target.
 const ReasonFence = "fence"
 
+// ReasonCancelled is the Reason of a run that was cancelled before it was sent.
+const ReasonCancelled = "cancelled"
+
 // Reply is the result of a call.
 type Reply struct {
 	Verdict Verdict
