--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -54,8 +55,12 @@
 const longBodyBytes = 64 << 10
 
 // lacksMemory reports whether a request's long body would exceed MaxBodyBytes with
-// the bodies that are here. Alone, any body is admitted.
+// the bodies that are here. Alone, any body is admitted. One that is not held here is
+// admitted if it is the only such one.
 func (g *Gate) lacksMemory(r *request.Request) bool {
+	if r.Long != nil {
+		return g.hasLongBody()
+	}
 	if g.cfg.MaxBodyBytes == 0 || len(r.Body) < longBodyBytes {
 		return false
 	}
@@ -63,6 +68,12 @@
 	return here > 0 && here+len(r.Body) > g.cfg.MaxBodyBytes
 }
 
+// hasLongBody reports whether a request with a request.LongBody is queued or running.
+// Only one is admitted at a time: its caller decides how long it keeps its slot.
+func (g *Gate) hasLongBody() bool {
+	return slices.ContainsFunc(g.allJobs(), func(j *job) bool { return j.req.Long != nil })
+}
+
 // bodyBytes returns the total size of the bodies of the queued and running requests.
 func (g *Gate) bodyBytes() int {
 	sum := g.queuedBytes()
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -297,3 +297,21 @@
 	f.arrive(startTime, request.Normal, func(r *request.Request) { r.Body = make([]byte, 2*longBodyBytes) })
 	must.SliceLen(t, 1, f.out.Starts)
 }
+
+// Callers decide how long their long bodies keep a slot: more than one at a time would
+// keep ordinary requests out.
+func TestOneLongBodyAtATime(t *testing.T) {
+	f := newWarmFixture(6)
+	long := func(r *request.Request) { r.Idempotent, r.Long = true, &request.LongBody{Length: 1 << 26} }
+	f.arrive(startTime, request.Normal, long)
+	must.Len(t, 1, f.out.Starts)
+	run := f.out.Starts[0].Run
+	f.arrive(startTime, request.Normal, long)
+	must.SliceEmpty(t, f.out.Starts)
+	must.Eq(t, result.QueueFull, f.out.Answers[0].Answer.Code)
+	f.arrive(startTime, request.Normal, nil)
+	must.Len(t, 1, f.out.Starts)
+	f.gate.TargetAnswered(startTime, run, TargetAnswer{Status: 200}, &f.out)
+	f.arrive(startTime, request.Normal, long)
+	must.Len(t, 1, f.out.Starts)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/controlrpc"
 	"github.com/rhubarbring/rhubarbring/internal/explain"
 	"github.com/rhubarbring/rhubarbring/internal/listen"
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/result"
 )
 
@@ -88,6 +89,8 @@
 	// ExplainKey returns which session owns a key of an app and why, to be
 	// encoded as JSON.
 	ExplainKey(app, key string) (any, error)
+	// TakeBody returns the long body with a token, once, or nil if there is none.
+	TakeBody(token string) *longbody.Body
 	// ExplainRequest returns where a request would go now and why, to be encoded as
 	// JSON. Nothing is sent.
 	ExplainRequest(q explain.Query) (any, error)
@@ -156,6 +159,10 @@
 		s.twirp(ctx)
 		return
 	}
+	if token, ok := bytes.CutPrefix(ctx.Path(), []byte(longbody.Path)); ok && ctx.IsGet() {
+		s.body(ctx, string(token))
+		return
+	}
 	route, ok := s.routes[string(ctx.Method())+" "+string(ctx.Path())]
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -164,6 +171,17 @@
 	route(ctx)
 }
 
+// body serves the body of a request to the gate's daemon. It can be read once.
+func (s *Server) body(ctx *fasthttp.RequestCtx, token string) {
+	b := s.daemon.TakeBody(token)
+	if b == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetConnectionClose()
+	ctx.SetBodyStream(b, int(b.Length))
+}
+
 type announceResponse struct {
 	Owner string `json:"owner"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/rhubarbring/rhubarbring/internal/controlrpc"
 	"github.com/rhubarbring/rhubarbring/internal/entry"
 	"github.com/rhubarbring/rhubarbring/internal/eventlog"
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/internal/machine"
 	"github.com/rhubarbring/rhubarbring/internal/objectstore"
 	"github.com/rhubarbring/rhubarbring/internal/peer"
@@ -76,6 +77,7 @@
 	risk         *riskLoop
 	zoneActivity *zoneActivity
 	entry        *entry.Server
+	longBodies   *longbody.Registry
 	control      *control.Server
 	metrics      *control.MetricsServer // nil without a metrics address in the settings
 
@@ -130,6 +132,7 @@
 		registry:     registry,
 		dial:         peer.DialTCP,
 		fleet:        newFleet(&p.document),
+		longBodies:   longbody.NewRegistry(),
 		zoneActivity: &zoneActivity{at: make(map[string]mono.Time), clock: bootclock.Now},
 	}
 	for _, option := range options {
@@ -196,6 +199,7 @@
 		}
 	}
 	d.entry = entry.New(d, d.protocol, d.callerBounds())
+	d.entry.CarryLongBodies(d.longBodies)
 	d.routing.setEntry(d.entry)
 	if err := d.entry.Start(d.settings.CallerAddress); err != nil {
 		d.stopAddresses()
--- a/internal/daemon/frame_handler.go
+++ b/internal/daemon/frame_handler.go
@@ -31,6 +31,11 @@
 	switch kind {
 	case wire.KindRequest:
 		return decodeFrame(payload, func(m request.Request) { f.d.routing.ring.Push(requestReceived{from, &m}) })
+	case wire.KindLongRequest:
+		return decodeFrame(payload, func(m request.LongRequest) {
+			m.Request.Long = &m.Body
+			f.d.routing.ring.Push(requestReceived{from, &m.Request})
+		})
 	case wire.KindAnswer:
 		return decodeFrame(payload, func(m request.Answer) { f.d.routing.ring.Push(answerReceived{from, &m}) })
 	case wire.KindCancel:
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/rhubarbring/rhubarbring/internal/entry"
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -55,9 +56,17 @@
 		s.Reply <- &request.Answer{ID: s.Request.ID, Code: request.CodeForCaller(s.Request, result.Draining), Owner: string(d.self.Host)}
 		return true
 	}
+	if s.Request.Long != nil {
+		s.Request.Long.Address = d.settings.ControlAddress
+	}
 	return d.routing.ring.PushIfBelow(submissionLimit, requestSubmitted{s})
 }
 
+// TakeBody implements control.Daemon.
+func (d *Daemon) TakeBody(token string) *longbody.Body {
+	return d.longBodies.Take(token)
+}
+
 // CallerGone implements entry.Router.
 func (d *Daemon) CallerGone(call request.CallID) {
 	d.routing.ring.Push(callerGone{call})
--- a/internal/daemon/routing_actions.go
+++ b/internal/daemon/routing_actions.go
@@ -62,7 +62,7 @@
 func (r *routingLoop) send(now mono.Time, s request.Send) {
 	req := s.Request
 	r.logSent(s.To, req)
-	frame, err := wire.Encode(wire.KindRequest, req)
+	frame, err := encodeRequest(req)
 	if err != nil {
 		r.sendFailed(now, s, result.TooLarge, err.Error())
 		return
@@ -72,6 +72,10 @@
 		r.sendFailed(now, s, result.PeerUnreachable, "the address of the session is unknown, or this daemon's session is over")
 		return
 	}
+	if req.Long != nil && r.peers.LacksLongRequests(address) {
+		r.sendFailed(now, s, result.PeerUnreachable, "the daemon is of a build that carries no long bodies")
+		return
+	}
 	r.tellGate(s.To, address)
 	conn, err := r.peers.Send(address, frame, peer.Tag(req.Seq))
 	if err != nil {
@@ -81,6 +85,14 @@
 	r.sentRequests[req.Seq] = sentRequest{id: req.ID, to: s.To, conn: conn, at: now}
 }
 
+// encodeRequest returns the frame of a request.
+func encodeRequest(req *request.Request) ([]byte, error) {
+	if req.Long != nil {
+		return wire.Encode(wire.KindLongRequest, &request.LongRequest{Request: *req, Body: *req.Long})
+	}
+	return wire.Encode(wire.KindRequest, req)
+}
+
 // sendFailed reports to the router that a request did not leave this process.
 func (r *routingLoop) sendFailed(now mono.Time, s request.Send, code result.Code, cause string) {
 	r.log.Event(event.SendFailed, "id", s.Request.ID, "to", s.To.String(), "cause", cause)
--- a/internal/daemon/routing_runs.go
+++ b/internal/daemon/routing_runs.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/rhubarbring/rhubarbring/gate"
 	"github.com/rhubarbring/rhubarbring/handover"
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/internal/targetclient"
 	"github.com/rhubarbring/rhubarbring/key"
 	"github.com/rhubarbring/rhubarbring/mono"
@@ -63,7 +65,24 @@
 		Timeout:  s.Deadline.Sub(now) + lateAnswerWait,
 	}
 	client := r.target.client
-	go func() { r.ring.PushWait(runEnded{run: active, reply: client.Do(call)}, r.stop) }()
+	go func() { r.ring.PushWait(runEnded{run: active, reply: doRun(client, call)}, r.stop) }()
+}
+
+// doRun sends a run to the target, with its long body if it has one, and waits until it
+// has ended.
+func doRun(client Target, call targetclient.Call) targetclient.Reply {
+	if call.Request.Long == nil {
+		return client.Do(call)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+	defer cancel()
+	body, err := longbody.Open(ctx, *call.Request.Long)
+	if err != nil {
+		return targetclient.Reply{Verdict: targetclient.Refused, Reason: targetclient.ReasonBodyGone}
+	}
+	defer func() { _ = body.Close() }()
+	call.LongBody = body
+	return client.Do(call)
 }
 
 // endAfterDeadline keeps the slice held until the deadline of a run whose
--- a/internal/daemon/routing_tasks.go
+++ b/internal/daemon/routing_tasks.go
@@ -194,6 +194,8 @@
 	switch reason {
 	case targetclient.ReasonFence:
 		return result.FenceRefused
+	case targetclient.ReasonBodyGone:
+		return result.PeerUnreachable
 	case targetclient.ReasonCancelled:
 		return result.Cancelled
 	case "draining":
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/membudget"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -68,6 +69,10 @@
 	bodyBytes  int  // reserved until the answer
 	// answerBytes are counted for the answer until it is written.
 	answerBytes int
+	// long is the body if it is to be read later; nil for others. answered is closed
+	// once its request is answered.
+	long     *longbody.Body
+	answered chan struct{}
 }
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
@@ -121,10 +126,14 @@
 		return false
 	}
 	if !c.submit(x) {
+		c.dropLongBody(x)
 		c.releaseBody(x.bodyBytes)
 		return c.discardInput()
 	}
 	c.exchanges <- x
+	if x.long != nil {
+		c.awaitLongBody(x)
+	}
 	if x.closeAfter {
 		return c.discardInput()
 	}
@@ -205,7 +214,8 @@
 	}
 	x := &exchange{isHead: req.Header.IsHead(), closeAfter: req.Header.ConnectionClose()}
 	var bodyErr error
-	x.bodyBytes, bodyErr = c.readBody(req)
+	var long io.Reader
+	x.bodyBytes, long, bodyErr = c.readBody(req)
 	if err := connectionError(bodyErr); err != nil {
 		return nil, err
 	}
@@ -220,6 +230,9 @@
 		x.closeAfter = true
 		x.refusal = refusalForReadError(bodyErr)
 	}
+	if long != nil {
+		c.keepLongBody(x, long, req.Header.ContentLength())
+	}
 	return x, nil
 }
 
@@ -298,6 +311,9 @@
 			_ = c.raw.Close() // The caller hung up: this ends the reading goroutine too.
 		}
 		resp.Reset() // It holds the answer's body.
+		if x.long != nil {
+			close(x.answered)
+		}
 		c.server.memory.shrink(c, x.answerBytes)
 		c.setWriting(false)
 		if closes || c.isLastAnswer() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/rhubarbring/rhubarbring/internal/bootclock"
 	"github.com/rhubarbring/rhubarbring/internal/listen"
+	"github.com/rhubarbring/rhubarbring/internal/longbody"
 	"github.com/rhubarbring/rhubarbring/mono"
 	"github.com/rhubarbring/rhubarbring/request"
 	"github.com/rhubarbring/rhubarbring/result"
@@ -63,10 +64,12 @@
 
 // Options are the limits of the HTTP server for callers.
 type Options struct {
-	// MaxBodyBytes bounds a request's body, MaxHeaderBytes its request line and
-	// headers.
-	MaxBodyBytes   int
-	MaxHeaderBytes int
+	// MaxBodyBytes bounds a body that is read before its request goes on. A longer one,
+	// of up to MaxLongBodyBytes, is read by the gate's daemon (package longbody); 0 is
+	// none. MaxHeaderBytes bounds a request's line and headers.
+	MaxBodyBytes     int
+	MaxLongBodyBytes int
+	MaxHeaderBytes   int
 	// HeaderTimeout bounds the time to read a header from its first byte,
 	// BodyProgress the wait for the next bytes of a body, and IdleTimeout the time
 	// between two requests on a connection, and until a caller reads on.
@@ -136,6 +139,8 @@
 	draining   atomic.Bool
 	listener   net.Listener
 	memory     *memory
+	// longBodies keeps long bodies until they are read; nil if none are carried.
+	longBodies *longbody.Registry
 	// closed is closed when requests without an answer are answered as unknown.
 	closed chan struct{}
 	wg     sync.WaitGroup
@@ -160,6 +165,12 @@
 	}
 }
 
+// CarryLongBodies makes the server keep bodies longer than Options.MaxBodyBytes in the
+// registry until a gate's daemon reads them. It is called before Start.
+func (s *Server) CarryLongBodies(registry *longbody.Registry) {
+	s.longBodies = registry
+}
+
 // currentOptions returns the server's limits with those of the operators that are
 // narrower. The times have a margin for the way that bytes take.
 func (s *Server) currentOptions() Options {
@@ -167,6 +178,7 @@
 	l := s.router.CallerLimits()
 	if l.MaxBodyBytes > 0 {
 		o.MaxBodyBytes = min(o.MaxBodyBytes, l.MaxBodyBytes)
+		o.MaxLongBodyBytes = min(o.MaxLongBodyBytes, l.MaxBodyBytes)
 	}
 	if l.MaxHeaderBytes > 0 {
 		o.MaxHeaderBytes = min(o.MaxHeaderBytes, l.MaxHeaderBytes)
--- a/internal/peer/bulk_test.go
+++ b/internal/peer/bulk_test.go
@@ -228,6 +228,17 @@
 	must.False(t, &first[0] == &other[0])
 }
 
+// A daemon of an earlier build would pass over a message of a kind that it does not know.
+func TestPeerOfEarlierBuildLacksLongRequests(t *testing.T) {
+	from := startTransport(t, "a", freeAddress(t), &echoHandler{}, DialTCP)
+	p, address := dialedRawPeer(t, from)
+	must.False(t, from.LacksLongRequests(address)) // Not known yet.
+	p.write(encodeFrame(t, wire.KindHello, wire.Hello{Session: host.Session{Host: "raw", Incarnation: 1}}))
+	waitUntil(t, func() bool { return from.LacksLongRequests(address) })
+	p.write(encodeFrame(t, wire.KindFeatures, wire.Features{Bits: wire.FeatureLongRequests}))
+	waitUntil(t, func() bool { return !from.LacksLongRequests(address) })
+}
+
 func BenchmarkPackDocument(b *testing.B) {
 	frame := []byte(nil)
 	for i := range 2000 {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// lacks reports whether the peer has identified itself and not said that it has a
+// feature.
+func (l *link) lacks(feature uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state == stateOpen && l.conn.hello.Load() != nil && l.conn.features.Load()&feature == 0
+}
+
 // readsParts reports whether the connection is open and the peer has said that it reads
 // parts of frames.
 func (l *link) readsParts() bool {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	features, err := wire.Encode(wire.KindFeatures, wire.Features{Bits: wire.FeatureParts})
+	features, err := wire.Encode(wire.KindFeatures, wire.Features{Bits: wire.FeatureParts | wire.FeatureLongRequests})
 	if err != nil {
 		return nil, err
 	}
@@ -222,6 +222,12 @@
 	return t.linkTo(address).send(frame, tag)
 }
 
+// LacksLongRequests reports whether the peer at an address is known not to read
+// messages of wire.KindLongRequest.
+func (t *Transport) LacksLongRequests(address string) bool {
+	return t.linkTo(address).lacks(wire.FeatureLongRequests)
+}
+
 // TryConnect reports whether a connection to the peer is open. If not, it starts
 // opening one, unless the reconnect delay is running.
 func (t *Transport) TryConnect(address string) bool {
--- a/internal/peer/region_traffic.go
+++ b/internal/peer/region_traffic.go
@@ -30,7 +30,7 @@
 
 func purposeOf(kind wire.Kind) balance.Purpose {
 	switch kind {
-	case wire.KindRequest:
+	case wire.KindRequest, wire.KindLongRequest:
 		return balance.Requests
 	case wire.KindAnswer:
 		return balance.Answers
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"syscall"
@@ -52,6 +53,8 @@
 	Slice    key.Slice
 	Grant    Grant
 	Deadline mono.Time
+	// LongBody is the body if Request.Long names it. Only the caller closes it.
+	LongBody io.Reader
 	// Timeout bounds the wait for the answer. It may end after the deadline, if
 	// the answer matters even when it is late.
 	Timeout time.Duration
@@ -86,6 +89,10 @@
 // ReasonCancelled is the Reason of a run that was cancelled before it was sent.
 const ReasonCancelled = "cancelled"
 
+// ReasonBodyGone is the Reason of a run that was not sent, since the entry daemon does
+// not have its long body any more.
+const ReasonBodyGone = "body"
+
 // Reply is the result of a call.
 type Reply struct {
 	Verdict Verdict
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,6 +47,7 @@
 	KindAlarmAnswer                      // the answer to KindAlarmReport
 	KindFeatures                         // what the sender reads beyond what all builds do; follows its hello
 	KindPart                             // a part of a compressed frame
+	KindLongRequest                      // a request whose body the gate's daemon reads at the sender
 )
 
 // Sizes in bytes.
@@ -86,8 +87,11 @@
 	Bits uint64
 }
 
-// FeatureParts is the bit of Features for Part.
-const FeatureParts = 1 << 0
+// The bits of Features.
+const (
+	FeatureParts        = 1 << 0 // Part
+	FeatureLongRequests = 1 << 1 // KindLongRequest
+)
 
 // Part is a part of a frame that was compressed with DEFLATE. The parts of a frame
 // follow each other on their connection; frames of other kinds may come between them.
--- a/request/request.go
+++ b/request/request.go
@@ -99,12 +99,33 @@
 	// Regions are the regions in which targets may run the request; empty for
 	// all. Only the entry daemon uses them.
 	Regions []host.Region `cbor:"-"`
+	// Long refers to a body that is too long to be in Body; nil for others. A message
+	// carries it as a LongRequest.
+	Long *LongBody `cbor:"-"`
 	// ParentIDs are the IDs of runs of the caller's own target that may have made
 	// the request, by its ID, the most likely first; empty if the ID tells of none.
 	// Only the entry daemon uses them.
 	ParentIDs []string `cbor:"-"`
 }
 
+// LongBody tells where a gate's daemon reads the body of a request, once.
+type LongBody struct {
+	_ struct{} `cbor:",toarray"`
+	// Address is the control address of the entry daemon, and Token names the body
+	// there.
+	Address string
+	Token   string
+	// Length is the number of bytes, or -1 if it is not known.
+	Length int64
+}
+
+// LongRequest is the message for a Request with a LongBody.
+type LongRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Request Request
+	Body    LongBody
+}
+
 // BulkBytes returns how many bytes the request's body, header and path take.
 func (r *Request) BulkBytes() int {
 	return len(r.Body) + len(r.Header) + len(r.Path)
