--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -131,8 +131,8 @@
 		return c.discardInput()
 	}
 	c.exchanges <- x
-	if x.long != nil {
-		c.awaitLongBody(x)
+	if x.long != nil && !c.awaitLongBody(x) {
+		return false
 	}
 	if x.closeAfter {
 		return c.discardInput()
--- a/internal/entry/long_body.go
+++ b/internal/entry/long_body.go
@@ -37,21 +37,31 @@
 
 // awaitLongBody waits until nobody reads the body of a request from this connection any
 // more: it has been read or given up, or the request is answered and the body was never
-// asked for. A reader that does not notice the answer is cut off.
-func (c *conn) awaitLongBody(x *exchange) {
-	defer func() { c.stream.readWithin = 0 }()
+// asked for. It returns false if a reader does not notice the answer: the connection is
+// closed then, and that reader is the only one that may still use it.
+func (c *conn) awaitLongBody(x *exchange) bool {
 	select {
 	case <-x.long.Ended():
-		return
 	case <-x.answered:
+		if !c.withdrawLongBody(x) {
+			_ = c.raw.Close()
+			return false
+		}
 	}
+	c.stream.readWithin = 0
+	return true
+}
+
+// withdrawLongBody takes a body back whose request is answered. It returns false if
+// another reader has it and does not end within lingerTimeout.
+func (c *conn) withdrawLongBody(x *exchange) bool {
 	if c.server.longBodies.Take(x.submission.Request.Long.Token) != nil {
-		return
+		return true
 	}
 	select {
 	case <-x.long.Ended():
+		return true
 	case <-time.After(lingerTimeout):
-		_ = c.raw.Close()
-		<-x.long.Ended()
+		return false
 	}
 }
--- a/internal/entry/long_body_test.go
+++ b/internal/entry/long_body_test.go
@@ -109,12 +109,12 @@
 		sub.Reply <- &request.Answer{Status: fasthttp.StatusServiceUnavailable}
 		must.Eq(t, fasthttp.StatusServiceUnavailable, s.response(conn).StatusCode())
 		_ = conn.Close()
+		s.end()
+		must.Eq(t, Usage{}, s.Usage())
 		if taken {
 			_, err := io.ReadAll(body)
 			must.Error(t, err)
 		}
-		s.end()
-		must.Eq(t, Usage{}, s.Usage())
 		must.Nil(t, registry.Take(sub.Request.Long.Token))
 	}
 }
